--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/PlainService.java
@@ -0,0 +1,34 @@
+package org.masticpaddle.document;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Declaration of a plain service. Immutable and thread-safe.
+ *
+ * @param name name in the path {@code /services/NAME/}
+ * @param service service in the instance list whose upstreams serve it
+ * @param nonIdempotent calls that run at most once, each a method and a path prefix, for example {@code POST /bookings}
+ * @param checksIdempotencyKey whether the upstreams suppress duplicate keys themselves
+ * @param priceMicros price of a call, in millionths of the currency unit
+ */
+public record PlainService(
+        String name, String service, List<String> nonIdempotent, boolean checksIdempotencyKey, long priceMicros) {
+    /** Checks the arguments and copies the list. */
+    public PlainService {
+        Objects.requireNonNull(name, "name is null");
+        Objects.requireNonNull(service, "service is null");
+        nonIdempotent = List.copyOf(nonIdempotent);
+    }
+
+    /**
+     * Tells whether a call may run more than once.
+     *
+     * @param method HTTP method
+     * @param path path below the service, with a leading slash
+     * @return {@code false} if the call runs at most once
+     */
+    public boolean idempotent(String method, String path) {
+        return nonIdempotent.stream().noneMatch(rule -> (method + " " + path).startsWith(rule));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -0,0 +1,166 @@
+package org.masticpaddle.wire;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import org.masticpaddle.kernel.Service;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Asynchronous HTTP client with a pool of idle connections for each peer.
+ *
+ * <p>Invariants: a connection carries one request at a time; one that failed, timed out or was cancelled is closed and
+ * never reused; a request is written at most once, and the client never repeats one by itself. Thread-safe.
+ */
+public final class HttpClient implements Service {
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final int MAX_POOLED_BUFFERS = 256;
+    private static final int MAX_IDLE_PER_ORIGIN = 64;
+
+    private final int ioThreads;
+    private final Map<URI, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
+    private XnioWorker worker;
+
+    /**
+     * Creates a client that is not started.
+     *
+     * @param ioThreads number of input/output threads
+     */
+    public HttpClient(int ioThreads) {
+        this.ioThreads = ioThreads;
+    }
+
+    @Override
+    public void start() {
+        try {
+            worker = Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, ioThreads)
+                            .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                            .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                            .set(Options.THREAD_DAEMON, true)
+                            .set(Options.WORKER_NAME, "http-client")
+                            .getMap());
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot start the input/output threads", e);
+        }
+    }
+
+    @Override
+    public void stop() {
+        idle.values().forEach(queue -> queue.forEach(IoUtils::safeClose));
+        idle.clear();
+        worker.shutdownNow();
+    }
+
+    /**
+     * Sends a request and collects the whole answer.
+     *
+     * @param call the request
+     * @return the answer of any status; fails with {@link CallException}
+     */
+    public CompletableFuture<HttpAnswer> send(HttpCall call) {
+        final Collector collector = new Collector();
+        return stream(call, collector).finished().thenApply(ignored -> collector.answer());
+    }
+
+    /**
+     * Sends a request and streams the answer.
+     *
+     * @param call the request
+     * @param listener receiver of the answer
+     * @return handle to wait for the end or cancel
+     */
+    public StreamHandle stream(HttpCall call, StreamListener listener) {
+        Objects.requireNonNull(call, "call is null");
+        final ActiveCall active = new ActiveCall(call, listener, buffers, this::release);
+        final ClientConnection pooled = call.freshConnection() ? null : takeIdle(call.origin());
+        if (pooled != null) {
+            pooled.getIoThread().execute(() -> active.begin(pooled));
+        } else {
+            connect(call, active);
+        }
+        return active;
+    }
+
+    private void connect(HttpCall call, ActiveCall active) {
+        active.armConnectTimeout(worker.getIoThread());
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                connection.getIoThread().execute(() -> active.begin(connection));
+                            }
+
+                            @Override
+                            public void failed(IOException e) {
+                                active.fail(CallException.Delivery.NOT_SENT, "cannot connect to " + call.origin(), e);
+                            }
+                        },
+                        call.origin(),
+                        worker,
+                        buffers,
+                        OptionMap.create(Options.TCP_NODELAY, true));
+    }
+
+    private ClientConnection takeIdle(URI origin) {
+        final Deque<ClientConnection> queue = idle.get(origin);
+        if (queue == null) {
+            return null;
+        }
+        for (ClientConnection connection = queue.pollFirst(); connection != null; connection = queue.pollFirst()) {
+            if (connection.isOpen()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    private void release(URI origin, ClientConnection connection) {
+        final Deque<ClientConnection> queue = idle.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
+        if (!connection.isOpen() || queue.size() >= MAX_IDLE_PER_ORIGIN) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        queue.addFirst(connection);
+    }
+
+    private static final class Collector implements StreamListener {
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int status;
+        private Map<String, String> headers = Map.of();
+
+        @Override
+        public void onHead(int answerStatus, Map<String, String> answerHeaders) {
+            status = answerStatus;
+            headers = answerHeaders;
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            body.writeBytes(bytes);
+        }
+
+        HttpAnswer answer() {
+            return new HttpAnswer(status, headers, body.toByteArray());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -0,0 +1,69 @@
+package org.masticpaddle.wire;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import org.masticpaddle.kernel.Service;
+
+/** Undertow server on one address. Start and stop are called by one thread; the handler is called by several. */
+public final class HttpServer implements Service {
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+    private static final int MAX_HEADERS = 100;
+    private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
+
+    private final String host;
+    private final int port;
+    private final int ioThreads;
+    private final long maxBodyBytes;
+    private final HttpHandler handler;
+    private Undertow undertow;
+
+    /**
+     * Creates a server that is not started.
+     *
+     * @param host IP number to bind
+     * @param port port to bind, 0 to let the operating system choose
+     * @param ioThreads number of input/output threads
+     * @param maxBodyBytes bodies above this size are refused
+     * @param handler handler of all requests, called on an input/output thread
+     */
+    public HttpServer(String host, int port, int ioThreads, long maxBodyBytes, HttpHandler handler) {
+        this.host = Objects.requireNonNull(host, "host is null");
+        this.port = port;
+        this.ioThreads = ioThreads;
+        this.maxBodyBytes = maxBodyBytes;
+        this.handler = Objects.requireNonNull(handler, "handler is null");
+    }
+
+    @Override
+    public void start() {
+        undertow = Undertow.builder()
+                .addHttpListener(port, host)
+                .setIoThreads(ioThreads)
+                .setWorkerThreads(Math.max(2, ioThreads))
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
+                .setHandler(handler)
+                .build();
+        undertow.start();
+    }
+
+    @Override
+    public void stop() {
+        undertow.stop();
+    }
+
+    /**
+     * Returns the port in use.
+     *
+     * @return the port, also when the operating system chose it
+     */
+    public int port() {
+        return ((InetSocketAddress) undertow.getListenerInfo().get(0).getAddress()).getPort();
+    }
+}
