Add the admission queue and the adaptive concurrency bound

Cause: an entry has no rule for which request waits, which is refused and which goes next. Change: a bounded queue for each pool; start-time fair queueing of organisations inside a rank, floors of the lower ranks as earned claims, displacement of the least valuable request in a full queue, an estimate of the wait from the measured service rate, and a bound on requests in flight learnt from load reports and latency. Conclusion: the decisions can be tested and measured without a socket.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
@@ -0,0 +1,128 @@
+package org.masticpaddle.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+import org.masticpaddle.wire.LoadReport;
+import org.masticpaddle.wire.Rank;
+
+/**
+ * Adaptive bound on the requests that one entry keeps in flight to a pool.
+ *
+ * <p>The entries that share a pool scale their bounds by the same reports, so that the work at each sidecar converges
+ * to its slots and a short queue. Not thread-safe: one duty owns it.
+ */
+public final class ConcurrencyBound {
+    /** A sidecar queue of an eighth of the slots covers the network delay between two requests. */
+    private static final double OCCUPANCY_TARGET = 1.125;
+
+    /** A service time of twice the best one means that the engine is saturated, whatever its slots say. */
+    private static final double LATENCY_TOLERANCE = 2;
+
+    private static final long REPORT_LIFETIME_NANOS = 10_000_000_000L;
+    private static final double SMOOTHING = 0.1;
+
+    private record Report(LoadReport load, long received) {}
+
+    private final Map<String, Report> reports = new HashMap<>();
+    private final double least;
+    private double bound;
+    private double bestPerToken = Double.POSITIVE_INFINITY;
+    private double perToken;
+
+    private ConcurrencyBound(double initial, double least) {
+        this.bound = initial;
+        this.least = least;
+    }
+
+    /**
+     * Creates a bound.
+     *
+     * @param initial requests in flight before the first report, at least 1
+     * @return the bound
+     */
+    public static ConcurrencyBound of(int initial) {
+        if (initial < 1) {
+            throw new IllegalArgumentException("initial is below 1: " + initial);
+        }
+        return new ConcurrencyBound(initial, 1);
+    }
+
+    /**
+     * Learns from a load report.
+     *
+     * @param sidecar instance name of the sidecar
+     * @param load its report
+     * @param inFlight requests that this entry has in flight to the pool
+     * @param now time in nanoseconds
+     */
+    public void report(String sidecar, LoadReport load, int inFlight, long now) {
+        Objects.requireNonNull(sidecar, "sidecar is null");
+        reports.put(sidecar, new Report(Objects.requireNonNull(load, "load is null"), now));
+        reports.values().removeIf(report -> now - report.received() > REPORT_LIFETIME_NANOS);
+        int slots = 0;
+        int occupied = 0;
+        for (final Report report : reports.values()) {
+            if (report.load().ready() && !report.load().draining()) {
+                slots += report.load().slots();
+                occupied += report.load().running() + report.load().queued();
+            }
+        }
+        if (slots == 0) {
+            bound = least;
+            return;
+        }
+        // One report of many moves the bound by its part, so that a round of reports makes one full step.
+        final double step = 1.0 / reports.size();
+        final double target = slots * OCCUPANCY_TARGET * latencyFactor();
+        if (occupied > target) {
+            bound *= 1 - step * Math.min(0.3, 1 - target / occupied);
+        } else if (inFlight >= bound * 0.8) {
+            bound += step * Math.max(1, Math.min(bound * 0.5, (target - occupied) * 0.5));
+        }
+        bound = Math.max(least, Math.min(bound, slots * OCCUPANCY_TARGET));
+    }
+
+    /**
+     * Learns from the end of a request.
+     *
+     * @param nanos time from dispatch to the last token, in nanoseconds
+     * @param tokens tokens that it used, at least 1
+     */
+    public void finished(long nanos, long tokens) {
+        final double sample = nanos / (double) Math.max(1, tokens);
+        perToken = perToken == 0 ? sample : perToken + SMOOTHING * (sample - perToken);
+        // The best value creeps up, so that a lasting change of the model or its load is learnt.
+        bestPerToken = Math.min(bestPerToken * 1.0005, perToken);
+    }
+
+    /** Learns that a sidecar refused a dispatch because it was full. */
+    public void refused() {
+        bound = Math.max(least, bound * 0.9);
+    }
+
+    /**
+     * Tells whether one more request may be dispatched.
+     *
+     * @param rank rank of the request
+     * @param inFlight requests in flight now
+     * @return {@code true} if it may
+     */
+    public boolean free(Rank rank, int inFlight) {
+        return inFlight < limit();
+    }
+
+    /**
+     * Returns the bound.
+     *
+     * @return largest number of requests in flight, at least 1
+     */
+    public int limit() {
+        return (int) Math.floor(bound);
+    }
+
+    private double latencyFactor() {
+        return perToken == 0 ? 1 : Math.max(0.5, Math.min(1, LATENCY_TOLERANCE * bestPerToken / perToken));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/admission/Flow.java
@@ -0,0 +1,102 @@
+package org.masticpaddle.admission;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/** Waiting requests of one organisation in one rank and pool, with its virtual start time. Not thread-safe. */
+final class Flow {
+    private static final Comparator<WaitingRequest> ORDER = Comparator.comparingLong(WaitingRequest::arrived)
+            .thenComparingLong(WaitingRequest::deadline)
+            .thenComparingLong(WaitingRequest::id);
+
+    private final Map<String, TreeSet<WaitingRequest>> byVersion = new HashMap<>();
+    private double weight;
+    private double start;
+    private double activeSince;
+    private long queuedTokens;
+    private int size;
+    private int running;
+
+    void add(WaitingRequest request, double virtualTime) {
+        if (size == 0) {
+            // An idle organisation resumes at the current virtual time, so idle time earns nothing.
+            start = Math.max(start, virtualTime);
+            activeSince = start;
+        }
+        weight = request.weight();
+        byVersion
+                .computeIfAbsent(request.version(), version -> new TreeSet<>(ORDER))
+                .add(request);
+        queuedTokens += request.tokens();
+        size++;
+    }
+
+    void remove(WaitingRequest request) {
+        final TreeSet<WaitingRequest> lane = byVersion.get(request.version());
+        lane.remove(request);
+        if (lane.isEmpty()) {
+            byVersion.remove(request.version());
+        }
+        queuedTokens -= request.tokens();
+        size--;
+    }
+
+    /** Finds the oldest request whose version has a free place. */
+    Optional<WaitingRequest> first(Availability availability) {
+        WaitingRequest best = null;
+        for (final TreeSet<WaitingRequest> lane : byVersion.values()) {
+            final WaitingRequest head = lane.first();
+            if ((best == null || ORDER.compare(head, best) < 0)
+                    && availability.free(head.pool(), head.version(), head.rank())) {
+                best = head;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    WaitingRequest newest() {
+        return byVersion.values().stream()
+                .map(TreeSet::last)
+                .max(ORDER)
+                .orElseThrow(() -> new IllegalStateException("flow is empty"));
+    }
+
+    void dispatch(WaitingRequest request) {
+        remove(request);
+        start += request.tokens() / weight;
+        running++;
+    }
+
+    void settle(double tokens) {
+        // A refund never reaches back before the last idle period, whose charge was already forgiven.
+        start = Math.max(activeSince, start + tokens / weight);
+        running--;
+    }
+
+    void raise(double least) {
+        start = Math.max(start, least);
+    }
+
+    double start() {
+        return start;
+    }
+
+    double weight() {
+        return weight;
+    }
+
+    long queuedTokens() {
+        return queuedTokens;
+    }
+
+    int size() {
+        return size;
+    }
+
+    boolean forgettable(double virtualTime) {
+        return size == 0 && running == 0 && start <= virtualTime;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -0,0 +1,166 @@
+package org.masticpaddle.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.masticpaddle.wire.Rank;
+
+/** Waiting and running requests of one pool. Not thread-safe. */
+final class PoolQueue {
+    private static final long RATE_NANOS = 2_000_000_000L;
+
+    private record Running(WaitingRequest request, boolean claimed) {}
+
+    private final int bound;
+    private final double margin;
+    private final FloorLedger floors;
+    private final Map<Rank, RankQueue> ranks = new EnumMap<>(Rank.class);
+    private final Map<Rank, DecayingRate> dispatched = new EnumMap<>(Rank.class);
+    private final Map<Long, WaitingRequest> waiting = new HashMap<>();
+    private final Map<Long, Running> running = new HashMap<>();
+    private final TreeSet<WaitingRequest> byLatestStart =
+            new TreeSet<>(Comparator.comparingLong(WaitingRequest::latestStart).thenComparingLong(WaitingRequest::id));
+    private final ServiceRate rate = new ServiceRate();
+
+    PoolQueue(int bound, double margin, Map<Rank, Double> floors) {
+        this.bound = bound;
+        this.margin = margin;
+        this.floors = new FloorLedger(floors);
+        for (final Rank rank : Rank.values()) {
+            ranks.put(rank, new RankQueue());
+            dispatched.put(rank, new DecayingRate(RATE_NANOS));
+        }
+    }
+
+    Offer offer(WaitingRequest request, long now) {
+        final long wait = estimate(request, now);
+        final long left = request.latestStart() - now;
+        if (left < 0) {
+            return refused(request, RefusalReason.DEADLINE_PASSED, wait);
+        }
+        if (wait * margin > left) {
+            return refused(request, RefusalReason.WAIT_EXCEEDS_DEADLINE, (long) (wait * margin) - left);
+        }
+        Optional<Refusal> displaced = Optional.empty();
+        if (waiting.size() >= bound) {
+            final Optional<WaitingRequest> victim = Displacement.choose(request, ranks, floors, bound);
+            if (victim.isEmpty()) {
+                return refused(request, RefusalReason.QUEUE_FULL, wait);
+            }
+            displaced = victim.map(found -> {
+                final long retry = estimate(found, now);
+                forget(found);
+                return refusal(found, RefusalReason.DISPLACED, retry);
+            });
+        }
+        rate.observe(now, true);
+        waiting.put(request.id(), request);
+        byLatestStart.add(request);
+        ranks.get(request.rank()).add(request);
+        return new Offer.Queued(wait, displaced);
+    }
+
+    Optional<WaitingRequest> next(long now, Availability availability) {
+        final Map<Rank, WaitingRequest> heads = new EnumMap<>(Rank.class);
+        ranks.forEach((rank, queue) -> queue.first(availability).ifPresent(head -> heads.put(rank, head)));
+        if (heads.isEmpty()) {
+            return Optional.empty();
+        }
+        final Optional<Rank> due = floors.due(heads.keySet());
+        final Rank rank = due.orElseGet(() -> heads.keySet().iterator().next());
+        final WaitingRequest request = heads.get(rank);
+        ranks.get(rank).dispatch(request);
+        floors.served(rank, request.tokens(), heads.keySet());
+        dispatched.get(rank).add(request.tokens(), now);
+        waiting.remove(request.id());
+        byLatestStart.remove(request);
+        running.put(request.id(), new Running(request, due.isPresent()));
+        rate.observe(now, !waiting.isEmpty());
+        return Optional.of(request);
+    }
+
+    List<Refusal> expire(long now) {
+        final List<Refusal> expired = new ArrayList<>();
+        while (!byLatestStart.isEmpty() && byLatestStart.first().latestStart() < now) {
+            final WaitingRequest request = byLatestStart.first();
+            forget(request);
+            expired.add(refusal(request, RefusalReason.DEADLINE_PASSED, estimate(request, now)));
+        }
+        rate.observe(now, !waiting.isEmpty());
+        return expired;
+    }
+
+    Optional<WaitingRequest> cancel(long id, long now) {
+        final Optional<WaitingRequest> found = Optional.ofNullable(waiting.get(id));
+        found.ifPresent(this::forget);
+        rate.observe(now, !waiting.isEmpty());
+        return found;
+    }
+
+    boolean settle(long id, long tokens, long now) {
+        final Running done = running.remove(id);
+        if (done == null) {
+            return false;
+        }
+        rate.observe(now, !waiting.isEmpty());
+        rate.completed(tokens);
+        final Rank rank = done.request().rank();
+        ranks.get(rank).settle(done.request(), tokens);
+        floors.corrected(rank, tokens - done.request().tokens(), done.claimed(), ranksWithWork());
+        return true;
+    }
+
+    long estimate(WaitingRequest request, long now) {
+        rate.observe(now, !waiting.isEmpty());
+        if (!rate.known() || waiting.isEmpty()) {
+            return 0;
+        }
+        final Map<Rank, Double> perSecond = new EnumMap<>(Rank.class);
+        dispatched.forEach((rank, meter) -> perSecond.put(rank, meter.perSecond(now)));
+        return WaitEstimate.nanos(request, ranks, floors, rate.perSecond(), perSecond);
+    }
+
+    int size() {
+        return waiting.size();
+    }
+
+    int size(Rank rank) {
+        return ranks.get(rank).size();
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    private Set<Rank> ranksWithWork() {
+        final Set<Rank> found = EnumSet.noneOf(Rank.class);
+        ranks.forEach((rank, queue) -> {
+            if (queue.size() > 0) {
+                found.add(rank);
+            }
+        });
+        return found;
+    }
+
+    private void forget(WaitingRequest request) {
+        waiting.remove(request.id());
+        byLatestStart.remove(request);
+        ranks.get(request.rank()).remove(request);
+    }
+
+    private static Offer refused(WaitingRequest request, RefusalReason reason, long retryNanos) {
+        return new Offer.Refused(refusal(request, reason, retryNanos));
+    }
+
+    private static Refusal refusal(WaitingRequest request, RefusalReason reason, long retryNanos) {
+        return new Refusal(request, reason, Math.max(1, retryNanos));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/admission/WaitingRequest.java
@@ -0,0 +1,57 @@
+package org.masticpaddle.admission;
+
+import java.util.Objects;
+
+import org.masticpaddle.wire.Rank;
+
+/**
+ * A request that asks for a place in the queue of its pool. Immutable and thread-safe.
+ *
+ * @param id identity, unique among the requests that wait or run
+ * @param organisation organisation that pays
+ * @param weight weight of the organisation in the fair division, above 0
+ * @param rank rank
+ * @param pool service whose upstreams can run it
+ * @param version version chosen for it, or the empty string for a plain service
+ * @param tokens expected prompt and generated tokens, at least 1; a plain call counts as a fixed number
+ * @param arrived arrival, in nanoseconds
+ * @param deadline time after which the answer is worthless, in nanoseconds
+ * @param runNanos expected time from dispatch to the useful answer, or 0 if unknown
+ */
+public record WaitingRequest(
+        long id,
+        String organisation,
+        double weight,
+        Rank rank,
+        String pool,
+        String version,
+        long tokens,
+        long arrived,
+        long deadline,
+        long runNanos) {
+    /** Checks the arguments. */
+    public WaitingRequest {
+        Objects.requireNonNull(organisation, "organisation is null");
+        Objects.requireNonNull(rank, "rank is null");
+        Objects.requireNonNull(pool, "pool is null");
+        Objects.requireNonNull(version, "version is null");
+        if (!(weight > 0) || Double.isInfinite(weight)) {
+            throw new IllegalArgumentException("weight is not above 0: " + weight);
+        }
+        if (tokens < 1) {
+            throw new IllegalArgumentException("tokens is below 1: " + tokens);
+        }
+        if (runNanos < 0) {
+            throw new IllegalArgumentException("runNanos is negative: " + runNanos);
+        }
+    }
+
+    /**
+     * Returns the last moment at which a dispatch can still be useful.
+     *
+     * @return time in nanoseconds
+     */
+    public long latestStart() {
+        return deadline - runNanos;
+    }
+}
