Add a bench of the admission decisions in virtual time

Change: AdmissionBench drives the real classes against a fake pool of slots for both deployments, next to first-in-first-out and strict priority.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/bench/AdmissionRun.java
@@ -0,0 +1,92 @@
+package org.masticpaddle.bench;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.admission.WaitingRequest;
+import org.masticpaddle.wire.LoadReport;
+
+/** Drives one policy against a fake pool in virtual time. */
+final class AdmissionRun {
+    /** Interval and age of load reports. */
+    private static final long REPORT_NANOS = 100_000_000L;
+
+    private final FakePool pool;
+    private final AdmissionPolicy policy;
+    private final Map<Long, SimulatedRequest> outstanding = new HashMap<>();
+    private final AdmissionOutcome outcome = new AdmissionOutcome();
+    private List<LoadReport> delayed;
+
+    private AdmissionRun(AdmissionDeployment deployment, AdmissionPolicy policy) {
+        this.pool = new FakePool(deployment);
+        this.policy = policy;
+        this.delayed = pool.reports();
+    }
+
+    static AdmissionOutcome run(
+            AdmissionDeployment deployment, AdmissionPolicy policy, List<LoadSource> sources, long seed) {
+        final List<SimulatedRequest> load = new ArrayList<>();
+        for (int index = 0; index < sources.size(); index++) {
+            final LoadSource source = sources.get(index);
+            // The seed depends on the name, so a source sends the same requests with and without the others.
+            source.generate(
+                    deployment,
+                    RandomSource.XO_RO_SHI_RO_128_PP.create(
+                            seed * 31 + source.name().hashCode()),
+                    (index + 1) * 100_000_000L,
+                    load);
+        }
+        load.sort(Comparator.comparingLong(work -> work.request().arrived()));
+        return new AdmissionRun(deployment, policy).drive(load);
+    }
+
+    private AdmissionOutcome drive(List<SimulatedRequest> load) {
+        int next = 0;
+        long report = 0;
+        while (next < load.size()) {
+            final long arrival = load.get(next).request().arrived();
+            final long now = Math.min(arrival, Math.min(pool.nextEnd(), report));
+            if (now == report) {
+                report(now);
+                report += REPORT_NANOS;
+            } else if (now == arrival) {
+                final SimulatedRequest work = load.get(next++);
+                outstanding.put(work.request().id(), work);
+                outcome.arrived(work);
+                policy.offer(work.request(), now);
+            } else {
+                finish(pool.finishFirst(), now);
+            }
+            dispatch(now);
+        }
+        return outcome.close();
+    }
+
+    private void report(long now) {
+        for (int worker = 0; worker < delayed.size(); worker++) {
+            policy.report("sidecar-" + worker, delayed.get(worker), pool.inFlight(), now);
+        }
+        delayed = pool.reports();
+    }
+
+    private void finish(FakePool.Attempt attempt, long now) {
+        final SimulatedRequest work =
+                outstanding.remove(attempt.work().request().id());
+        final long tokens = attempt.work().tokens();
+        policy.finished(attempt.work().request(), tokens, now - attempt.dispatched(), now);
+        outcome.answered(work, now);
+    }
+
+    private void dispatch(long now) {
+        Optional<WaitingRequest> request = policy.next(now, pool.inFlight());
+        while (request.isPresent()) {
+            pool.dispatch(outstanding.get(request.get().id()), now);
+            request = policy.next(now, pool.inFlight());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/bench/FakePool.java
@@ -0,0 +1,76 @@
+package org.masticpaddle.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.TreeSet;
+
+import org.masticpaddle.wire.LoadReport;
+
+/** A fixed number of slots behind some sidecars, with a first-in-first-out queue for dispatches above them. */
+final class FakePool {
+    /** A dispatched request; the end is unknown while it waits for a slot. */
+    record Attempt(SimulatedRequest work, long dispatched, long ends) {}
+
+    private final AdmissionDeployment deployment;
+    private final TreeSet<Attempt> running = new TreeSet<>(Comparator.comparingLong(Attempt::ends)
+            .thenComparingLong(attempt -> attempt.work().request().id()));
+    private final Deque<Attempt> queued = new ArrayDeque<>();
+
+    FakePool(AdmissionDeployment deployment) {
+        this.deployment = deployment;
+    }
+
+    void dispatch(SimulatedRequest work, long now) {
+        if (running.size() < deployment.slots()) {
+            running.add(new Attempt(work, now, now + work.serviceNanos()));
+        } else {
+            queued.add(new Attempt(work, now, Long.MAX_VALUE));
+        }
+    }
+
+    long nextEnd() {
+        return running.isEmpty() ? Long.MAX_VALUE : running.first().ends();
+    }
+
+    Attempt finishFirst() {
+        final Attempt done = running.pollFirst();
+        startQueued(done.ends());
+        return done;
+    }
+
+    private void startQueued(long now) {
+        final Attempt next = queued.poll();
+        if (next != null) {
+            running.add(new Attempt(
+                    next.work(), next.dispatched(), now + next.work().serviceNanos()));
+        }
+    }
+
+    int inFlight() {
+        return running.size() + queued.size();
+    }
+
+    /** Reports as the sidecars would send them, with the work spread evenly. */
+    List<LoadReport> reports() {
+        final List<LoadReport> reports = new ArrayList<>();
+        for (int worker = 0; worker < deployment.workers(); worker++) {
+            reports.add(new LoadReport(
+                    1,
+                    false,
+                    true,
+                    part(running.size(), worker),
+                    part(queued.size(), worker),
+                    deployment.slotsPerWorker(),
+                    List.of(LoadSource.VERSION),
+                    0));
+        }
+        return reports;
+    }
+
+    private int part(int total, int worker) {
+        return (total + worker) / deployment.workers();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/bench/MasticpaddlePolicy.java
@@ -0,0 +1,48 @@
+package org.masticpaddle.bench;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.masticpaddle.admission.AdmissionQueue;
+import org.masticpaddle.admission.ConcurrencyBound;
+import org.masticpaddle.admission.WaitingRequest;
+import org.masticpaddle.document.RankPolicy;
+import org.masticpaddle.wire.LoadReport;
+import org.masticpaddle.wire.Rank;
+
+/** The real classes, joined as the entry joins them. */
+final class MasticpaddlePolicy implements AdmissionPolicy {
+    static final double BACKGROUND_FLOOR = 0.1;
+    static final double STANDARD_FLOOR = 0.2;
+
+    private static final int BOUND = 4_096;
+
+    private final AdmissionQueue queue = AdmissionQueue.of(
+            BOUND,
+            Map.of(
+                    Rank.STANDARD, new RankPolicy(Rank.STANDARD, 1_000, 15_000, STANDARD_FLOOR),
+                    Rank.BACKGROUND, new RankPolicy(Rank.BACKGROUND, 5_000, 30_000, BACKGROUND_FLOOR)));
+    private final ConcurrencyBound concurrency = ConcurrencyBound.of(16);
+
+    @Override
+    public void offer(WaitingRequest request, long now) {
+        queue.offer(request, now);
+    }
+
+    @Override
+    public Optional<WaitingRequest> next(long now, int inFlight) {
+        queue.expire(now);
+        return queue.next(now, (pool, version, rank) -> concurrency.free(rank, inFlight));
+    }
+
+    @Override
+    public void finished(WaitingRequest request, long tokens, long nanos, long now) {
+        queue.settle(request.pool(), request.id(), tokens, now);
+        concurrency.finished(nanos, tokens);
+    }
+
+    @Override
+    public void report(String sidecar, LoadReport load, int inFlight, long now) {
+        concurrency.report(sidecar, load, inFlight, now);
+    }
+}
