--- /dev/null
+++ b/src/main/java/org/masticpaddle/routing/QualityEstimates.java
@@ -0,0 +1,159 @@
+package org.masticpaddle.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.masticpaddle.document.ModelVersion;
+import org.masticpaddle.document.VersionName;
+
+/**
+ * Beta posteriors of the quality of each version and request kind, from ratings over the declared prior.
+ *
+ * <p>Ratings lose half their weight in each half-life, so that a version that changes is noticed. Forgetting is linear:
+ * the sums of all entries may be added in any order. Memory is bounded by the numbers of cells and sources. Not
+ * thread-safe: one duty owns it.
+ */
+public final class QualityEstimates {
+    /** Half-life in use: short enough to notice a change within the hour, long enough for some hundred ratings. */
+    public static final long HALF_LIFE_MILLIS = 1_200_000;
+
+    private static final int MAX_CELLS = 4_096;
+    private static final int MAX_SOURCES = 4_096;
+
+    private final String source;
+    private final long halfLifeMillis;
+    private final Map<Key, Sums> own = new HashMap<>();
+    private final Map<Key, Sums> totals = new HashMap<>();
+    private final LinkedHashMap<String, QualitySummary> received = new LinkedHashMap<>();
+
+    /**
+     * Creates estimates without ratings.
+     *
+     * @param source this entry and its incarnation
+     * @param halfLifeMillis time after which a rating counts half
+     */
+    public QualityEstimates(String source, long halfLifeMillis) {
+        this.source = Objects.requireNonNull(source, "source is null");
+        this.halfLifeMillis = halfLifeMillis;
+    }
+
+    /**
+     * Adds a rating that this entry obtained. A new version or kind beyond the bound of cells is left out.
+     *
+     * @param version rated version
+     * @param kind request kind
+     * @param rating quality; values outside 0 to 1 are clamped
+     * @param now current time in milliseconds
+     */
+    public void record(VersionName version, String kind, double rating, long now) {
+        final Key key = new Key(version, kind);
+        final double clamped = Math.min(1, Math.max(0, rating));
+        if (add(own, key, clamped, 1, now)) {
+            add(totals, key, clamped, 1, now);
+        }
+    }
+
+    /**
+     * Estimates the quality of a version.
+     *
+     * @param version declared version
+     * @param kind request kind
+     * @param now current time in milliseconds
+     * @return posterior over the declared prior
+     */
+    public QualityEstimate estimate(ModelVersion version, String kind, long now) {
+        final double declared = Math.min(0.999, Math.max(0.001, version.declaredQuality(kind)));
+        final double prior = Math.max(1, version.priorWeight());
+        final Sums sums = totals.get(new Key(version.name(), kind));
+        if (sums == null) {
+            return QualityEstimate.ofBeta(declared * prior, (1 - declared) * prior);
+        }
+        final double factor = factor(sums.asOf, now);
+        final double good = Math.max(0, sums.ratings * factor);
+        final double bad = Math.max(0, sums.weight * factor - good);
+        return QualityEstimate.ofBeta(declared * prior + good, (1 - declared) * prior + bad);
+    }
+
+    /**
+     * Returns what this entry has seen itself.
+     *
+     * @param now current time in milliseconds
+     * @return summary for the log
+     */
+    public QualitySummary summary(long now) {
+        final List<QualitySummary.Cell> cells = new ArrayList<>();
+        own.forEach((key, sums) -> {
+            final double factor = factor(sums.asOf, now);
+            cells.add(new QualitySummary.Cell(key.version, key.kind, sums.ratings * factor, sums.weight * factor));
+        });
+        return new QualitySummary(source, now, cells);
+    }
+
+    /**
+     * Takes over the summary of another entry; the own one, an old one and a repeated one are ignored.
+     *
+     * @param summary summary read from the log
+     * @param now current time in milliseconds
+     * @return whether the summary was new
+     */
+    public boolean merge(QualitySummary summary, long now) {
+        final QualitySummary known = received.get(summary.source());
+        if (summary.source().equals(source) || known != null && known.asOfMillis() >= summary.asOfMillis()) {
+            return false;
+        }
+        if (known != null) {
+            apply(known, -1, now);
+            received.remove(known.source());
+        } else if (received.size() >= MAX_SOURCES) {
+            final QualitySummary oldest = received.values().iterator().next();
+            apply(oldest, -1, now);
+            received.remove(oldest.source());
+        }
+        received.put(summary.source(), summary);
+        apply(summary, 1, now);
+        return true;
+    }
+
+    private void apply(QualitySummary summary, int sign, long now) {
+        final double factor = sign * factor(summary.asOfMillis(), now);
+        for (final QualitySummary.Cell cell : summary.cells()) {
+            add(totals, new Key(cell.version(), cell.kind()), cell.ratings() * factor, cell.weight() * factor, now);
+        }
+    }
+
+    private boolean add(Map<Key, Sums> map, Key key, double ratings, double weight, long now) {
+        Sums sums = map.get(key);
+        if (sums == null) {
+            if (map.size() >= MAX_CELLS) {
+                return false;
+            }
+            sums = new Sums(now);
+            map.put(key, sums);
+        }
+        final double factor = factor(sums.asOf, now);
+        sums.ratings = sums.ratings * factor + ratings;
+        sums.weight = sums.weight * factor + weight;
+        sums.asOf = Math.max(sums.asOf, now);
+        return true;
+    }
+
+    private double factor(long asOf, long now) {
+        return now <= asOf ? 1 : Math.pow(0.5, (now - asOf) / (double) halfLifeMillis);
+    }
+
+    private record Key(VersionName version, String kind) {}
+
+    private static final class Sums {
+        private double ratings;
+        private double weight;
+        private long asOf;
+
+        private Sums(long asOf) {
+            this.asOf = asOf;
+        }
+    }
+}
