Add the choice of an upstream

Cause: new work needs an upstream that takes it, chosen within 50 microseconds among 500 candidates. Change: two random candidates and the known holders of the prompt's prefix are scored by expected time. Old reports are discounted, own dispatches since the report are counted, and a second try avoids the failure domain of the first.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/routing/PrefixIndex.java
@@ -0,0 +1,210 @@
+package org.masticpaddle.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.masticpaddle.document.VersionName;
+import org.masticpaddle.platform.EngineControl.CacheEvent;
+
+/**
+ * Expected prefix-cache hits by upstream and version, from late events with gaps and from own dispatches.
+ *
+ * <p>Each gap in the events of an upstream lowers the confidence in what was known of it before, since an eviction may
+ * be missing. Memory is bounded by the number of blocks, of holders of a block and of upstreams. Not thread-safe.
+ */
+public final class PrefixIndex {
+    /** Blocks remembered; about 15 MB when full. */
+    public static final int DEFAULT_BLOCKS = 65_536;
+
+    private static final int HOLDERS = 4;
+    private static final int FEEDS = 1_024;
+    /** Confidence in a block that this entry dispatched and no event has confirmed. */
+    private static final double UNCONFIRMED = 0.8;
+    /** Age at which confidence in an entry is 1/e, as evictions may arrive late or never. */
+    private static final double MEMORY_MILLIS = 600_000;
+
+    private final LinkedHashMap<Long, List<Holder>> blocks;
+    private final LinkedHashMap<String, Feed> feeds;
+
+    /**
+     * Creates an empty index.
+     *
+     * @param maxBlocks blocks remembered; the least recently used go first
+     */
+    public PrefixIndex(int maxBlocks) {
+        blocks = bounded(maxBlocks);
+        feeds = bounded(FEEDS);
+    }
+
+    /**
+     * Takes over events of an upstream; repeated ones are ignored.
+     *
+     * @param upstream identifier of the instance
+     * @param events events in order
+     * @param now current time in milliseconds
+     */
+    public void onEvents(String upstream, List<CacheEvent> events, long now) {
+        final Feed feed = feeds.computeIfAbsent(upstream, Feed::new);
+        for (final CacheEvent event : events) {
+            if (event.sequence() <= feed.last) {
+                continue;
+            }
+            if (feed.last >= 0 && event.sequence() > feed.last + 1) {
+                feed.onGap(event.sequence() - feed.last - 1);
+            }
+            feed.last = event.sequence();
+            final Long key = key(VersionName.parse(event.version()), event.prefixHash());
+            if (event.stored()) {
+                store(key, feed, 1, now);
+            } else {
+                evict(key, feed);
+            }
+        }
+    }
+
+    /**
+     * Returns the last event known, after which the next ones are read.
+     *
+     * @param upstream identifier of the instance
+     * @return its number, or -1
+     */
+    public long lastSequence(String upstream) {
+        final Feed feed = feeds.get(upstream);
+        return feed == null ? -1 : feed.last;
+    }
+
+    /**
+     * Notes a dispatch: the upstream will hold the prompt's prefix.
+     *
+     * @param upstream identifier of the instance
+     * @param version version that runs
+     * @param prefixes hashes of the prefix blocks
+     * @param now current time in milliseconds
+     */
+    public void onDispatch(String upstream, VersionName version, long[] prefixes, long now) {
+        final Feed feed = feeds.computeIfAbsent(upstream, Feed::new);
+        for (final long prefix : prefixes) {
+            store(key(version, prefix), feed, UNCONFIRMED, now);
+        }
+    }
+
+    /**
+     * Forgets an upstream whose engine or sidecar started anew or is gone.
+     *
+     * @param upstream identifier of the instance
+     */
+    public void forget(String upstream) {
+        feeds.remove(upstream);
+    }
+
+    /**
+     * Lists upstreams that may hold part of a prompt, the holders of its longest known prefix.
+     *
+     * @param version version that runs
+     * @param prefixes hashes of the prefix blocks
+     * @return identifiers, at most four
+     */
+    public List<String> holders(VersionName version, long[] prefixes) {
+        for (int index = prefixes.length - 1; index >= 0; index--) {
+            final List<Holder> holders = blocks.get(key(version, prefixes[index]));
+            if (holders != null && !holders.isEmpty()) {
+                final List<String> ids = new ArrayList<>(holders.size());
+                for (final Holder holder : holders) {
+                    if (feeds.get(holder.feed.upstream) == holder.feed) {
+                        ids.add(holder.feed.upstream);
+                    }
+                }
+                if (!ids.isEmpty()) {
+                    return ids;
+                }
+            }
+        }
+        return List.of();
+    }
+
+    /**
+     * Estimates the part of a prompt that an upstream has cached.
+     *
+     * @param upstream identifier of the instance
+     * @param version version that runs
+     * @param prefixes hashes of the prefix blocks
+     * @param now current time in milliseconds
+     * @return expected part of the blocks, between 0 and 1
+     */
+    public double expectedHit(String upstream, VersionName version, long[] prefixes, long now) {
+        final Feed feed = feeds.get(upstream);
+        double sum = 0;
+        double confidence = 1;
+        for (int index = 0; feed != null && index < prefixes.length; index++) {
+            final List<Holder> holders = blocks.get(key(version, prefixes[index]));
+            confidence = Math.min(confidence, holders == null ? 0 : confidence(holders, feed, now));
+            if (confidence == 0) {
+                break;
+            }
+            sum += confidence;
+        }
+        return prefixes.length == 0 ? 0 : sum / prefixes.length;
+    }
+
+    private static double confidence(List<Holder> holders, Feed feed, long now) {
+        for (final Holder holder : holders) {
+            if (holder.feed == feed) {
+                final double age = Math.max(0, now - holder.at) / MEMORY_MILLIS;
+                return holder.confidence * Math.exp(feed.trust - holder.trust - age);
+            }
+        }
+        return 0;
+    }
+
+    private void store(Long key, Feed feed, double confidence, long now) {
+        final List<Holder> holders = blocks.computeIfAbsent(key, absent -> new ArrayList<>(1));
+        holders.removeIf(holder -> holder.feed == feed || feeds.get(holder.feed.upstream) != holder.feed);
+        if (holders.size() == HOLDERS) {
+            holders.remove(0);
+        }
+        holders.add(new Holder(feed, confidence, feed.trust, now));
+        feed.stored++;
+    }
+
+    private void evict(Long key, Feed feed) {
+        final List<Holder> holders = blocks.get(key);
+        if (holders != null) {
+            holders.removeIf(holder -> holder.feed == feed);
+        }
+        feed.stored = Math.max(0, feed.stored - 1);
+    }
+
+    private static Long key(VersionName version, long prefix) {
+        return prefix * 0x9E3779B97F4A7C15L + version.hashCode();
+    }
+
+    private static <K, V> LinkedHashMap<K, V> bounded(int max) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                return size() > max;
+            }
+        };
+    }
+
+    private record Holder(Feed feed, double confidence, double trust, long at) {}
+
+    /** Events of one upstream; {@code trust} is the logarithm of the confidence that survives its gaps. */
+    private static final class Feed {
+        private final String upstream;
+        private long last = -1;
+        private double trust;
+        private long stored;
+
+        private Feed(String upstream) {
+            this.upstream = upstream;
+        }
+
+        /** Half of the missing events are taken for evictions of blocks stored before. */
+        private void onGap(long missing) {
+            trust -= 0.5 * missing / Math.max(8, stored);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
@@ -0,0 +1,166 @@
+package org.masticpaddle.routing;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.wire.LoadReport;
+
+/**
+ * Chooses an upstream among random candidates and the known holders of the prompt's prefix by expected time.
+ *
+ * <p>Never chooses an upstream that does not take the version. Each eligible upstream has the same chance to be a
+ * random candidate. A second try avoids the first upstream, and its failure domain while another one has a candidate.
+ * Not thread-safe: it learns the typical load.
+ */
+public final class UpstreamChoice {
+    private static final double TYPICAL_SMOOTHING = 0.02;
+    /** Random draws for each sample before all upstreams are scanned. */
+    private static final int DRAWS = 8;
+
+    private final UpstreamPolicy policy;
+    private final UpstreamView[] sampled;
+    private double typicalLoad;
+
+    /**
+     * Creates a choice.
+     *
+     * @param policy weights
+     */
+    public UpstreamChoice(UpstreamPolicy policy) {
+        this.policy = Objects.requireNonNull(policy, "policy is null");
+        this.sampled = new UpstreamView[policy.samples()];
+    }
+
+    /**
+     * Chooses an upstream. The caller notes the dispatch with {@link UpstreamView#onDispatch}.
+     *
+     * @param upstreams upstreams of the version's service
+     * @param request what to run
+     * @param prefixes what is known of the caches
+     * @param now current time in milliseconds
+     * @param random random source
+     * @return the upstream, or empty if none takes the version
+     */
+    public Optional<UpstreamView> choose(
+            UpstreamSet upstreams,
+            UpstreamRequest request,
+            PrefixIndex prefixes,
+            long now,
+            UniformRandomProvider random) {
+        int count = sample(upstreams, request, true, now, random);
+        if (count == 0 && request.firstTry().isPresent()) {
+            count = sample(upstreams, request, false, now, random);
+        }
+        if (count == 0) {
+            return Optional.empty();
+        }
+        final boolean otherDomain = !sameDomain(sampled[0], request);
+        UpstreamView best = null;
+        double lowest = Double.POSITIVE_INFINITY;
+        for (int index = 0; index < count; index++) {
+            final double score = score(sampled[index], request, prefixes, now);
+            if (score < lowest) {
+                lowest = score;
+                best = sampled[index];
+            }
+        }
+        for (final String holder : holders(request, prefixes)) {
+            final Optional<UpstreamView> view = upstreams.find(holder);
+            if (view.isPresent() && eligible(view.get(), request, otherDomain, now)) {
+                final double score = score(view.get(), request, prefixes, now);
+                if (score < lowest) {
+                    lowest = score;
+                    best = view.get();
+                }
+            }
+        }
+        Arrays.fill(sampled, null);
+        return Optional.ofNullable(best);
+    }
+
+    private static List<String> holders(UpstreamRequest request, PrefixIndex prefixes) {
+        return request.prefixes().length == 0 ? List.of() : prefixes.holders(request.version(), request.prefixes());
+    }
+
+    /** Draws distinct eligible upstreams, and scans all of them when the draws meet too few. */
+    private int sample(
+            UpstreamSet upstreams,
+            UpstreamRequest request,
+            boolean otherDomain,
+            long now,
+            UniformRandomProvider random) {
+        int count = 0;
+        final int size = upstreams.size();
+        for (int draw = 0; size > 0 && draw < DRAWS * sampled.length && count < sampled.length; draw++) {
+            final UpstreamView view = upstreams.get(random.nextInt(size));
+            if (!contains(view, count) && eligible(view, request, otherDomain, now)) {
+                sampled[count++] = view;
+            }
+        }
+        if (count == sampled.length) {
+            return count;
+        }
+        count = 0;
+        int seen = 0;
+        for (int index = 0; index < size; index++) {
+            final UpstreamView view = upstreams.get(index);
+            if (eligible(view, request, otherDomain, now)) {
+                seen++;
+                if (count < sampled.length) {
+                    sampled[count++] = view;
+                } else {
+                    final int place = random.nextInt(seen);
+                    if (place < sampled.length) {
+                        sampled[place] = view;
+                    }
+                }
+            }
+        }
+        return count;
+    }
+
+    private boolean contains(UpstreamView view, int count) {
+        for (int index = 0; index < count; index++) {
+            if (sampled[index] == view) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean eligible(UpstreamView view, UpstreamRequest request, boolean otherDomain, long now) {
+        return view.takes(request.version(), now)
+                && (request.firstTry().isEmpty()
+                        || !view.id().equals(request.firstTry().get().id())
+                                && !(otherDomain && sameDomain(view, request)));
+    }
+
+    private static boolean sameDomain(UpstreamView view, UpstreamRequest request) {
+        return request.firstTry().isPresent()
+                && request.firstTry().get().failureDomain().equals(view.failureDomain());
+    }
+
+    /** Expected time in milliseconds until the prompt is processed, with the penalties of tail and region. */
+    private double score(UpstreamView view, UpstreamRequest request, PrefixIndex prefixes, long now) {
+        final LoadReport report = view.report();
+        final double slots = Math.max(1, report.slots());
+        final double reported = (report.running() + report.queued()) / slots;
+        final double trust = Math.exp(-view.reportAge(now) / policy.reportMemoryMillis());
+        typicalLoad += TYPICAL_SMOOTHING * (reported - typicalLoad);
+        final double load = (trust * reported + (1 - trust) * typicalLoad) * slots + view.dispatchesSinceReport();
+        final double ahead = Math.max(load, view.outstanding());
+        // Work below the slots still slows a batch; beyond them a request waits for whole services.
+        final double service = Math.max(1, report.meanServiceMillis());
+        final double wait = (Math.max(0, ahead + 1 - slots) + 0.1 * Math.min(ahead, slots)) * service / slots;
+        final double hit = request.prefixes().length == 0
+                ? 0
+                : prefixes.expectedHit(view.id(), request.version(), request.prefixes(), now);
+        return wait
+                + (1 - hit) * request.prefillMillis()
+                + policy.tailWeight() * view.tailExcessMillis()
+                + (policy.region().equals(view.region()) ? 0 : policy.otherRegionMillis());
+    }
+}
