--- /dev/null
+++ b/src/main/java/org/masticpaddle/routing/SessionToken.java
@@ -0,0 +1,136 @@
+package org.masticpaddle.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.security.InvalidKeyException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Base64;
+import java.util.List;
+import java.util.Objects;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import org.masticpaddle.document.VersionName;
+import org.masticpaddle.wire.Json;
+import org.masticpaddle.wire.MalformedMessageException;
+
+/** Issues and checks signed session tokens (HMAC-SHA256). Immutable and thread-safe. */
+public final class SessionToken {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int MAX_LENGTH = 4_096;
+    private static final int MIN_KEY_BYTES = 16;
+
+    private final List<SecretKeySpec> keys;
+    private final long lifetimeMillis;
+
+    /**
+     * Creates an issuer.
+     *
+     * @param keys keys, the one that signs first; the others are accepted while keys are being changed
+     * @param lifetimeMillis lifetime of a session from its binding
+     */
+    public SessionToken(List<byte[]> keys, long lifetimeMillis) {
+        if (keys.isEmpty() || keys.stream().anyMatch(key -> key.length < MIN_KEY_BYTES)) {
+            throw new IllegalArgumentException("expected keys of at least " + MIN_KEY_BYTES + " bytes");
+        }
+        this.keys = keys.stream().map(key -> new SecretKeySpec(key, ALGORITHM)).toList();
+        this.lifetimeMillis = lifetimeMillis;
+    }
+
+    /**
+     * Signs a binding.
+     *
+     * @param binding the binding
+     * @return token without characters that a header forbids
+     */
+    public String issue(SessionBinding binding) {
+        final byte[] body = Json.encode(new Body(
+                binding.organisation(),
+                binding.session(),
+                binding.version().model(),
+                binding.version().version(),
+                binding.startMillis(),
+                binding.moves()));
+        final Base64.Encoder encoder = Base64.getUrlEncoder().withoutPadding();
+        return encoder.encodeToString(body) + "." + encoder.encodeToString(sign(keys.get(0), body));
+    }
+
+    /**
+     * Checks a token.
+     *
+     * @param token token sent by a caller
+     * @param organisation organisation that sent it
+     * @param now current time in milliseconds since 1970
+     * @return the binding, or why the token is refused
+     */
+    public Check check(String token, String organisation, long now) {
+        Objects.requireNonNull(token, "token is null");
+        final int dot = token.indexOf('.');
+        if (token.length() > MAX_LENGTH || dot < 0) {
+            return new Refused(Reason.MALFORMED);
+        }
+        try {
+            final Base64.Decoder decoder = Base64.getUrlDecoder();
+            final byte[] body = decoder.decode(token.substring(0, dot).getBytes(StandardCharsets.ISO_8859_1));
+            final byte[] signature = decoder.decode(token.substring(dot + 1).getBytes(StandardCharsets.ISO_8859_1));
+            if (keys.stream().noneMatch(key -> MessageDigest.isEqual(signature, sign(key, body)))) {
+                return new Refused(Reason.FORGED);
+            }
+            return check(Json.decode(body, Body.class), organisation, now);
+        } catch (IllegalArgumentException | MalformedMessageException e) {
+            return new Refused(Reason.MALFORMED);
+        }
+    }
+
+    private Check check(Body body, String organisation, long now) {
+        if (!organisation.equals(body.organisation)) {
+            return new Refused(Reason.FOREIGN);
+        }
+        if (now - body.start > lifetimeMillis) {
+            return new Refused(Reason.EXPIRED);
+        }
+        final VersionName version = new VersionName(body.model, body.version);
+        return new Valid(new SessionBinding(body.organisation, body.session, version, body.start, body.moves));
+    }
+
+    private static byte[] sign(SecretKeySpec key, byte[] body) {
+        try {
+            final Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(key);
+            return mac.doFinal(body);
+        } catch (NoSuchAlgorithmException | InvalidKeyException e) {
+            throw new IllegalStateException(ALGORITHM + " is missing", e);
+        }
+    }
+
+    private record Body(String organisation, String session, String model, String version, long start, int moves) {}
+
+    /** Result of a check. */
+    public sealed interface Check {}
+
+    /**
+     * The token is genuine and in force.
+     *
+     * @param binding what it says
+     */
+    public record Valid(SessionBinding binding) implements Check {}
+
+    /**
+     * The token is not accepted.
+     *
+     * @param reason why
+     */
+    public record Refused(Reason reason) implements Check {}
+
+    /** Why a token is refused. */
+    public enum Reason {
+        /** Not a token. */
+        MALFORMED,
+        /** Not signed with a known key. */
+        FORGED,
+        /** Issued to another organisation. */
+        FOREIGN,
+        /** Older than the lifetime of a session. */
+        EXPIRED
+    }
+}
