--- /dev/null
+++ b/src/test/java/org/masticpaddle/rollout/SequentialTestTest.java
@@ -0,0 +1,48 @@
+package org.masticpaddle.rollout;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.rollout.SequentialTest.Verdict;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.masticpaddle.rollout.RolloutFixtures.BASELINE;
+
+class SequentialTestTest {
+    /** Guards against more than 1 false alarm in 100 roll-outs when one looks after each request. */
+    @Test
+    void shouldRarelyBlameAGoodVersion() {
+        int alarms = 0;
+        for (int run = 0; run < 500; run++) {
+            final UniformRandomProvider random = RolloutFixtures.random(run);
+            HealthCounts counts = HealthCounts.NONE;
+            for (int request = 0; request < 2_000; request++) {
+                counts = counts.plus(RolloutFixtures.sample(random, 1, 0.9, 0.01, 0.05));
+                if (SequentialTest.decide(counts, BASELINE) == Verdict.BAD) {
+                    alarms++;
+                    break;
+                }
+            }
+        }
+        assertThat(alarms).isAtMost(5);
+    }
+
+    /** Guards against a fault in any one of the measures being missed, or hidden by the others. */
+    @Test
+    void shouldFindAFaultInEachMeasure() {
+        final double[][] faults = {{0.5, 0.01, 0.05}, {0.9, 0.3, 0.05}, {0.9, 0.01, 0.5}};
+        for (final double[] fault : faults) {
+            final HealthCounts counts =
+                    RolloutFixtures.sample(RolloutFixtures.random(7), 60, fault[0], fault[1], fault[2]);
+            assertThat(SequentialTest.decide(counts, BASELINE)).isEqualTo(Verdict.BAD);
+        }
+    }
+
+    /** Guards against a stage that advances without evidence, for example while the rating service is out. */
+    @Test
+    void shouldCallAVersionHealthyOnlyWithEvidence() {
+        assertThat(SequentialTest.decide(HealthCounts.NONE, BASELINE)).isEqualTo(Verdict.UNDECIDED);
+        assertThat(SequentialTest.decide(new HealthCounts(1_000, 8, 40, 0, 0), BASELINE))
+                .isEqualTo(Verdict.UNDECIDED);
+        assertThat(SequentialTest.decide(RolloutFixtures.healthy(), BASELINE)).isEqualTo(Verdict.HEALTHY);
+    }
+}
