Parse and check the routing document

Operators edit the document by hand, so the check reports every mistake at once with file, line, section, key, expectation and the nearest known name.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/DocumentCheck.java
@@ -0,0 +1,82 @@
+package org.masticpaddle.document;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/** Check of a whole document made of parts, which reports every mistake at once. Thread-safe, having no state. */
+public final class DocumentCheck {
+    /** Largest size of all parts together, in bytes of UTF-8. Every reader keeps the whole document in memory. */
+    public static final int MAX_BYTES = 1024 * 1024;
+
+    private DocumentCheck() {}
+
+    /**
+     * Checks parts together.
+     *
+     * @param parts parts of all teams
+     * @return the document and the mistakes
+     */
+    public static CheckResult check(Collection<Part> parts) {
+        return checkParsed(parts.stream().map(DocumentCheck::parse).toList());
+    }
+
+    /**
+     * Reads the bytes of a file as a part.
+     *
+     * @param owner team that publishes the text, empty if the text may hold the sections of any team
+     * @param file name of the text in problems
+     * @param bytes content
+     * @return the part; bytes that are not UTF-8 become replacement characters, which the check reports
+     */
+    public static Part read(String owner, String file, byte[] bytes) {
+        try {
+            final String text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
+            return new Part(owner, file, text);
+        } catch (CharacterCodingException e) {
+            return new Part(owner, file, new String(bytes, StandardCharsets.UTF_8));
+        }
+    }
+
+    static ParsedPart parse(Part part) {
+        final int bytes = size(part);
+        if (bytes > MAX_BYTES) {
+            return new ParsedPart(part, List.of(), List.of(tooLarge(part.file(), bytes)));
+        }
+        return PartParser.parse(part);
+    }
+
+    static CheckResult checkParsed(Collection<ParsedPart> parts) {
+        final List<Problem> problems = new ArrayList<>();
+        final List<Section> sections = new ArrayList<>();
+        long bytes = 0;
+        for (final ParsedPart part : parts) {
+            problems.addAll(part.problems());
+            sections.addAll(part.sections());
+            bytes += size(part.part());
+        }
+        if (bytes > MAX_BYTES && problems.stream().noneMatch(problem -> problem.kind() == Problem.Kind.TOO_LARGE)) {
+            problems.add(tooLarge("all parts", bytes));
+        }
+        final DocumentAssembly assembly = new DocumentAssembly(sections, problems);
+        final RoutingDocument document = assembly.assemble();
+        References.check(document, sections, problems);
+        problems.sort(Problem.BY_PLACE);
+        return new CheckResult(document, problems);
+    }
+
+    private static int size(Part part) {
+        return part.text().getBytes(StandardCharsets.UTF_8).length;
+    }
+
+    private static Problem tooLarge(String file, long bytes) {
+        final String expected = "at most " + MAX_BYTES + " bytes in all";
+        return new Problem(Problem.Kind.TOO_LARGE, file, 0, "", "", expected, bytes + " bytes", "");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/NearestName.java
@@ -0,0 +1,26 @@
+package org.masticpaddle.document;
+
+import java.util.Collection;
+import java.util.Comparator;
+
+import org.apache.commons.text.similarity.LevenshteinDistance;
+
+/** Finds the known name that an unknown one was probably meant to be. Thread-safe, having no state. */
+final class NearestName {
+    private static final LevenshteinDistance DISTANCE = LevenshteinDistance.getDefaultInstance();
+    private static final int LONGEST_NAME = 200;
+
+    private NearestName() {}
+
+    /** Returns the nearest name within a third of the longer name's length, or an empty text. */
+    static String of(String found, Collection<String> known) {
+        if (found.length() > LONGEST_NAME) {
+            return "";
+        }
+        return known.stream()
+                .filter(name -> DISTANCE.apply(found, name) * 3 <= Math.max(found.length(), name.length()))
+                .min(Comparator.<String>comparingInt(name -> DISTANCE.apply(found, name))
+                        .thenComparing(Comparator.naturalOrder()))
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/References.java
@@ -0,0 +1,173 @@
+package org.masticpaddle.document;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/** Checks what sections say about each other: references, credentials, roll-outs and floors. */
+final class References {
+    private final RoutingDocument document;
+    private final List<Section> sections;
+    private final List<Problem> problems;
+
+    private References(RoutingDocument document, List<Section> sections, List<Problem> problems) {
+        this.document = document;
+        this.sections = sections;
+        this.problems = problems;
+    }
+
+    static void check(RoutingDocument document, List<Section> sections, List<Problem> problems) {
+        new References(document, sections, problems).checkAll();
+    }
+
+    private void checkAll() {
+        final Set<String> teams = names(SectionKind.TEAM);
+        final Set<String> models = names(SectionKind.MODEL);
+        final Map<String, Section> credentials = new HashMap<>();
+        for (final Section section : sections) {
+            if (!teams.contains(section.team())) {
+                unknown(section, "", "a declared [team NAME]", section.team(), teams);
+            }
+            switch (section.kind()) {
+                case ORGANISATION -> organisation(section, models, credentials);
+                case VERSION ->
+                    known(section, "", "a declared model", section.names().get(0), models);
+                case LIMITS ->
+                    known(
+                            section,
+                            "",
+                            "a declared organisation",
+                            section.name(),
+                            document.organisations().keySet());
+                case ROLLOUT -> rollout(section, models);
+                default -> {}
+            }
+        }
+        floors();
+    }
+
+    private void organisation(Section section, Set<String> models, Map<String, Section> credentials) {
+        final Organisation organisation = document.organisations().get(section.name());
+        if (organisation == null) {
+            return;
+        }
+        final Section other = organisation.credential().isEmpty()
+                ? null
+                : credentials.putIfAbsent(organisation.credential(), section);
+        if (other != null) {
+            problems.add(section.problem(
+                    Problem.Kind.DUPLICATE_CREDENTIAL,
+                    "credential",
+                    "a credential of its own",
+                    "the one of organisation \"" + other.name() + "\"",
+                    ""));
+        }
+        for (final String pattern : organisation.allowed()) {
+            if (pattern.endsWith("/*")) {
+                final String model = pattern.substring(0, pattern.length() - 2);
+                known(section, "allow", "a declared model", model, models);
+            } else {
+                known(section, "allow", "a declared version", pattern, versions());
+            }
+        }
+        organisation
+                .services()
+                .forEach(name -> known(
+                        section,
+                        "services",
+                        "a declared service",
+                        name,
+                        document.services().keySet()));
+    }
+
+    private void rollout(Section section, Set<String> models) {
+        final Rollout rollout = document.rollouts().get(section.name());
+        if (rollout == null) {
+            return;
+        }
+        known(section, "model", "a declared model", rollout.model(), models);
+        rolloutVersion(section, "from", rollout.model(), rollout.from());
+        rolloutVersion(section, "to", rollout.model(), rollout.to());
+        if (!rollout.to().isEmpty() && rollout.to().equals(rollout.from())) {
+            report(section, Problem.Kind.BAD_VALUE, "to", "another version than from", rollout.to());
+        }
+        final ModelVersion target = document.versions().get(new VersionName(rollout.model(), rollout.to()));
+        if (target != null
+                && target.state() == ModelVersion.State.WITHDRAWN
+                && rollout.state() != Rollout.State.STOPPED) {
+            report(
+                    section,
+                    Problem.Kind.WITHDRAWN_TARGET,
+                    "to",
+                    "an active version, or state = stopped",
+                    "the withdrawn version " + target.name());
+        }
+    }
+
+    private void rolloutVersion(Section section, String key, String model, String version) {
+        known(section, key, "a declared version", version.isEmpty() ? "" : model + "/" + version, versions());
+        sections.stream()
+                .filter(other -> other.kind() == SectionKind.VERSION)
+                .filter(other -> other.names().equals(List.of(model, version)))
+                .filter(Predicate.not(other -> other.team().equals(section.team())))
+                .findFirst()
+                // Otherwise a team could not withdraw its version while another team's roll-out leads to it.
+                .ifPresent(other -> report(
+                        section,
+                        Problem.Kind.FOREIGN_SECTION,
+                        key,
+                        "a version of team \"" + section.team() + "\"",
+                        "a version of team \"" + other.team() + "\""));
+    }
+
+    private void floors() {
+        final double sum = document.ranks().values().stream()
+                .mapToDouble(RankPolicy::floor)
+                .sum();
+        if (sum > 1 + 1e-9) {
+            sections.stream()
+                    .filter(section -> section.kind() == SectionKind.RANK)
+                    .filter(section -> section.values().containsKey("floor"))
+                    .reduce((first, last) -> last)
+                    .ifPresent(section -> report(
+                            section,
+                            Problem.Kind.FLOORS_ABOVE_ONE,
+                            "floor",
+                            "floors of all ranks that add up to at most 1",
+                            "a sum of " + Math.round(sum * 1000) / 1000.0));
+        }
+    }
+
+    private void known(Section section, String key, String expected, String found, Collection<String> names) {
+        if (!found.isEmpty() && !names.contains(found)) {
+            unknown(section, key, expected, found, names);
+        }
+    }
+
+    private void unknown(Section section, String key, String expected, String found, Collection<String> names) {
+        problems.add(section.problem(
+                Problem.Kind.UNKNOWN_REFERENCE, key, expected, LineScan.quote(found), NearestName.of(found, names)));
+    }
+
+    private void report(Section section, Problem.Kind kind, String key, String expected, String found) {
+        problems.add(section.problem(kind, key, expected, found, ""));
+    }
+
+    private Set<String> versions() {
+        return document.versions().keySet().stream()
+                .map(VersionName::toString)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private Set<String> names(SectionKind kind) {
+        return sections.stream()
+                .filter(section -> section.kind() == kind)
+                .map(Section::name)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+}
--- a/src/main/java/org/masticpaddle/document/RoutingDocument.java
+++ b/src/main/java/org/masticpaddle/document/RoutingDocument.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.document;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -48,7 +49,7 @@
     }
 
     /**
-     * Lists the versions that an organisation may use and that receive new work, cheapest first.
+     * Lists the versions that an organisation may use and that receive new work, cheapest first, then by name.
      *
      * @param organisation the organisation
      * @return the versions
@@ -57,7 +58,8 @@
         return versions.values().stream()
                 .filter(version -> version.state() == ModelVersion.State.ACTIVE)
                 .filter(version -> organisation.allows(version.name()))
-                .sorted((left, right) -> Long.compare(left.outputPriceMicros(), right.outputPriceMicros()))
+                .sorted(Comparator.comparingLong(ModelVersion::outputPriceMicros)
+                        .thenComparing(version -> version.name().toString()))
                 .toList();
     }
 
