--- a/src/main/java/org/masticpaddle/document/NearestName.java
+++ b/src/main/java/org/masticpaddle/document/NearestName.java
@@ -12,13 +12,13 @@
 
     private NearestName() {}
 
-    /** Returns the nearest name within a third of the longer name's length, or an empty text. */
+    /** Returns the nearest name that differs in at most half of its letters, or an empty text. */
     static String of(String found, Collection<String> known) {
         if (found.length() > LONGEST_NAME) {
             return "";
         }
         return known.stream()
-                .filter(name -> DISTANCE.apply(found, name) * 3 <= Math.max(found.length(), name.length()))
+                .filter(name -> DISTANCE.apply(found, name) * 2 <= Math.max(found.length(), name.length()))
                 .min(Comparator.<String>comparingInt(name -> DISTANCE.apply(found, name))
                         .thenComparing(Comparator.naturalOrder()))
                 .orElse("");
--- a/src/main/java/org/masticpaddle/document/References.java
+++ b/src/main/java/org/masticpaddle/document/References.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +15,7 @@
     private final RoutingDocument document;
     private final List<Section> sections;
     private final List<Problem> problems;
+    private final Set<String> visited = new HashSet<>();
 
     private References(RoutingDocument document, List<Section> sections, List<Problem> problems) {
         this.document = document;
@@ -53,7 +55,7 @@
 
     private void organisation(Section section, Set<String> models, Map<String, Section> credentials) {
         final Organisation organisation = document.organisations().get(section.name());
-        if (organisation == null) {
+        if (organisation == null || !visited.add(section.name())) {
             return;
         }
         final Section other = organisation.credential().isEmpty()
