--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/LogFollower.java
@@ -0,0 +1,97 @@
+package org.masticpaddle.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.masticpaddle.platform.LogPage;
+import org.masticpaddle.platform.LogRecord;
+
+/**
+ * Place of one reader in the log stream {@code configuration}: where it reads next, and the state it has folded.
+ *
+ * <p>Invariants: the state's offset never goes down. If records before the next one have expired, the reader looks for
+ * the first snapshot from which all later records are retained, and keeps its state until then. Used by one thread.
+ */
+final class LogFollower {
+    private Optional<ConfigurationFold> fold = Optional.empty();
+    private boolean searching;
+    private long readFrom;
+    private boolean complete;
+
+    /** Returns the lowest offset that the next page should hold. */
+    long readFrom() {
+        return readFrom;
+    }
+
+    /** Returns the folded state, empty if the log's prefix is unknown so far. */
+    Optional<ConfigurationFold> fold() {
+        return fold;
+    }
+
+    /** Tells whether the state has once reached the end of the log, or came from peers. Stays true. */
+    boolean complete() {
+        return complete;
+    }
+
+    /** Takes a page that was read from {@link #readFrom()} and returns what each record did. */
+    List<FoldResult> accept(LogPage page) {
+        if (!searching && fold.isEmpty() && page.earliest() == 0) {
+            fold = Optional.of(ConfigurationFold.empty());
+        }
+        if (!searching && fold.map(ConfigurationFold::offset).orElse(-1L) < page.earliest()) {
+            searching = true;
+            readFrom = page.earliest();
+        }
+        if (searching && !search(page)) {
+            return List.of();
+        }
+        final List<FoldResult> results = new ArrayList<>();
+        for (final LogRecord entry : page.records()) {
+            final ConfigurationFold.Step step = fold.orElseThrow().apply(entry);
+            fold = Optional.of(step.next());
+            results.add(step.result());
+        }
+        readFrom = fold.orElseThrow().offset();
+        complete |= readFrom >= page.end();
+        return results;
+    }
+
+    /** Looks for a usable snapshot. Returns whether the page's records can be applied after it. */
+    private boolean search(LogPage page) {
+        readFrom = Math.max(readFrom, page.earliest());
+        for (final LogRecord entry : page.records()) {
+            final Optional<ConfigurationFold> found = ConfigurationRecord.decode(entry.data())
+                    .filter(Snapshot.class::isInstance)
+                    .map(Snapshot.class::cast)
+                    .filter(snapshot -> snapshot.upTo() >= page.earliest())
+                    .filter(snapshot -> snapshot.upTo() >= offset())
+                    .flatMap(snapshot ->
+                            ConfigurationFold.restore(snapshot, new SnapshotMark(snapshot.upTo(), entry.timeMillis())));
+            if (found.isPresent()) {
+                fold = found;
+                searching = false;
+                readFrom = found.get().offset();
+                return page.records().get(0).offset() <= readFrom;
+            }
+            readFrom = Math.max(readFrom, entry.offset() + 1);
+        }
+        return false;
+    }
+
+    /** Takes a state from peers if it is ahead. Returns whether it was taken. */
+    boolean adopt(ConfigurationFold state) {
+        complete = true;
+        if (fold.isPresent() && state.offset() <= offset()) {
+            return false;
+        }
+        fold = Optional.of(state);
+        searching = false;
+        readFrom = state.offset();
+        return true;
+    }
+
+    private long offset() {
+        return fold.map(ConfigurationFold::offset).orElse(0L);
+    }
+}
--- a/src/main/java/org/masticpaddle/document/References.java
+++ b/src/main/java/org/masticpaddle/document/References.java
@@ -13,12 +13,14 @@
 /** Checks what sections say about each other: references, credentials, roll-outs and floors. */
 final class References {
     private final RoutingDocument document;
+    private final Set<String> versions;
     private final List<Section> sections;
     private final List<Problem> problems;
     private final Set<String> visited = new HashSet<>();
 
     private References(RoutingDocument document, List<Section> sections, List<Problem> problems) {
         this.document = document;
+        this.versions = versions(document);
         this.sections = sections;
         this.problems = problems;
     }
@@ -74,7 +76,7 @@
                 final String model = pattern.substring(0, pattern.length() - 2);
                 known(section, "allow", "a declared model", model, models);
             } else {
-                known(section, "allow", "a declared version", pattern, versions());
+                known(section, "allow", "a declared version", pattern, versions);
             }
         }
         organisation
@@ -112,7 +114,7 @@
     }
 
     private void rolloutVersion(Section section, String key, String model, String version) {
-        known(section, key, "a declared version", version.isEmpty() ? "" : model + "/" + version, versions());
+        known(section, key, "a declared version", version.isEmpty() ? "" : model + "/" + version, versions);
         sections.stream()
                 .filter(other -> other.kind() == SectionKind.VERSION)
                 .filter(other -> other.names().equals(List.of(model, version)))
@@ -160,7 +162,7 @@
         problems.add(section.problem(kind, key, expected, found, ""));
     }
 
-    private Set<String> versions() {
+    private static Set<String> versions(RoutingDocument document) {
         return document.versions().keySet().stream()
                 .map(VersionName::toString)
                 .collect(Collectors.toCollection(TreeSet::new));
