--- /dev/null
+++ b/src/main/java/org/masticpaddle/standin/LogStream.java
@@ -0,0 +1,91 @@
+package org.masticpaddle.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+import org.masticpaddle.platform.LogPage;
+import org.masticpaddle.platform.LogRecord;
+
+/** Records, journal and waiting readers of one stream. Thread-safe. */
+final class LogStream {
+    private static final int MAX_JOURNAL = 1_000_000;
+
+    private final int retainedRecords;
+    private final long retentionMillis;
+    private final Deque<LogRecord> journal = new ArrayDeque<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private List<LogRecord> records = new ArrayList<>();
+    private long earliest;
+    private long end;
+
+    LogStream(int retainedRecords, long retentionMillis) {
+        this.retainedRecords = retainedRecords;
+        this.retentionMillis = retentionMillis;
+    }
+
+    synchronized long append(List<byte[]> contents, long nowMillis) {
+        final long first = end;
+        for (final byte[] content : contents) {
+            final LogRecord entry = new LogRecord(end++, nowMillis, content);
+            records.add(entry);
+            journal.add(entry);
+            if (journal.size() > MAX_JOURNAL) {
+                journal.removeFirst();
+            }
+        }
+        if (end - earliest > retainedRecords) {
+            dropBefore(end - retainedRecords);
+        }
+        return first;
+    }
+
+    synchronized LogPage page(long from, int limit, long nowMillis) {
+        expire(nowMillis);
+        final int skip = (int) Math.max(0, Math.min(from - earliest, end - earliest));
+        final int base = (int) (records.size() - (end - earliest)) + skip;
+        final int last = Math.min(records.size(), base + limit);
+        return new LogPage(earliest, end, records.subList(base, last));
+    }
+
+    private void expire(long nowMillis) {
+        final int base = (int) (records.size() - (end - earliest));
+        int index = base;
+        while (index < records.size() && records.get(index).timeMillis() < nowMillis - retentionMillis) {
+            index++;
+        }
+        dropBefore(earliest + index - base);
+    }
+
+    synchronized void dropBefore(long offset) {
+        earliest = Math.min(end, Math.max(earliest, offset));
+        final int live = (int) (end - earliest);
+        // Copies only when more than half is dropped, so that the cost of an append stays constant on average.
+        if (records.size() > 2 * live + 16) {
+            records = new ArrayList<>(records.subList(records.size() - live, records.size()));
+        }
+    }
+
+    synchronized long end() {
+        return end;
+    }
+
+    synchronized List<LogRecord> journal() {
+        return List.copyOf(journal);
+    }
+
+    synchronized void await(Runnable reader) {
+        waiting.add(reader);
+    }
+
+    synchronized boolean cancel(Runnable reader) {
+        return waiting.remove(reader);
+    }
+
+    synchronized List<Runnable> takeWaiting() {
+        final List<Runnable> taken = List.copyOf(waiting);
+        waiting.clear();
+        return taken;
+    }
+}
