--- a/src/main/java/org/masticpaddle/platform/EngineControl.java
+++ b/src/main/java/org/masticpaddle/platform/EngineControl.java
@@ -36,6 +36,8 @@
         UNLOAD_VERSION,
         /** Load an adapter. */
         LOAD_ADAPTER,
+        /** Unload an adapter. */
+        UNLOAD_ADAPTER,
         /** Change the role, for example to prefill only. */
         CHANGE_ROLE
     }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/standin/AnswerWriter.java
@@ -0,0 +1,104 @@
+package org.masticpaddle.standin;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Sends an answer that grows while it is sent. Works on the exchange's input/output thread; {@link #wake()} and
+ * {@link #cut()} are safe for use by any thread.
+ */
+final class AnswerWriter {
+    private static final int CHUNK_BYTES = 16 * 1024;
+
+    private final HttpServerExchange exchange;
+    private final AnswerBuffer buffer;
+    private int position;
+    private int cutAt = Integer.MAX_VALUE;
+    private ByteBuffer chunk = ByteBuffer.allocate(0);
+    private StreamSinkChannel channel;
+    private boolean closed;
+
+    AnswerWriter(HttpServerExchange exchange, AnswerBuffer buffer, int from) {
+        this.exchange = exchange;
+        this.buffer = buffer;
+        this.position = from;
+    }
+
+    void start(String contentType) {
+        buffer.attach(this);
+        exchange.getIoThread().execute(() -> {
+            exchange.setStatusCode(200);
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
+            channel = exchange.getResponseChannel();
+            channel.getWriteSetter().set(sink -> pump());
+            pump();
+        });
+    }
+
+    void wake() {
+        exchange.getIoThread().execute(this::pump);
+    }
+
+    void cut() {
+        final int length = buffer.length();
+        exchange.getIoThread().execute(() -> {
+            cutAt = length;
+            pump();
+        });
+    }
+
+    private void pump() {
+        try {
+            while (!closed && fill()) {
+                if (channel.write(chunk) == 0) {
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            if (!closed) {
+                flush();
+            }
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    private boolean fill() {
+        if (!chunk.hasRemaining()) {
+            final byte[] next = buffer.copy(position, Math.min(CHUNK_BYTES, Math.max(0, cutAt - position)));
+            position += next.length;
+            chunk = ByteBuffer.wrap(next);
+        }
+        return chunk.hasRemaining();
+    }
+
+    private void flush() throws IOException {
+        final boolean complete = buffer.complete(position);
+        if (complete) {
+            channel.shutdownWrites();
+        }
+        if (!channel.flush()) {
+            channel.resumeWrites();
+            return;
+        }
+        if (complete) {
+            closed = true;
+            buffer.detach(this);
+        } else if (position >= cutAt) {
+            close();
+        } else {
+            channel.suspendWrites();
+        }
+    }
+
+    private void close() {
+        closed = true;
+        buffer.detach(this);
+        IoUtils.safeClose(exchange.getConnection());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/standin/EngineRequest.java
@@ -0,0 +1,52 @@
+package org.masticpaddle.standin;
+
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.server.HttpServerExchange;
+import org.masticpaddle.wire.Exchanges;
+import org.masticpaddle.wire.Json;
+
+/**
+ * A chat completion that an engine stand-in is asked for. Immutable.
+ *
+ * @param id identifier of the request
+ * @param version version, {@code model/version}
+ * @param prompt roles and contents of all messages, one a line
+ * @param maxTokens tokens wanted, 0 to let the prompt decide
+ * @param stream whether the answer is streamed
+ * @param priority 0 to 2, 0 first
+ */
+record EngineRequest(String id, String version, String prompt, int maxTokens, boolean stream, int priority) {
+    private static final int MAX_TOKENS = 100_000;
+
+    static EngineRequest read(HttpServerExchange exchange, byte[] body, String fallbackId) {
+        final JsonNode tree = Json.tree(body);
+        final JsonNode messages = tree.path("messages");
+        if (!messages.isArray() || messages.isEmpty()) {
+            throw new IllegalArgumentException("messages must be an array that is not empty");
+        }
+        final StringBuilder prompt = new StringBuilder();
+        messages.forEach(message -> prompt.append(message.path("role").asText().toLowerCase(Locale.ROOT))
+                .append(": ")
+                .append(message.path("content").asText())
+                .append('\n'));
+        return new EngineRequest(
+                Exchanges.header(exchange, "X-Request-Id").orElse(fallbackId),
+                tree.path("model").asText(),
+                prompt.toString(),
+                Math.max(0, Math.min(MAX_TOKENS, tree.path("max_tokens").asInt(0))),
+                tree.path("stream").asBoolean(false),
+                Exchanges.header(exchange, "X-Priority")
+                        .map(EngineRequest::priority)
+                        .orElse(1));
+    }
+
+    private static int priority(String text) {
+        final int value = Integer.parseInt(text);
+        if (value < 0 || value > 2) {
+            throw new IllegalArgumentException("X-Priority must be 0 to 2, found " + value);
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/standin/PrefixCache.java
@@ -0,0 +1,113 @@
+package org.masticpaddle.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.masticpaddle.platform.EngineControl.CacheEvent;
+import org.masticpaddle.wire.Hashing;
+
+/**
+ * Cache of prompt prefixes in blocks, which forgets the least recently used block first. Not thread-safe.
+ *
+ * <p>A block's hash covers version and all words up to its end, so that equal hashes mean equal prefixes.
+ */
+final class PrefixCache {
+    private static final int MAX_EVENTS = 10_000;
+
+    private final int capacity;
+    private final int blockTokens;
+    private final long lagNanos;
+    private final int gapEvery;
+    private final Map<Long, String> blocks = new LinkedHashMap<>(16, 0.75f, true);
+    private final Deque<TimedEvent> events = new ArrayDeque<>();
+    private long sequence;
+
+    PrefixCache(EngineSettings settings) {
+        this.capacity = settings.cacheBlocks();
+        this.blockTokens = settings.blockTokens();
+        this.lagNanos = TimeUnit.MILLISECONDS.toNanos(settings.reportLagMillis());
+        this.gapEvery = settings.eventGapEvery();
+    }
+
+    /** Hashes of the full blocks of a prompt. */
+    List<Long> hashes(String version, String prompt) {
+        final String[] words = prompt.strip().split("\\s+");
+        final List<Long> result = new ArrayList<>();
+        long hash = Hashing.of(version);
+        for (int start = 0; start + blockTokens <= words.length; start += blockTokens) {
+            final StringBuilder block = new StringBuilder(Long.toHexString(hash));
+            for (int index = start; index < start + blockTokens; index++) {
+                block.append(' ').append(words[index]);
+            }
+            hash = Hashing.of(block.toString());
+            result.add(hash);
+        }
+        return result;
+    }
+
+    /** Stores the blocks and returns the number of leading tokens that were cached before. */
+    int use(String version, List<Long> hashes) {
+        int hits = 0;
+        while (hits < hashes.size() && blocks.get(hashes.get(hits)) != null) {
+            hits++;
+        }
+        // Touches the leading blocks last, so that a prefix outlives what follows it.
+        for (int index = hashes.size() - 1; index >= 0; index--) {
+            store(version, hashes.get(index));
+        }
+        return hits * blockTokens;
+    }
+
+    private void store(String version, long hash) {
+        if (blocks.put(hash, version) == null) {
+            record(version, hash, true);
+        }
+        if (blocks.size() > capacity) {
+            final Map.Entry<Long, String> oldest = blocks.entrySet().iterator().next();
+            blocks.remove(oldest.getKey());
+            record(oldest.getValue(), oldest.getKey(), false);
+        }
+    }
+
+    /** Forgets the blocks of a version that is unloaded. */
+    void drop(String version) {
+        blocks.entrySet().removeIf(entry -> {
+            final boolean dropped = entry.getValue().equals(version);
+            if (dropped) {
+                record(version, entry.getKey(), false);
+            }
+            return dropped;
+        });
+    }
+
+    int size() {
+        return blocks.size();
+    }
+
+    List<CacheEvent> eventsAfter(long after, int limit) {
+        final long visibleUntil = System.nanoTime() - lagNanos;
+        return events.stream()
+                .filter(timed -> timed.event.sequence() > after && timed.nanos - visibleUntil <= 0)
+                .limit(limit)
+                .map(TimedEvent::event)
+                .toList();
+    }
+
+    private void record(String version, long hash, boolean stored) {
+        sequence++;
+        if (gapEvery > 0 && sequence % gapEvery == 0) {
+            return;
+        }
+        events.add(new TimedEvent(new CacheEvent(sequence, version, hash, stored), System.nanoTime()));
+        if (events.size() > MAX_EVENTS) {
+            events.removeFirst();
+        }
+    }
+
+    private record TimedEvent(CacheEvent event, long nanos) {}
+}
--- a/src/main/java/org/masticpaddle/standin/StandInServer.java
+++ b/src/main/java/org/masticpaddle/standin/StandInServer.java
@@ -64,8 +64,8 @@
 
     @Override
     public void stop() {
-        http.stop();
         scheduler.shutdownNow();
+        http.stop();
     }
 
     URI origin() {
