--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/ConfigurationHandler.java
@@ -0,0 +1,33 @@
+package org.masticpaddle.document;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.LongFunction;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.masticpaddle.wire.Exchanges;
+
+/** Answers {@code GET /internal/configuration?after=OFFSET}. Thread-safe; never blocks. */
+public final class ConfigurationHandler implements HttpHandler {
+    private final LongFunction<Optional<ConfigurationAnswer>> source;
+
+    /**
+     * Creates the handler.
+     *
+     * @param source answer for an offset, for example {@link ConfigurationService#answer(long)}
+     */
+    public ConfigurationHandler(LongFunction<Optional<ConfigurationAnswer>> source) {
+        this.source = Objects.requireNonNull(source, "source is null");
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        final long after = Exchanges.queryLong(exchange, "after", 0);
+        source.apply(Math.max(0, after))
+                .ifPresentOrElse(
+                        answer -> Exchanges.answer(exchange, 200, answer),
+                        () -> Exchanges.answer(exchange, 503, Map.of("message", "no document in effect")));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/HttpConfigurationPeer.java
@@ -0,0 +1,60 @@
+package org.masticpaddle.document;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.masticpaddle.wire.HttpAnswer;
+import org.masticpaddle.wire.HttpCall;
+import org.masticpaddle.wire.HttpClient;
+import org.masticpaddle.wire.Json;
+import org.masticpaddle.wire.MalformedMessageException;
+
+/**
+ * HTTP binding of {@link ConfigurationPeer}: {@code GET /internal/configuration?after=OFFSET} answers 200 with a
+ * {@link ConfigurationAnswer}, or 503 if the entry has no document in effect. Thread-safe.
+ */
+public final class HttpConfigurationPeer implements ConfigurationPeer {
+    private static final int NO_DOCUMENT = 503;
+
+    private final HttpClient client;
+    private final Duration timeout;
+
+    /**
+     * Creates the binding.
+     *
+     * @param client HTTP client
+     * @param timeout time without a byte after which a call fails
+     */
+    public HttpConfigurationPeer(HttpClient client, Duration timeout) {
+        this.client = Objects.requireNonNull(client, "client is null");
+        this.timeout = Objects.requireNonNull(timeout, "timeout is null");
+    }
+
+    @Override
+    public CompletableFuture<Optional<ConfigurationAnswer>> fetch(URI entry, long after) {
+        return client.send(HttpCall.get(entry, PATH + "?after=" + after, timeout))
+                .handle((answer, error) -> {
+                    if (error != null) {
+                        throw new PeerException("no configuration from " + entry + ": " + error.getMessage(), error);
+                    }
+                    return decode(entry, answer);
+                });
+    }
+
+    private static Optional<ConfigurationAnswer> decode(URI entry, HttpAnswer answer) {
+        if (answer.status() == NO_DOCUMENT) {
+            return Optional.empty();
+        }
+        if (!answer.successful()) {
+            throw new PeerException("no configuration from " + entry + ": status " + answer.status(), null);
+        }
+        try {
+            return Optional.of(Json.decode(answer.body(), ConfigurationAnswer.class));
+        } catch (MalformedMessageException e) {
+            throw new PeerException("configuration from " + entry + " is not understood", e);
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/document/LogFollower.java
+++ b/src/main/java/org/masticpaddle/document/LogFollower.java
@@ -34,6 +34,11 @@
         return complete;
     }
 
+    /** Tells whether records are missing between the state and what the log retains. */
+    boolean searching() {
+        return searching;
+    }
+
     /** Takes a page that was read from {@link #readFrom()} and returns what each record did. */
     List<FoldResult> accept(LogPage page) {
         if (!searching && fold.isEmpty() && page.earliest() == 0) {
@@ -91,6 +96,11 @@
         return true;
     }
 
+    /** Notes that a majority of the entries knows nothing beyond the state, if there is one. */
+    void completeByPeers() {
+        complete |= fold.isPresent();
+    }
+
     private long offset() {
         return fold.map(ConfigurationFold::offset).orElse(0L);
     }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/Majority.java
@@ -0,0 +1,31 @@
+package org.masticpaddle.document;
+
+import java.util.Optional;
+
+/**
+ * Answers of the entries that a starting process asked. Only entries with a document in effect count: one that is
+ * starting itself knows of no edit. Immutable and thread-safe.
+ *
+ * @param known number of entries asked
+ * @param answered number of them that have a document
+ * @param best answer with the highest offset
+ */
+record Majority(int known, int answered, Optional<ConfigurationAnswer> best) {
+    static Majority of(int known) {
+        return new Majority(known, 0, Optional.empty());
+    }
+
+    Majority with(Optional<ConfigurationAnswer> answer) {
+        if (answer.isEmpty()) {
+            return this;
+        }
+        final boolean higher = best.isEmpty()
+                || answer.get().changes().upTo() > best.get().changes().upTo();
+        return new Majority(known, answered + 1, higher ? answer : best);
+    }
+
+    /** Returns the document to take, empty until more than half of the entries have answered. */
+    Optional<ConfigurationAnswer> decided() {
+        return answered * 2 > known ? best : Optional.empty();
+    }
+}
