--- /dev/null
+++ b/src/main/java/org/masticpaddle/billing/ChargeTotals.java
@@ -0,0 +1,113 @@
+package org.masticpaddle.billing;
+
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.masticpaddle.platform.LogRecord;
+import org.masticpaddle.wire.Charge;
+import org.masticpaddle.wire.Json;
+import org.masticpaddle.wire.MalformedMessageException;
+
+/**
+ * Fold of the stream of charges into totals. The first charge of an identity counts; later ones of the same organisation
+ * are repetitions. It remembers every identity that it counted, as the reports it serves cover the log's retention at
+ * most. Not thread-safe.
+ */
+public final class ChargeTotals {
+    private final Set<Identity> counted = new HashSet<>();
+    private final SortedMap<Line, Total> totals = new TreeMap<>(
+            Comparator.comparing(Line::organisation).thenComparing(Line::model).thenComparing(Line::version));
+    private long next;
+
+    /** Creates empty totals. */
+    public ChargeTotals() {}
+
+    /**
+     * What a total is for.
+     *
+     * @param organisation organisation that pays
+     * @param model model, or the name of the plain service
+     * @param version version, empty for a plain service
+     */
+    public record Line(String organisation, String model, String version) {}
+
+    /**
+     * Sum of charges.
+     *
+     * @param requests number of requests
+     * @param promptTokens tokens of the prompts
+     * @param outputTokens tokens of the answers
+     * @param billedMicros price billed, in millionths of the currency unit
+     * @param internalMicros price of discarded drafts, in millionths of the currency unit
+     */
+    public record Total(long requests, long promptTokens, long outputTokens, long billedMicros, long internalMicros) {
+        private Total add(Charge charge) {
+            return new Total(
+                    requests + 1,
+                    promptTokens + charge.promptTokens(),
+                    outputTokens + charge.outputTokens(),
+                    billedMicros + charge.billedMicros(),
+                    internalMicros + charge.internalMicros());
+        }
+    }
+
+    private record Identity(String organisation, String identity) {}
+
+    /**
+     * Folds the next record.
+     *
+     * @param record record of the stream; ignored if it was read before or is no charge
+     * @return whether a charge was counted
+     */
+    public boolean apply(LogRecord record) {
+        Objects.requireNonNull(record, "record is null");
+        if (record.offset() < next) {
+            return false;
+        }
+        next = record.offset() + 1;
+        try {
+            return add(Json.decode(record.data(), Charge.class));
+        } catch (MalformedMessageException e) {
+            return false;
+        }
+    }
+
+    /**
+     * Returns the offset of the next record to fold.
+     *
+     * @return offset
+     */
+    public long next() {
+        return next;
+    }
+
+    /**
+     * Returns the totals, ordered by organisation, model and version.
+     *
+     * @return copy of the totals
+     */
+    public Map<Line, Total> totals() {
+        return Collections.unmodifiableSortedMap(new TreeMap<>(totals));
+    }
+
+    private boolean add(Charge charge) {
+        if (charge.identity() == null
+                || charge.organisation() == null
+                || charge.model() == null
+                || charge.version() == null
+                || !counted.add(new Identity(charge.organisation(), charge.identity()))) {
+            return false;
+        }
+        totals.merge(
+                new Line(charge.organisation(), charge.model(), charge.version()),
+                new Total(0, 0, 0, 0, 0).add(charge),
+                (sum, first) -> sum.add(charge));
+        return true;
+    }
+}
