Add idempotency keys, claim records, the claim ledger and the claim service

Cause: a non-idempotent request must run at most once, whichever entries it reaches (design, section 7).

Change: ClaimLedger folds a partition and decides which claim holds a key; ClaimPartition decides requests of one entry from what was read back; ClaimService performs its reads and appends; AttemptTable is a sidecar's memory of attempts. A claim carries the number of releases its entry had read, so that a late or repeated append cannot take a key after a release and the ledger needs no list of dead attempts.

Conclusion: the log's order alone decides; an acknowledgement is used only to stop repeating an append.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/claim/ClaimRequest.java
@@ -0,0 +1,24 @@
+package org.masticpaddle.claim;
+
+import java.util.Objects;
+
+/**
+ * Wish to run a non-idempotent request on one sidecar. Immutable and thread-safe.
+ *
+ * @param key key of the request
+ * @param bodyHash hash of the request's method, path and body
+ * @param sidecar instance that is to run the request
+ * @param incarnation incarnation of that instance
+ */
+public record ClaimRequest(IdempotencyKey key, String bodyHash, String sidecar, long incarnation) {
+    /** Checks the arguments. */
+    public ClaimRequest {
+        Objects.requireNonNull(key, "key is null");
+        Objects.requireNonNull(bodyHash, "bodyHash is null");
+        Objects.requireNonNull(sidecar, "sidecar is null");
+    }
+
+    ClaimRecord.Claim claim(String attemptId, long round) {
+        return new ClaimRecord.Claim(key, bodyHash, attemptId, round, sidecar, incarnation);
+    }
+}
