Explore random schedules of claims, attempts and charges

Cause: the guards of at-most-once execution matter only in rare orders of messages, outages, pauses and restarts.

Change: a seeded world drives the pure classes without threads and checks after each step that a key runs at most once, that a "not run" holds, and that a charge counts once; at the end it checks that no charge is lost whose sidecar lives.

Conclusion: each guard is necessary within this world.

--- /dev/null
+++ b/src/test/java/org/masticpaddle/claim/ClaimExplorationTest.java
@@ -0,0 +1,91 @@
+package org.masticpaddle.claim;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against schedules of lost, late and duplicated messages, outages, pauses and restarts in which a key runs twice,
+ * a "not run" is false, or a charge counts twice or is lost although a holder lives. The system property
+ * {@code masticpaddle.schedules} sets the number of schedules.
+ */
+class ClaimExplorationTest {
+    private static final int TRIES = 100;
+    private static final int SCHEDULES = Integer.getInteger("masticpaddle.schedules", 1_000);
+    private static final int STEPS = 500;
+    private static final int MUTATION_SCHEDULES = 2_000;
+    private static final Map<String, Integer> SEEN = new TreeMap<>();
+
+    @Property(
+            tries = TRIES,
+            seed = "20261204",
+            generation = GenerationMode.RANDOMIZED,
+            edgeCases = EdgeCasesMode.NONE,
+            shrinking = ShrinkingMode.OFF)
+    void shouldKeepEveryPromiseInAnySchedule(@ForAll long base) {
+        for (int index = 0; index < Math.max(1, SCHEDULES / TRIES); index++) {
+            final long seed = base + index;
+            final ClaimWorld world = new ClaimWorld(seed, BrokenGuard.NONE);
+            try {
+                world.run(STEPS);
+            } catch (AssertionError e) {
+                throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+            }
+            world.seen.forEach((event, count) -> SEEN.merge(event, count, Integer::sum));
+        }
+    }
+
+    /** An exploration that never reaches an interesting state proves nothing. */
+    @AfterContainer
+    static void shouldHaveReachedEveryKindOfState() {
+        System.out.println("claim exploration, " + SCHEDULES + " schedules: " + SEEN);
+        assertThat(SEEN.keySet())
+                .containsAtLeast(
+                        "Won",
+                        "Stands",
+                        "BodyDiffers",
+                        "Unavailable",
+                        "KeyRefused",
+                        "run",
+                        "not_run",
+                        "retry",
+                        "Sealed",
+                        "Running",
+                        "Answered",
+                        "Unknown",
+                        "SEALED",
+                        "REPEATED",
+                        "OTHER_INCARNATION",
+                        "EXPIRED",
+                        "FULL");
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = BrokenGuard.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void shouldNoticeABrokenGuard(BrokenGuard broken) {
+        Optional<String> found = Optional.empty();
+        long seed = 0;
+        while (found.isEmpty() && seed < MUTATION_SCHEDULES) {
+            seed++;
+            try {
+                new ClaimWorld(seed, broken).run(STEPS);
+            } catch (AssertionError e) {
+                found = Optional.of(e.getMessage());
+            }
+        }
+        System.out.println("without guard " + broken + ", seed " + seed + ": " + found.orElse("nothing found"));
+        assertWithMessage("violation without guard %s", broken).that(found).isPresent();
+    }
+}
