End a call when the peer resets its connection before the request

HttpClientConnection.sendRequest throws NullPointerException if the connection is reset between connect and request. The exception escaped to the input/output thread, and the call relied on other events to end.

Turn it into a CallException, and fail with NOT_SENT when the connection is closed before anything was written.

--- a/src/main/java/org/masticpaddle/wire/ActiveCall.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveCall.java
@@ -78,10 +78,23 @@
             IoUtils.safeClose(opened);
             return;
         }
+        if (!opened.isOpen()) {
+            fail(CallException.Delivery.NOT_SENT, "connection to " + call.origin() + " was closed", null);
+            return;
+        }
         lastByteNanos = System.nanoTime();
         armIdleTimeout();
         sent = true;
-        opened.sendRequest(request(), new ClientCallback<>() {
+        try {
+            opened.sendRequest(request(), requestListener());
+        } catch (RuntimeException e) {
+            // Undertow throws NullPointerException if the peer resets the connection before the request is written.
+            fail(CallException.Delivery.POSSIBLY_SENT, "request to " + call.origin() + " failed", e);
+        }
+    }
+
+    private ClientCallback<ClientExchange> requestListener() {
+        return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
                 exchange.setResponseListener(responseListener());
@@ -92,7 +105,7 @@
             public void failed(IOException e) {
                 fail(CallException.Delivery.POSSIBLY_SENT, "request to " + call.origin() + " failed", e);
             }
-        });
+        };
     }
 
     void fail(CallException.Delivery delivery, String message, Throwable cause) {
--- /dev/null
+++ b/src/test/java/org/masticpaddle/wire/ClosedConnectionTest.java
@@ -0,0 +1,53 @@
+package org.masticpaddle.wire;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Guards against calls that wait for the idle timeout when the peer closes a connection before the request. */
+class ClosedConnectionTest {
+    private static final int CALLS = 200;
+
+    @Test
+    void shouldFailAtOnceWhenThePeerResetsTheConnection() throws Exception {
+        final HttpClient client = new HttpClient(1);
+        client.start();
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            final Thread thread = new Thread(() -> resetAll(server), "reset-all");
+            thread.setDaemon(true);
+            thread.start();
+            final URI origin = URI.create("http://127.0.0.1:" + server.getLocalPort());
+            for (int index = 0; index < CALLS; index++) {
+                final CompletableFuture<HttpAnswer> call = client.send(HttpCall.get(origin, "/", Duration.ofHours(1)));
+                final ExecutionException error =
+                        assertThrows(ExecutionException.class, () -> call.get(30, TimeUnit.SECONDS));
+                assertThat(error).hasCauseThat().isInstanceOf(CallException.class);
+            }
+        }
+        client.stop();
+    }
+
+    private static void resetAll(ServerSocket server) {
+        try {
+            while (true) {
+                try (Socket socket = server.accept()) {
+                    socket.setSoLinger(true, 0);
+                }
+            }
+        } catch (IOException e) {
+            // The test has closed the listening socket.
+            assertThat(server.isClosed()).isTrue();
+        }
+    }
+}
