--- /dev/null
+++ b/src/test/java/org/masticpaddle/standin/FaultProxyTest.java
@@ -0,0 +1,96 @@
+package org.masticpaddle.standin;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.wire.CallException;
+import org.masticpaddle.wire.HttpAnswer;
+import org.masticpaddle.wire.HttpCall;
+import org.masticpaddle.wire.HttpClient;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Guards against a proxy that injects another fault than the test asked for. */
+class FaultProxyTest {
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final Duration SHORT = Duration.ofMillis(200);
+
+    private final HttpClient client = new HttpClient(1);
+    private final PlainServiceStandIn service = new PlainServiceStandIn(Duration.ZERO);
+    private FaultProxy proxy;
+
+    @BeforeEach
+    void start() {
+        client.start();
+        service.start();
+        proxy = new FaultProxy(service.origin());
+        proxy.start();
+    }
+
+    @AfterEach
+    void stop() {
+        proxy.stop();
+        service.stop();
+        client.stop();
+    }
+
+    @Test
+    void shouldForwardBothWays() {
+        assertThat(get(LONG).join().status()).isEqualTo(200);
+        final String large = "x".repeat(3_000_000);
+        final HttpCall call = HttpCall.post(proxy.origin(), "/bookings", large, LONG);
+        assertThat(client.send(call).join().status()).isEqualTo(201);
+    }
+
+    @Test
+    void shouldSilenceOpenConnectionsOnly() {
+        assertThat(get(LONG).join().status()).isEqualTo(200);
+        proxy.silence(FaultProxy.Direction.TO_CLIENT);
+        assertThat(delivery(get(SHORT))).isEqualTo(CallException.Delivery.POSSIBLY_SENT);
+        assertThat(service.lookups()).isEqualTo(2);
+        assertThat(get(LONG).join().status()).isEqualTo(200);
+        assertThat(proxy.accepted()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldRefuseNewConnectionsUntilHealed() {
+        proxy.refuse(true);
+        assertThat(delivery(get(LONG))).isEqualTo(CallException.Delivery.NOT_SENT);
+        proxy.heal();
+        assertThat(get(LONG).join().status()).isEqualTo(200);
+    }
+
+    @Test
+    void shouldResetOpenConnections() {
+        service.faults().on(Fault.HANG, 0);
+        final CompletableFuture<HttpAnswer> hanging = get(LONG);
+        Conditions.await(() -> proxy.accepted() == 1);
+        proxy.cut();
+        assertThat(delivery(hanging)).isEqualTo(CallException.Delivery.POSSIBLY_SENT);
+    }
+
+    @Test
+    void shouldDropAllWhileBlackholedAndDelayWhenAsked() {
+        proxy.blackhole(true);
+        assertThat(delivery(get(SHORT))).isEqualTo(CallException.Delivery.POSSIBLY_SENT);
+        assertThat(service.lookups()).isEqualTo(0);
+        proxy.heal();
+        proxy.delay(FaultProxy.Direction.TO_TARGET, 600);
+        assertThat(delivery(get(SHORT))).isEqualTo(CallException.Delivery.POSSIBLY_SENT);
+        assertThat(get(LONG).join().status()).isEqualTo(200);
+    }
+
+    private CompletableFuture<HttpAnswer> get(Duration timeout) {
+        return client.send(HttpCall.get(proxy.origin(), "/availability?day=monday", timeout));
+    }
+
+    private static CallException.Delivery delivery(CompletableFuture<HttpAnswer> call) {
+        final CompletionException error = assertThrows(CompletionException.class, call::join);
+        return ((CallException) error.getCause()).delivery();
+    }
+}
