Keep a standing backlog shallow

Cause: in an overload requests were admitted until their wait filled four fifths of the time left, so the backlog outlived the overload by many seconds and newcomers were refused meanwhile. Change: an organisation whose queue has not been empty for 2 s may wait at most a quarter of the time left; a shorter burst still gets four fifths. The recovery target of 2 s is still missed.

--- a/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
@@ -18,9 +18,6 @@
  * {@link #next}. Not thread-safe: one duty owns it.
  */
 public final class AdmissionQueue {
-    /** The estimate has errors; without a margin, half of the requests admitted last would expire in the queue. */
-    private static final double WAIT_MARGIN = 1.25;
-
     private final int bound;
     private final Map<Rank, Double> floors;
     private final Map<String, PoolQueue> pools = new LinkedHashMap<>();
@@ -61,7 +58,7 @@
      */
     public Offer offer(WaitingRequest request, long now) {
         Objects.requireNonNull(request, "request is null");
-        return pools.computeIfAbsent(request.pool(), name -> new PoolQueue(bound, WAIT_MARGIN, floors))
+        return pools.computeIfAbsent(request.pool(), name -> new PoolQueue(bound, floors))
                 .offer(request, now);
     }
 
--- a/src/main/java/org/masticpaddle/admission/Flow.java
+++ b/src/main/java/org/masticpaddle/admission/Flow.java
@@ -19,9 +19,11 @@
     private long queuedTokens;
     private int size;
     private int running;
+    private long busySince;
 
-    void add(WaitingRequest request, double virtualTime) {
+    void add(WaitingRequest request, double virtualTime, long now) {
         if (size == 0) {
+            busySince = now;
             // An idle organisation resumes at the current virtual time, so idle time earns nothing.
             start = Math.max(start, virtualTime);
             activeSince = start;
@@ -96,6 +98,10 @@
         return size;
     }
 
+    boolean busy(long now, long nanos) {
+        return size > 0 && now - busySince >= nanos;
+    }
+
     boolean forgettable(double virtualTime) {
         return size == 0 && running == 0 && start <= virtualTime;
     }
--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -17,10 +17,21 @@
 final class PoolQueue {
     private static final long RATE_NANOS = 2_000_000_000L;
 
+    /** The estimate has errors; without a margin, half of the requests admitted last would expire in the queue. */
+    private static final double BURST_SHARE = 0.8;
+
+    /** A backlog that stands this long is an overload and not a burst. */
+    private static final long BURST_NANOS = 2_000_000_000L;
+
+    /**
+     * A standing backlog gains no throughput from its depth but takes as long to clear once the overload ends, so it is
+     * kept shallow.
+     */
+    private static final double STANDING_SHARE = 0.25;
+
     private record Running(WaitingRequest request, boolean claimed) {}
 
     private final int bound;
-    private final double margin;
     private final FloorLedger floors;
     private final Map<Rank, RankQueue> ranks = new EnumMap<>(Rank.class);
     private final Map<Rank, DecayingRate> dispatched = new EnumMap<>(Rank.class);
@@ -30,9 +41,8 @@
             new TreeSet<>(Comparator.comparingLong(WaitingRequest::latestStart).thenComparingLong(WaitingRequest::id));
     private final ServiceRate rate = new ServiceRate();
 
-    PoolQueue(int bound, double margin, Map<Rank, Double> floors) {
+    PoolQueue(int bound, Map<Rank, Double> floors) {
         this.bound = bound;
-        this.margin = margin;
         this.floors = new FloorLedger(floors);
         for (final Rank rank : Rank.values()) {
             ranks.put(rank, new RankQueue());
@@ -46,8 +56,9 @@
         if (left < 0) {
             return refused(request, RefusalReason.DEADLINE_PASSED, wait);
         }
-        if (wait * margin > left) {
-            return refused(request, RefusalReason.WAIT_EXCEEDS_DEADLINE, (long) (wait * margin) - left);
+        final long allowed = (long) (left * share(request, now));
+        if (wait > allowed) {
+            return refused(request, RefusalReason.WAIT_EXCEEDS_DEADLINE, wait - allowed);
         }
         Optional<Refusal> displaced = Optional.empty();
         if (waiting.size() >= bound) {
@@ -64,10 +75,16 @@
         rate.observe(now, true);
         waiting.put(request.id(), request);
         byLatestStart.add(request);
-        ranks.get(request.rank()).add(request);
+        ranks.get(request.rank()).add(request, now);
         return new Offer.Queued(wait, displaced);
     }
 
+    /** Part of the time left that the request may wait. */
+    private double share(WaitingRequest request, long now) {
+        final boolean standing = ranks.get(request.rank()).busy(request.organisation(), now, BURST_NANOS);
+        return standing ? STANDING_SHARE : BURST_SHARE;
+    }
+
     Optional<WaitingRequest> next(long now, Availability availability) {
         final Map<Rank, WaitingRequest> heads = new EnumMap<>(Rank.class);
         ranks.forEach((rank, queue) -> queue.first(availability).ifPresent(head -> heads.put(rank, head)));
--- a/src/main/java/org/masticpaddle/admission/RankQueue.java
+++ b/src/main/java/org/masticpaddle/admission/RankQueue.java
@@ -17,8 +17,8 @@
     private int size;
     private long queuedTokens;
 
-    void add(WaitingRequest request) {
-        flows.computeIfAbsent(request.organisation(), name -> new Flow()).add(request, virtualTime);
+    void add(WaitingRequest request, long now) {
+        flows.computeIfAbsent(request.organisation(), name -> new Flow()).add(request, virtualTime, now);
         size++;
         queuedTokens += request.tokens();
     }
@@ -83,6 +83,12 @@
         }
     }
 
+    /** Tells whether the organisation has had waiting work without a break. */
+    boolean busy(String organisation, long now, long nanos) {
+        final Flow flow = flows.get(organisation);
+        return flow != null && flow.busy(now, nanos);
+    }
+
     /** Tokens served before a new request of the organisation, if nobody else arrives. */
     double tokensAhead(String organisation, double weight, long tokens) {
         final Flow own = flows.get(organisation);
