Estimate the wait behind higher ranks from their admitted work

Cause: the estimate counted what higher ranks were dispatched in the last 2 s, which after an overload still includes their drained backlog, so lower ranks were refused without need. Change: the estimate subtracts the rate of admitted tokens of higher ranks, smoothed over 1 s; their backlog is already counted as queued work.

--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -15,7 +15,7 @@
 
 /** Waiting and running requests of one pool. Not thread-safe. */
 final class PoolQueue {
-    private static final long RATE_NANOS = 2_000_000_000L;
+    private static final long RATE_NANOS = 1_000_000_000L;
 
     /** The estimate has errors; without a margin, half of the requests admitted last would expire in the queue. */
     private static final double BURST_SHARE = 0.8;
@@ -34,7 +34,7 @@
     private final int bound;
     private final FloorLedger floors;
     private final Map<Rank, RankQueue> ranks = new EnumMap<>(Rank.class);
-    private final Map<Rank, DecayingRate> dispatched = new EnumMap<>(Rank.class);
+    private final Map<Rank, DecayingRate> admitted = new EnumMap<>(Rank.class);
     private final Map<Long, WaitingRequest> waiting = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
     private final TreeSet<WaitingRequest> byLatestStart =
@@ -46,7 +46,7 @@
         this.floors = new FloorLedger(floors);
         for (final Rank rank : Rank.values()) {
             ranks.put(rank, new RankQueue());
-            dispatched.put(rank, new DecayingRate(RATE_NANOS));
+            admitted.put(rank, new DecayingRate(RATE_NANOS));
         }
     }
 
@@ -75,6 +75,7 @@
         rate.observe(now, true);
         waiting.put(request.id(), request);
         byLatestStart.add(request);
+        admitted.get(request.rank()).add(request.tokens(), now);
         ranks.get(request.rank()).add(request, now);
         return new Offer.Queued(wait, displaced);
     }
@@ -96,7 +97,7 @@
         final WaitingRequest request = heads.get(rank);
         ranks.get(rank).dispatch(request);
         floors.served(rank, request.tokens(), heads.keySet());
-        dispatched.get(rank).add(request.tokens(), now);
+
         waiting.remove(request.id());
         byLatestStart.remove(request);
         running.put(request.id(), new Running(request, due.isPresent()));
@@ -141,7 +142,7 @@
             return 0;
         }
         final Map<Rank, Double> perSecond = new EnumMap<>(Rank.class);
-        dispatched.forEach((rank, meter) -> perSecond.put(rank, meter.perSecond(now)));
+        admitted.forEach((rank, meter) -> perSecond.put(rank, meter.perSecond(now)));
         return WaitEstimate.nanos(request, ranks, floors, rate.perSecond(), perSecond);
     }
 
--- a/src/main/java/org/masticpaddle/admission/WaitEstimate.java
+++ b/src/main/java/org/masticpaddle/admission/WaitEstimate.java
@@ -16,7 +16,7 @@
             Map<Rank, RankQueue> ranks,
             FloorLedger floors,
             double rate,
-            Map<Rank, Double> dispatchedPerSecond) {
+            Map<Rank, Double> admittedPerSecond) {
         final RankQueue own = ranks.get(request.rank());
         final double ahead = own.tokensAhead(request.organisation(), request.weight(), request.tokens());
         double higherQueued = 0;
@@ -26,7 +26,7 @@
             final int order = entry.getKey().compareTo(request.rank());
             if (order < 0) {
                 higherQueued += entry.getValue().queuedTokens();
-                higherRate += dispatchedPerSecond.get(entry.getKey());
+                higherRate += admittedPerSecond.get(entry.getKey());
             } else if (order > 0 && entry.getValue().size() > 0) {
                 lowerFloors += floors.floor(entry.getKey());
             }
