Allow a standing backlog only 0.15 of the time left

Cause: at a quarter of the time left, the background backlog after an overload still refused newcomers of pk-central for 5 s. Change: the share of the time left that a request may wait behind a standing backlog goes from 0.25 to 0.15.

--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -27,7 +27,7 @@
      * A standing backlog gains no throughput from its depth but takes as long to clear once the overload ends, so it is
      * kept shallow.
      */
-    private static final double STANDING_SHARE = 0.25;
+    private static final double STANDING_SHARE = 0.15;
 
     private record Running(WaitingRequest request, boolean claimed) {}
 
