Test the admission queue and never return an expired request

Cause: a duty that calls next without expire got requests whose deadline had passed, and a repeated id corrupted the queue.

--- a/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
@@ -55,6 +55,7 @@
      * @param request the request; its id is neither waiting nor running
      * @param now time in nanoseconds
      * @return queued, or refused with reason and time of a new try
+     * @throws IllegalArgumentException if a request of this id waits or runs
      */
     public Offer offer(WaitingRequest request, long now) {
         Objects.requireNonNull(request, "request is null");
@@ -67,7 +68,7 @@
      *
      * @param now time in nanoseconds
      * @param availability free places
-     * @return the request, or empty if none can be dispatched; expired requests stay for {@link #expire}
+     * @return the request, or empty if none can be dispatched; expired requests are left to {@link #expire}
      */
     public Optional<WaitingRequest> next(long now, Availability availability) {
         Objects.requireNonNull(availability, "availability is null");
@@ -81,7 +82,7 @@
     }
 
     /**
-     * Removes requests whose deadline leaves no time to run them. The caller does this before {@link #next}.
+     * Removes requests whose deadline leaves no time to run them.
      *
      * @param now time in nanoseconds
      * @return the removed requests, to be answered as not run
--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -39,6 +39,7 @@
     private final Map<Long, Running> running = new HashMap<>();
     private final TreeSet<WaitingRequest> byLatestStart =
             new TreeSet<>(Comparator.comparingLong(WaitingRequest::latestStart).thenComparingLong(WaitingRequest::id));
+    private final List<Refusal> expired = new ArrayList<>();
     private final ServiceRate rate = new ServiceRate();
 
     PoolQueue(int bound, Map<Rank, Double> floors) {
@@ -51,6 +52,9 @@
     }
 
     Offer offer(WaitingRequest request, long now) {
+        if (waiting.containsKey(request.id()) || running.containsKey(request.id())) {
+            throw new IllegalArgumentException("request is already known: " + request.id());
+        }
         final long wait = estimate(request, now);
         final long left = request.latestStart() - now;
         if (left < 0) {
@@ -87,6 +91,7 @@
     }
 
     Optional<WaitingRequest> next(long now, Availability availability) {
+        removeExpired(now);
         final Map<Rank, WaitingRequest> heads = new EnumMap<>(Rank.class);
         ranks.forEach((rank, queue) -> queue.first(availability).ifPresent(head -> heads.put(rank, head)));
         if (heads.isEmpty()) {
@@ -106,14 +111,19 @@
     }
 
     List<Refusal> expire(long now) {
-        final List<Refusal> expired = new ArrayList<>();
+        removeExpired(now);
+        final List<Refusal> result = List.copyOf(expired);
+        expired.clear();
+        return result;
+    }
+
+    private void removeExpired(long now) {
         while (!byLatestStart.isEmpty() && byLatestStart.first().latestStart() < now) {
             final WaitingRequest request = byLatestStart.first();
             forget(request);
             expired.add(refusal(request, RefusalReason.DEADLINE_PASSED, estimate(request, now)));
         }
         rate.observe(now, !waiting.isEmpty());
-        return expired;
     }
 
     Optional<WaitingRequest> cancel(long id, long now) {
--- /dev/null
+++ b/src/test/java/org/masticpaddle/admission/Requests.java
@@ -0,0 +1,42 @@
+package org.masticpaddle.admission;
+
+import java.util.Map;
+
+import org.masticpaddle.document.RankPolicy;
+import org.masticpaddle.wire.Rank;
+
+/** Builders of requests and queues for tests. */
+final class Requests {
+    static final long SECOND = 1_000_000_000L;
+    static final Availability ALWAYS = (pool, version, rank) -> true;
+
+    private Requests() {}
+
+    static WaitingRequest of(long id, String organisation, Rank rank, long tokens) {
+        return new WaitingRequest(id, organisation, 1, rank, "pool", "m/1", tokens, id, 1_000 * SECOND, 0);
+    }
+
+    static WaitingRequest weighted(long id, String organisation, double weight, long tokens) {
+        return new WaitingRequest(
+                id, organisation, weight, Rank.STANDARD, "pool", "m/1", tokens, id, 1_000 * SECOND, 0);
+    }
+
+    static WaitingRequest at(long id, long arrived, long deadline, String pool, String version) {
+        return new WaitingRequest(id, "a", 1, Rank.STANDARD, pool, version, 10, arrived, deadline, 0);
+    }
+
+    static AdmissionQueue queue(int bound, double standardFloor, double backgroundFloor) {
+        return AdmissionQueue.of(
+                bound,
+                Map.of(
+                        Rank.STANDARD, new RankPolicy(Rank.STANDARD, 1, 1, standardFloor),
+                        Rank.BACKGROUND, new RankPolicy(Rank.BACKGROUND, 1, 1, backgroundFloor)));
+    }
+
+    /** Serves one request at once and settles it with its expected tokens. */
+    static WaitingRequest serve(AdmissionQueue queue, long now) {
+        final WaitingRequest request = queue.next(now, ALWAYS).orElseThrow();
+        queue.settle(request.pool(), request.id(), request.tokens(), now);
+        return request;
+    }
+}
