--- a/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
@@ -18,9 +18,6 @@
  * {@link #next}. Not thread-safe: one duty owns it.
  */
 public final class AdmissionQueue {
-    /** The estimate has errors; without a margin, half of the requests admitted last would expire in the queue. */
-    private static final double WAIT_MARGIN = 1.25;
-
     private final int bound;
     private final Map<Rank, Double> floors;
     private final Map<String, PoolQueue> pools = new LinkedHashMap<>();
@@ -58,10 +55,11 @@
      * @param request the request; its id is neither waiting nor running
      * @param now time in nanoseconds
      * @return queued, or refused with reason and time of a new try
+     * @throws IllegalArgumentException if a request of this id waits or runs
      */
     public Offer offer(WaitingRequest request, long now) {
         Objects.requireNonNull(request, "request is null");
-        return pools.computeIfAbsent(request.pool(), name -> new PoolQueue(bound, WAIT_MARGIN, floors))
+        return pools.computeIfAbsent(request.pool(), name -> new PoolQueue(bound, floors))
                 .offer(request, now);
     }
 
@@ -70,7 +68,7 @@
      *
      * @param now time in nanoseconds
      * @param availability free places
-     * @return the request, or empty if none can be dispatched; expired requests stay for {@link #expire}
+     * @return the request, or empty if none can be dispatched; expired requests are left to {@link #expire}
      */
     public Optional<WaitingRequest> next(long now, Availability availability) {
         Objects.requireNonNull(availability, "availability is null");
@@ -84,7 +82,7 @@
     }
 
     /**
-     * Removes requests whose deadline leaves no time to run them. The caller does this before {@link #next}.
+     * Removes requests whose deadline leaves no time to run them.
      *
      * @param now time in nanoseconds
      * @return the removed requests, to be answered as not run
--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -15,39 +15,54 @@
 
 /** Waiting and running requests of one pool. Not thread-safe. */
 final class PoolQueue {
-    private static final long RATE_NANOS = 2_000_000_000L;
+    private static final long RATE_NANOS = 1_000_000_000L;
+
+    /** The estimate has errors; without a margin, half of the requests admitted last would expire in the queue. */
+    private static final double BURST_SHARE = 0.8;
+
+    /** A backlog that stands this long is an overload and not a burst. */
+    private static final long BURST_NANOS = 2_000_000_000L;
+
+    /**
+     * A standing backlog gains no throughput from its depth but takes as long to clear once the overload ends, so it is
+     * kept shallow.
+     */
+    private static final double STANDING_SHARE = 0.15;
 
     private record Running(WaitingRequest request, boolean claimed) {}
 
     private final int bound;
-    private final double margin;
     private final FloorLedger floors;
     private final Map<Rank, RankQueue> ranks = new EnumMap<>(Rank.class);
-    private final Map<Rank, DecayingRate> dispatched = new EnumMap<>(Rank.class);
+    private final Map<Rank, DecayingRate> admitted = new EnumMap<>(Rank.class);
     private final Map<Long, WaitingRequest> waiting = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
     private final TreeSet<WaitingRequest> byLatestStart =
             new TreeSet<>(Comparator.comparingLong(WaitingRequest::latestStart).thenComparingLong(WaitingRequest::id));
+    private final List<Refusal> expired = new ArrayList<>();
     private final ServiceRate rate = new ServiceRate();
 
-    PoolQueue(int bound, double margin, Map<Rank, Double> floors) {
+    PoolQueue(int bound, Map<Rank, Double> floors) {
         this.bound = bound;
-        this.margin = margin;
         this.floors = new FloorLedger(floors);
         for (final Rank rank : Rank.values()) {
             ranks.put(rank, new RankQueue());
-            dispatched.put(rank, new DecayingRate(RATE_NANOS));
+            admitted.put(rank, new DecayingRate(RATE_NANOS));
         }
     }
 
     Offer offer(WaitingRequest request, long now) {
+        if (waiting.containsKey(request.id()) || running.containsKey(request.id())) {
+            throw new IllegalArgumentException("request is already known: " + request.id());
+        }
         final long wait = estimate(request, now);
         final long left = request.latestStart() - now;
         if (left < 0) {
             return refused(request, RefusalReason.DEADLINE_PASSED, wait);
         }
-        if (wait * margin > left) {
-            return refused(request, RefusalReason.WAIT_EXCEEDS_DEADLINE, (long) (wait * margin) - left);
+        final long allowed = (long) (left * share(request, now));
+        if (wait > allowed) {
+            return refused(request, RefusalReason.WAIT_EXCEEDS_DEADLINE, wait - allowed);
         }
         Optional<Refusal> displaced = Optional.empty();
         if (waiting.size() >= bound) {
@@ -64,11 +79,19 @@
         rate.observe(now, true);
         waiting.put(request.id(), request);
         byLatestStart.add(request);
-        ranks.get(request.rank()).add(request);
+        admitted.get(request.rank()).add(request.tokens(), now);
+        ranks.get(request.rank()).add(request, now);
         return new Offer.Queued(wait, displaced);
     }
 
+    /** Part of the time left that the request may wait. */
+    private double share(WaitingRequest request, long now) {
+        final boolean standing = ranks.get(request.rank()).busy(request.organisation(), now, BURST_NANOS);
+        return standing ? STANDING_SHARE : BURST_SHARE;
+    }
+
     Optional<WaitingRequest> next(long now, Availability availability) {
+        removeExpired(now);
         final Map<Rank, WaitingRequest> heads = new EnumMap<>(Rank.class);
         ranks.forEach((rank, queue) -> queue.first(availability).ifPresent(head -> heads.put(rank, head)));
         if (heads.isEmpty()) {
@@ -79,7 +102,7 @@
         final WaitingRequest request = heads.get(rank);
         ranks.get(rank).dispatch(request);
         floors.served(rank, request.tokens(), heads.keySet());
-        dispatched.get(rank).add(request.tokens(), now);
+
         waiting.remove(request.id());
         byLatestStart.remove(request);
         running.put(request.id(), new Running(request, due.isPresent()));
@@ -88,14 +111,19 @@
     }
 
     List<Refusal> expire(long now) {
-        final List<Refusal> expired = new ArrayList<>();
+        removeExpired(now);
+        final List<Refusal> result = List.copyOf(expired);
+        expired.clear();
+        return result;
+    }
+
+    private void removeExpired(long now) {
         while (!byLatestStart.isEmpty() && byLatestStart.first().latestStart() < now) {
             final WaitingRequest request = byLatestStart.first();
             forget(request);
             expired.add(refusal(request, RefusalReason.DEADLINE_PASSED, estimate(request, now)));
         }
         rate.observe(now, !waiting.isEmpty());
-        return expired;
     }
 
     Optional<WaitingRequest> cancel(long id, long now) {
@@ -124,7 +152,7 @@
             return 0;
         }
         final Map<Rank, Double> perSecond = new EnumMap<>(Rank.class);
-        dispatched.forEach((rank, meter) -> perSecond.put(rank, meter.perSecond(now)));
+        admitted.forEach((rank, meter) -> perSecond.put(rank, meter.perSecond(now)));
         return WaitEstimate.nanos(request, ranks, floors, rate.perSecond(), perSecond);
     }
 
