--- /dev/null
+++ b/src/test/java/org/masticpaddle/membership/InstanceViewTest.java
@@ -0,0 +1,144 @@
+package org.masticpaddle.membership;
+
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.platform.Instance;
+import org.masticpaddle.platform.InstanceChanges;
+import org.masticpaddle.wire.LoadReport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against new work for instances that leave, drain or refuse, and against late messages that undo newer ones. */
+class InstanceViewTest {
+    private static final long MAX_AGE = 30_000;
+
+    private final InstanceView view = new InstanceView(MAX_AGE);
+
+    @Property(tries = 500, seed = "20261204")
+    void shouldNeverOfferALeavingOrDrainingMember(@ForAll("steps") List<Step> steps) {
+        final InstanceView folded = new InstanceView(MAX_AGE);
+        final Map<String, Long> drainedUpTo = new HashMap<>();
+        final Map<String, Instance.State> states = new HashMap<>();
+        long version = 0;
+        for (final Step step : steps) {
+            final String id = "i" + step.instance;
+            if (step.state != null) {
+                folded.apply(changes(++version, false, instance(id, step.state)), version);
+                states.put(id, step.state);
+            } else {
+                folded.observe(id, new Observation.Reported(report(step.incarnation, step.draining)), version);
+                if (step.draining && folded.find(id).isPresent()) {
+                    drainedUpTo.merge(id, step.incarnation, Math::max);
+                }
+            }
+            for (final Member member : folded.members()) {
+                if (member.accepts()) {
+                    assertThat(states.get(member.instance().id())).isEqualTo(Instance.State.LIVE);
+                    assertThat(member.incarnation())
+                            .isGreaterThan(
+                                    drainedUpTo.getOrDefault(member.instance().id(), 0L));
+                }
+            }
+        }
+    }
+
+    @Test
+    void shouldStartANewIncarnationWithoutLoadRefusalsAndFailures() {
+        view.apply(changes(1, true, instance("a", Instance.State.LIVE)), 0);
+        view.observe("a", new Observation.Reported(report(5, false)), 0);
+        for (int index = 0; index < Member.MAX_FAILURES; index++) {
+            view.observe("a", new Observation.Unreachable(), 0);
+        }
+        view.observe("a", new Observation.Refused(5), 0);
+        assertThat(member("a").accepts()).isFalse();
+        view.observe("a", new Observation.Draining(6), 1);
+        assertThat(member("a").failures()).isEqualTo(0);
+        assertThat(member("a").load().isEmpty()).isTrue();
+        view.observe("a", new Observation.Reported(report(5, false)), 2);
+        assertThat(member("a").accepts()).isFalse();
+        view.observe("a", new Observation.Reported(report(7, false)), 3);
+        assertThat(member("a").accepts()).isTrue();
+    }
+
+    @Test
+    void shouldNotLetAReportFromBeforeARefusalEndIt() {
+        view.apply(changes(1, true, instance("a", Instance.State.LIVE)), 0);
+        view.observe("a", new Observation.Refused(5), 100);
+        view.observe("a", new Observation.Reported(report(5, false)), 110);
+        assertThat(member("a").accepts()).isFalse();
+        view.observe("a", new Observation.Reported(report(5, false)), 5000);
+        assertThat(member("a").accepts()).isTrue();
+    }
+
+    @Test
+    void shouldKeepAnInstanceThatTheListOmitsWhileItIsHeard() {
+        view.apply(changes(1, true, instance("a", Instance.State.LIVE)), 0);
+        view.observe("a", new Observation.Reported(report(5, false)), 10);
+        view.apply(changes(2, true), 20);
+        assertThat(member("a").accepts()).isTrue();
+        view.observe("a", new Observation.Reported(report(5, false)), MAX_AGE);
+        view.expire(MAX_AGE + 100);
+        assertThat(member("a").accepts()).isTrue();
+        view.expire(2 * MAX_AGE + 100);
+        assertThat(view.find("a").isPresent()).isFalse();
+    }
+
+    @Test
+    void shouldIgnoreChangesThatArriveLate() {
+        view.apply(changes(5, true, instance("a", Instance.State.LEAVING)), 0);
+        assertThat(view.apply(changes(4, false, instance("a", Instance.State.LIVE)), 1))
+                .isFalse();
+        assertThat(member("a").eligible()).isFalse();
+    }
+
+    @Test
+    void shouldOfferNothingOnAnOldReport() {
+        view.apply(changes(1, true, instance("a", Instance.State.LIVE)), 0);
+        view.observe("a", new Observation.Reported(report(5, false)), 0);
+        view.expire(MAX_AGE + 1);
+        assertThat(member("a").accepts()).isFalse();
+        assertThat(member("a").eligible()).isTrue();
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        final Arbitrary<Instance.State> states =
+                Arbitraries.of(Instance.State.class).injectNull(0.6);
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 2),
+                        states,
+                        Arbitraries.longs().between(1, 4),
+                        Arbitraries.of(true, false))
+                .as(Step::new)
+                .list()
+                .ofMaxSize(40);
+    }
+
+    private Member member(String id) {
+        return view.find(id).orElseThrow();
+    }
+
+    private static InstanceChanges changes(long version, boolean complete, Instance... instances) {
+        return new InstanceChanges(version, complete, List.of(instances));
+    }
+
+    private static Instance instance(String id, Instance.State state) {
+        return new Instance(id, "llm", "r", "d", URI.create("http://127.0.0.1:1"), state);
+    }
+
+    private static LoadReport report(long incarnation, boolean draining) {
+        return new LoadReport(incarnation, draining, true, 0, 0, 8, List.of(), 0);
+    }
+
+    record Step(int instance, Instance.State state, long incarnation, boolean draining) {}
+}
