--- /dev/null
+++ b/src/main/java/org/masticpaddle/command/LogOptions.java
@@ -0,0 +1,57 @@
+package org.masticpaddle.command;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.function.Function;
+
+import com.beust.jcommander.Parameter;
+import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.document.Publisher;
+import org.masticpaddle.platform.HttpEventLog;
+import org.masticpaddle.platform.PlatformException;
+import org.masticpaddle.wire.HttpClient;
+
+/** Options of commands that use the platform's log. Used by one thread. */
+final class LogOptions {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+
+    @Parameter(
+            names = "--log",
+            description = "Origin of the platform's log, for example http://10.0.0.1:8080; default: MASTICPADDLE_LOG")
+    private String log = System.getenv().getOrDefault("MASTICPADDLE_LOG", "");
+
+    @Parameter(names = "--timeout-seconds", description = "Longest time to wait for the log")
+    private int timeoutSeconds = 15;
+
+    /** Runs an action with a publisher. Throws {@link CommandException} if the log gives no answer. */
+    <T> T withPublisher(Function<Publisher, T> action) {
+        final URI origin = origin("--log", log);
+        return withClient(client -> {
+            final HttpEventLog binding = new HttpEventLog(client, origin, CALL_TIMEOUT);
+            final Duration timeout = Duration.ofSeconds(timeoutSeconds);
+            try {
+                return action.apply(new Publisher(binding, timeout, RandomSource.XO_RO_SHI_RO_128_PP.create()));
+            } catch (PlatformException e) {
+                throw new CommandException(ExitCode.UNAVAILABLE, "log unavailable: " + e.getMessage());
+            }
+        });
+    }
+
+    static <T> T withClient(Function<HttpClient, T> action) {
+        final HttpClient client = new HttpClient(1);
+        client.start();
+        try {
+            return action.apply(client);
+        } finally {
+            client.stop();
+        }
+    }
+
+    static URI origin(String option, String text) {
+        if (!text.matches("http://[^/\\s]+:\\d{1,5}")) {
+            throw new CommandException(
+                    ExitCode.USAGE, option + ": expected an origin like http://10.0.0.1:8080, found \"" + text + "\"");
+        }
+        return URI.create(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool: its commands and how they are found and run. */
+package org.masticpaddle.command;
--- /dev/null
+++ b/src/main/java/org/masticpaddle/document/PartDifference.java
@@ -0,0 +1,120 @@
+package org.masticpaddle.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Difference between two texts of a part by section and key, whatever their order and comments. Thread-safe, having no state. */
+public final class PartDifference {
+    private PartDifference() {}
+
+    /**
+     * Compares two texts.
+     *
+     * @param before old text
+     * @param after new text
+     * @return changes in order of section and key
+     */
+    public static List<Change> between(String before, String after) {
+        final Map<String, Map<String, String>> old = sections(before);
+        final Map<String, Map<String, String>> next = sections(after);
+        final TreeSet<String> headers = new TreeSet<>(old.keySet());
+        headers.addAll(next.keySet());
+        final List<Change> changes = new ArrayList<>();
+        for (final String header : headers) {
+            if (!old.containsKey(header)) {
+                changes.add(new Change(Change.Kind.ADDED, header, "", "", ""));
+            } else if (!next.containsKey(header)) {
+                changes.add(new Change(Change.Kind.REMOVED, header, "", "", ""));
+            }
+            keys(header, old.getOrDefault(header, Map.of()), next.getOrDefault(header, Map.of()), changes);
+        }
+        return changes;
+    }
+
+    private static void keys(String header, Map<String, String> old, Map<String, String> next, List<Change> changes) {
+        final TreeSet<String> keys = new TreeSet<>(old.keySet());
+        keys.addAll(next.keySet());
+        for (final String key : keys) {
+            final String before = old.getOrDefault(key, "");
+            final String after = next.getOrDefault(key, "");
+            if (!old.containsKey(key)) {
+                changes.add(new Change(Change.Kind.ADDED, header, key, "", after));
+            } else if (!next.containsKey(key)) {
+                changes.add(new Change(Change.Kind.REMOVED, header, key, before, ""));
+            } else if (!before.equals(after)) {
+                changes.add(new Change(Change.Kind.CHANGED, header, key, before, after));
+            }
+        }
+    }
+
+    private static Map<String, Map<String, String>> sections(String text) {
+        final Map<String, Map<String, String>> sections = new TreeMap<>();
+        DocumentCheck.parse(Part.of("", text))
+                .sections()
+                .forEach(section -> sections.put(section.header(), section.values()));
+        return sections;
+    }
+
+    /**
+     * One change. Immutable and thread-safe.
+     *
+     * @param kind what happened
+     * @param section section header without brackets
+     * @param key key, empty if the section as a whole was added or removed
+     * @param before old value, empty if there was none
+     * @param after new value, empty if there is none
+     */
+    public record Change(Kind kind, String section, String key, String before, String after) {
+        /** Checks the arguments. */
+        public Change {
+            Objects.requireNonNull(kind, "kind is null");
+        }
+
+        /**
+         * Renders the change for people.
+         *
+         * @return one line
+         */
+        public String message() {
+            final String place = "[" + section + "]";
+            if (key.isEmpty()) {
+                return kind.sign + " " + place;
+            }
+            return switch (kind) {
+                case ADDED -> "+ " + place + " " + key + " = " + after;
+                case REMOVED -> "- " + place + " " + key + " = " + before;
+                case CHANGED -> "~ " + place + " " + key + " = " + after + " (was " + before + ")";
+            };
+        }
+
+        /** What happened to a section or key. */
+        public enum Kind {
+            /** It is new. */
+            ADDED("+"),
+            /** It is gone. */
+            REMOVED("-"),
+            /** It has another value. */
+            CHANGED("~");
+
+            private final String sign;
+
+            Kind(String sign) {
+                this.sign = sign;
+            }
+
+            /**
+             * Returns the name for scripts.
+             *
+             * @return lower-case name
+             */
+            public String label() {
+                return name().toLowerCase(Locale.ROOT);
+            }
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/document/Publisher.java
+++ b/src/main/java/org/masticpaddle/document/Publisher.java
@@ -1,6 +1,8 @@
 package org.masticpaddle.document;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
@@ -8,6 +10,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.platform.EventLog;
+import org.masticpaddle.platform.LogPage;
 import org.masticpaddle.platform.PlatformException;
 
 /** Reads the configuration from the log and publishes edits; each call blocks until its result is known or time is up. Used by one thread. */
@@ -18,6 +21,8 @@
     private final LogCalls calls;
     private final Duration timeout;
     private final UniformRandomProvider random;
+    private final List<FoldResult> results = new ArrayList<>();
+    private final List<EditHistory.Logged> logged = new ArrayList<>();
     private LogFollower follower = new LogFollower();
 
     /**
@@ -44,10 +49,14 @@
         final long deadline = System.nanoTime() + timeout.toNanos();
         final Backoff backoff = new Backoff(random);
         final LogFollower fresh = new LogFollower();
+        results.clear();
+        logged.clear();
         while (!fresh.complete()) {
             final long before = fresh.readFrom();
             try {
-                fresh.accept(calls.read(before));
+                final LogPage page = calls.read(before);
+                results.addAll(fresh.accept(page));
+                logged.addAll(EditHistory.Logged.of(page));
             } catch (PlatformException e) {
                 if (System.nanoTime() >= deadline) {
                     throw e;
@@ -63,6 +72,16 @@
         return fresh.fold().orElseThrow();
     }
 
+    /**
+     * Reads the log to its end and lists the latest edits.
+     *
+     * @return the edits
+     * @throws PlatformException if the log gives no answer in time, or holds no usable snapshot
+     */
+    public EditHistory history() {
+        return EditHistory.of(read(), logged, results);
+    }
+
     /**
      * Publishes a new text of a team's part.
      *
