--- /dev/null
+++ b/src/main/java/org/masticpaddle/bench/Deployment.java
@@ -0,0 +1,66 @@
+package org.masticpaddle.bench;
+
+import java.util.List;
+
+/**
+ * Shape of a deployment that runs on this machine. Immutable.
+ *
+ * @param region region
+ * @param failureDomains failure domains of the region
+ * @param modelService name of the model service
+ * @param workers model workers, each with an engine and a sidecar
+ * @param plainService name of the plain service
+ * @param plainWorkers upstreams of the plain service
+ * @param entries entries
+ * @param slots requests that one engine runs at the same time
+ * @param timeScale factor on the times of the engines; 0.1 runs ten times as fast as real ones
+ */
+public record Deployment(
+        String region,
+        List<String> failureDomains,
+        String modelService,
+        int workers,
+        String plainService,
+        int plainWorkers,
+        int entries,
+        int slots,
+        double timeScale) {
+    /** Copies the failure domains. */
+    public Deployment {
+        failureDomains = List.copyOf(failureDomains);
+    }
+
+    /**
+     * Returns the deployment of the lender of farm equipment.
+     *
+     * @param timeScale factor on the times of the engines
+     * @return the deployment
+     */
+    public static Deployment arCuyo(double timeScale) {
+        return new Deployment(
+                "ar-cuyo", List.of("cuyo-a", "cuyo-b", "cuyo-c"), "mastic-llm", 8, "prensa-app", 3, 3, 16, timeScale);
+    }
+
+    /**
+     * Returns the deployment of the roof cleaning company.
+     *
+     * @param timeScale factor on the times of the engines
+     * @return the deployment
+     */
+    public static Deployment pkCentral(double timeScale) {
+        return new Deployment(
+                "pk-central",
+                List.of("pk-lahore", "pk-faisalabad", "pk-multan"),
+                "mastic-fleet",
+                6,
+                "booking-app",
+                3,
+                3,
+                8,
+                timeScale);
+    }
+
+    String failureDomain(int index) {
+        return failureDomains.get(index % failureDomains.size());
+    }
+}
--- a/src/main/java/org/masticpaddle/command/Commands.java
+++ b/src/main/java/org/masticpaddle/command/Commands.java
@@ -8,6 +8,11 @@
 
     static List<Command> all() {
         return List.of(
-                new CheckCommand(), new PublishCommand(), new ShowCommand(), new DiffCommand(), new HistoryCommand());
+                new CheckCommand(),
+                new PublishCommand(),
+                new ShowCommand(),
+                new DiffCommand(),
+                new HistoryCommand(),
+                new DemoCommand());
     }
 }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -0,0 +1,96 @@
+package org.masticpaddle.command;
+
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticpaddle.entry.EntryProcess;
+import org.masticpaddle.kernel.KernelException;
+import org.masticpaddle.kernel.Service;
+import org.masticpaddle.membership.Incarnation;
+import org.masticpaddle.metrics.ProcessMetrics;
+import org.masticpaddle.settings.ProcessSettings;
+import org.masticpaddle.settings.Setting;
+import org.masticpaddle.settings.SettingsException;
+import org.masticpaddle.sidecar.SidecarProcess;
+
+/** Main class of the daemon {@code bin/masticpaddled}: runs one process of the role that its settings choose. */
+public final class Daemon {
+    private static final Logger LOGGER = LogManager.getLogger(Daemon.class);
+
+    private Daemon() {}
+
+    /**
+     * Runs the process until it gets SIGTERM, then finishes its work and exits with code 0.
+     *
+     * @param arguments the settings file
+     */
+    public static void main(String[] arguments) {
+        final Options options = new Options();
+        final JCommander parser = JCommander.newBuilder()
+                .programName("masticpaddled")
+                .addObject(options)
+                .build();
+        try {
+            parser.parse(arguments);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.exit(ExitCode.USAGE);
+        }
+        if (options.help || options.files.size() != 1) {
+            parser.usage();
+            System.out.println("Settings:");
+            Arrays.stream(Setting.values()).map(Setting::describe).forEach(line -> System.out.println("  " + line));
+            System.exit(options.help ? ExitCode.SUCCESS : ExitCode.USAGE);
+        }
+        run(Path.of(options.files.get(0)));
+    }
+
+    private static void run(Path file) {
+        try {
+            final Service process = create(ProcessSettings.read(file));
+            process.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(process), "shutdown"));
+        } catch (SettingsException e) {
+            e.mistakes().forEach(System.err::println);
+            System.exit(ExitCode.USAGE);
+        } catch (KernelException e) {
+            LOGGER.error("the process cannot start", e);
+            System.exit(ExitCode.UNAVAILABLE);
+        }
+    }
+
+    private static Service create(ProcessSettings settings) {
+        final long incarnation = Incarnation.of(System.currentTimeMillis(), new SecureRandom().nextLong())
+                .value();
+        final ProcessMetrics metrics = ProcessMetrics.create(
+                settings.text(Setting.INSTANCE), settings.text(Setting.ROLE), settings.origin(Setting.OTLP));
+        return "entry".equals(settings.text(Setting.ROLE))
+                ? new EntryProcess(settings, incarnation, metrics, metrics::page)
+                : new SidecarProcess(settings, incarnation, metrics::page);
+    }
+
+    private static void shutDown(Service process) {
+        LOGGER.info("the process finishes its work and stops");
+        process.stop();
+        LOGGER.info("the process has stopped");
+        LogManager.shutdown();
+        // Without this the virtual machine would exit with the code of the signal.
+        Runtime.getRuntime().halt(ExitCode.SUCCESS);
+    }
+
+    private static final class Options {
+        @Parameter(description = "FILE.ini")
+        private List<String> files = new ArrayList<>();
+
+        @Parameter(names = "--help", description = "Print this text and the settings", help = true)
+        private boolean help;
+    }
+}
--- a/src/main/java/org/masticpaddle/document/NearestName.java
+++ b/src/main/java/org/masticpaddle/document/NearestName.java
@@ -6,14 +6,20 @@
 import org.apache.commons.text.similarity.LevenshteinDistance;
 
 /** Finds the known name that an unknown one was probably meant to be. Thread-safe, having no state. */
-final class NearestName {
+public final class NearestName {
     private static final LevenshteinDistance DISTANCE = LevenshteinDistance.getDefaultInstance();
     private static final int LONGEST_NAME = 200;
 
     private NearestName() {}
 
-    /** Returns the nearest name that differs in at most half of its letters, or an empty text. */
-    static String of(String found, Collection<String> known) {
+    /**
+     * Finds the nearest name that differs in at most half of its letters.
+     *
+     * @param found name that is not known
+     * @param known known names
+     * @return the nearest, or an empty text
+     */
+    public static String of(String found, Collection<String> known) {
         if (found.length() > LONGEST_NAME) {
             return "";
         }
--- a/src/main/java/org/masticpaddle/document/PartParser.java
+++ b/src/main/java/org/masticpaddle/document/PartParser.java
@@ -39,7 +39,7 @@
         return new ParsedPart(part, sections, problems);
     }
 
-    private static List<ImmutableNode> nodes(Part part, String text, List<Problem> problems) {
+    static List<ImmutableNode> nodes(Part part, String text, List<Problem> problems) {
         final INIConfiguration ini = new INIConfiguration();
         ini.setSeparatorUsedInInput("=");
         ini.setCommentLeadingCharsUsedInInput("#;");
@@ -90,7 +90,7 @@
         return Optional.of(section);
     }
 
-    private static Map<String, String> values(ImmutableNode section) {
+    static Map<String, String> values(ImmutableNode section) {
         final Map<String, String> values = new HashMap<>();
         for (final ImmutableNode child : section.getChildren()) {
             final Object value = child.getValue();
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/CountingResponder.java
@@ -0,0 +1,74 @@
+package org.masticpaddle.entry;
+
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import org.masticpaddle.wire.Frame;
+
+/** Passes an answer on and counts how it ended. Used by one thread at a time. */
+final class CountingResponder implements Responder {
+    private final Responder target;
+    private final CallerRequest request;
+    private final EntryCounters counters;
+    private final LongSupplier nanoClock;
+    private long firstByteNanos;
+    private boolean ended;
+
+    CountingResponder(Responder target, CallerRequest request, EntryCounters counters, LongSupplier nanoClock) {
+        this.target = target;
+        this.request = request;
+        this.counters = counters;
+        this.nanoClock = nanoClock;
+    }
+
+    @Override
+    public void header(String name, String value) {
+        target.header(name, value);
+    }
+
+    @Override
+    public void head(int status, Map<String, String> headers) {
+        target.head(status, headers);
+    }
+
+    @Override
+    public boolean bytes(byte[] bytes) {
+        if (firstByteNanos == 0) {
+            firstByteNanos = nanoClock.getAsLong();
+        }
+        return target.bytes(bytes);
+    }
+
+    @Override
+    public void complete(Frame.End end) {
+        target.complete(end);
+        if (!ended) {
+            ended = true;
+            final long now = nanoClock.getAsLong();
+            counters.answered(
+                    request,
+                    end.charge(),
+                    (firstByteNanos == 0 ? now : firstByteNanos) - request.arrivedNanos(),
+                    now - request.arrivedNanos());
+        }
+    }
+
+    @Override
+    public void fail(Refusal refusal) {
+        target.fail(refusal);
+        if (!ended) {
+            ended = true;
+            counters.failed(request, refusal);
+        }
+    }
+
+    @Override
+    public boolean begun() {
+        return target.begun();
+    }
+
+    @Override
+    public void onCallerGone(Runnable action) {
+        target.onCallerGone(action);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/EntryContext.java
@@ -0,0 +1,40 @@
+package org.masticpaddle.entry;
+
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * What all decisions of an entry need: its thread, its clocks and its random source. The random source and the
+ * identifiers are used on the entry's duty only.
+ *
+ * @param loop thread that owns the decisions
+ * @param clock time in milliseconds since 1970
+ * @param nanoClock monotonic time in nanoseconds
+ * @param random random source
+ * @param attemptIds source of attempt identifiers
+ */
+record EntryContext(
+        EntryLoop loop,
+        LongSupplier clock,
+        LongSupplier nanoClock,
+        UniformRandomProvider random,
+        Supplier<String> attemptIds) {
+    EntryContext {
+        Objects.requireNonNull(loop, "loop is null");
+        Objects.requireNonNull(clock, "clock is null");
+        Objects.requireNonNull(nanoClock, "nanoClock is null");
+        Objects.requireNonNull(random, "random is null");
+        Objects.requireNonNull(attemptIds, "attemptIds is null");
+    }
+
+    long millis() {
+        return clock.getAsLong();
+    }
+
+    long nanos() {
+        return nanoClock.getAsLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/EntryHandler.java
@@ -0,0 +1,174 @@
+package org.masticpaddle.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticpaddle.document.EffectiveConfiguration;
+import org.masticpaddle.document.ModelVersion;
+import org.masticpaddle.document.Organisation;
+import org.masticpaddle.document.RoutingDocument;
+import org.masticpaddle.wire.Exchanges;
+import org.masticpaddle.wire.RunState;
+
+/** HTTP interface of an entry towards callers and other processes. Thread-safe: it only turns requests into actions. */
+final class EntryHandler implements HttpHandler {
+    private static final Logger LOGGER = LogManager.getLogger(EntryHandler.class);
+    private static final String SERVICES = "/services/";
+
+    private final EntryLoop loop;
+    private final RequestReader reader;
+    private final Supplier<Optional<EffectiveConfiguration>> documents;
+    private final BiConsumer<CallerRequest, Responder> requests;
+    private final EntryCounters counters;
+    private final Map<String, HttpHandler> internal;
+    private final HttpHandler operations;
+
+    EntryHandler(
+            EntryLoop loop,
+            RequestReader reader,
+            Supplier<Optional<EffectiveConfiguration>> documents,
+            BiConsumer<CallerRequest, Responder> requests,
+            EntryCounters counters,
+            Map<String, HttpHandler> internal,
+            HttpHandler operations) {
+        this.loop = Objects.requireNonNull(loop, "loop is null");
+        this.reader = Objects.requireNonNull(reader, "reader is null");
+        this.documents = Objects.requireNonNull(documents, "documents is null");
+        this.requests = Objects.requireNonNull(requests, "requests is null");
+        this.counters = Objects.requireNonNull(counters, "counters is null");
+        this.internal = Map.copyOf(internal);
+        this.operations = Objects.requireNonNull(operations, "operations is null");
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) throws Exception {
+        final String path = exchange.getRequestPath();
+        if (path.equals("/v1/chat/completions")) {
+            if (method(exchange, "POST")) {
+                read(exchange, (body, document) -> reader.chat(exchange, body, document));
+            }
+        } else if (path.startsWith(SERVICES)) {
+            read(exchange, (body, document) -> reader.plain(exchange, body, document, SERVICES));
+        } else if (path.equals("/v1/models")) {
+            if (method(exchange, "GET")) {
+                models(exchange);
+            }
+        } else if (internal.containsKey(path)) {
+            internal.get(path).handleRequest(exchange);
+        } else {
+            operations.handleRequest(exchange);
+        }
+    }
+
+    private static boolean method(HttpServerExchange exchange, String wanted) {
+        if (wanted.equals(exchange.getRequestMethod().toString())) {
+            return true;
+        }
+        Refusals.send(exchange, Refusal.notRun(Refusal.Kind.METHOD_NOT_ALLOWED, "only " + wanted + " is supported"));
+        return false;
+    }
+
+    private void read(HttpServerExchange exchange, BiFunction<byte[], RoutingDocument, CallerRequest> parse) {
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (ignored, body) ->
+                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange, body, parse)),
+                        (ignored, error) -> {
+                            exchange.setPersistent(false);
+                            Refusals.send(
+                                    exchange,
+                                    Refusal.notRun(Refusal.Kind.BODY_TOO_LARGE, "the body is too large or broke off"));
+                        });
+    }
+
+    private void accept(
+            HttpServerExchange exchange, byte[] body, BiFunction<byte[], RoutingDocument, CallerRequest> parse) {
+        try {
+            final RoutingDocument document = document();
+            final CallerRequest request = parse.apply(body, document);
+            final Responder responder =
+                    new CountingResponder(responder(exchange, request), request, counters, System::nanoTime);
+            if (!loop.offer(() -> requests.accept(request, responder))) {
+                responder.fail(Refusal.notRun(Refusal.Kind.OVERLOADED, "the entry has too much work"));
+            }
+        } catch (RefusalException e) {
+            Refusals.send(exchange, e.refusal());
+        } catch (RuntimeException e) {
+            LOGGER.error("request failed", e);
+            Refusals.send(
+                    exchange,
+                    Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, "the entry failed internally", RunState.NOT_RUN));
+        }
+    }
+
+    private RoutingDocument document() {
+        return documents
+                .get()
+                .map(EffectiveConfiguration::document)
+                .orElseThrow(() -> new RefusalException(
+                        Refusal.notRun(Refusal.Kind.NOT_READY, "no routing document is in effect yet")));
+    }
+
+    private static Responder responder(HttpServerExchange exchange, CallerRequest request) {
+        if (request.target() instanceof CallerRequest.Chat chat) {
+            return chat.stream()
+                    ? new StreamResponder(exchange, request.id())
+                    : new WholeResponder(exchange, request.id(), WholeResponder.Format.CHAT);
+        }
+        return new WholeResponder(exchange, request.id(), WholeResponder.Format.PLAIN);
+    }
+
+    private void models(HttpServerExchange exchange) {
+        try {
+            final RoutingDocument document = document();
+            final Organisation organisation = reader.authenticate(exchange, document);
+            Exchanges.answer(exchange, 200, ModelList.of(document.activeVersions(organisation)));
+        } catch (RefusalException e) {
+            Refusals.send(exchange, e.refusal());
+        }
+    }
+
+    /**
+     * Answer to {@code GET /v1/models}.
+     *
+     * @param object always {@code list}
+     * @param data models and versions that the organisation may ask for
+     */
+    record ModelList(String object, List<Entry> data) {
+        static ModelList of(List<ModelVersion> versions) {
+            final List<String> models = versions.stream()
+                    .map(version -> version.name().model())
+                    .distinct()
+                    .toList();
+            final List<Entry> entries = new ArrayList<>();
+            entries.add(new Entry("auto", "model", "masticpaddle"));
+            models.forEach(model -> entries.add(new Entry(model, "model", "masticpaddle")));
+            versions.forEach(version -> entries.add(new Entry(version.name().toString(), "model", "masticpaddle")));
+            return new ModelList("list", entries);
+        }
+
+        /**
+         * One model.
+         *
+         * @param id name to ask for
+         * @param object always {@code model}
+         * @param ownedBy owner
+         */
+        record Entry(
+                String id,
+                String object,
+                @JsonProperty("owned_by") String ownedBy) {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -0,0 +1,330 @@
+package org.masticpaddle.entry;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticpaddle.admission.AdmissionQueue;
+import org.masticpaddle.admission.LimitBook;
+import org.masticpaddle.admission.RetryBudget;
+import org.masticpaddle.billing.ChargeSettings;
+import org.masticpaddle.billing.ChargeWriter;
+import org.masticpaddle.claim.AttemptId;
+import org.masticpaddle.claim.ClaimService;
+import org.masticpaddle.claim.ClaimSettings;
+import org.masticpaddle.document.ConfigurationHandler;
+import org.masticpaddle.document.ConfigurationService;
+import org.masticpaddle.document.ConfigurationSettings;
+import org.masticpaddle.document.EffectiveConfiguration;
+import org.masticpaddle.document.HttpConfigurationPeer;
+import org.masticpaddle.document.ModelVersion;
+import org.masticpaddle.document.RoutingDocument;
+import org.masticpaddle.kernel.Kernel;
+import org.masticpaddle.kernel.Service;
+import org.masticpaddle.membership.MembershipService;
+import org.masticpaddle.membership.MembershipSettings;
+import org.masticpaddle.membership.MembershipSnapshot;
+import org.masticpaddle.platform.HttpEventLog;
+import org.masticpaddle.platform.HttpInstanceList;
+import org.masticpaddle.platform.HttpRatingService;
+import org.masticpaddle.platform.Instance;
+import org.masticpaddle.platform.PlatformException;
+import org.masticpaddle.platform.RatingService;
+import org.masticpaddle.rollout.Observations;
+import org.masticpaddle.routing.CascadePolicy;
+import org.masticpaddle.routing.PrefixIndex;
+import org.masticpaddle.routing.QualityEstimates;
+import org.masticpaddle.routing.SessionToken;
+import org.masticpaddle.routing.UpstreamChoice;
+import org.masticpaddle.routing.UpstreamPolicy;
+import org.masticpaddle.routing.VersionChoice;
+import org.masticpaddle.settings.ProcessSettings;
+import org.masticpaddle.settings.Setting;
+import org.masticpaddle.wire.HttpClient;
+import org.masticpaddle.wire.HttpServer;
+import org.masticpaddle.wire.OperationsHandler;
+
+/** All parts of an entry, wired together. Start and stop are called by one thread, once each. */
+public final class EntryProcess implements Service {
+    private static final Logger LOGGER = LogManager.getLogger(EntryProcess.class);
+    private static final long STEP_NANOS = 500_000_000L;
+
+    private final ProcessSettings settings;
+    private final Kernel kernel = new Kernel();
+    private final Clock clock = Clock.systemUTC();
+    private final EntryLoop loop = new EntryLoop();
+    private final HttpServer server;
+    private final RequestFlow requests;
+    private final ChargeFlow charges;
+    private final AttemptFlow attempts;
+    private final Upstreams upstreams;
+    private final VersionKnowledge knowledge;
+    private final ConfigurationService configuration;
+    private volatile boolean draining;
+    private long nextStepNanos;
+
+    /**
+     * Wires an entry.
+     *
+     * @param settings checked settings of role entry
+     * @param incarnation number of this start, above that of every earlier start of the instance
+     * @param counters counts what becomes of requests
+     * @param metrics scrape page of the process
+     */
+    public EntryProcess(ProcessSettings settings, long incarnation, EntryCounters counters, Supplier<String> metrics) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+        final String instance = settings.text(Setting.INSTANCE);
+        final UniformRandomProvider random = random();
+        final EntryContext context = new EntryContext(
+                loop, clock::millis, System::nanoTime, random, new AttemptId(clock::millis, random::nextLong));
+        upstreams = new Upstreams(
+                new PrefixIndex(PrefixIndex.DEFAULT_BLOCKS),
+                new UpstreamChoice(UpstreamPolicy.of(settings.text(Setting.REGION))));
+        final String source = instance + "#" + incarnation;
+        final Duration timeout = settings.millis(Setting.CALL_TIMEOUT_MS);
+        final HttpClient client = new HttpClient(settings.number(Setting.IO_THREADS));
+        final HttpEventLog log =
+                new HttpEventLog(client, settings.origin(Setting.LOG).orElseThrow(), timeout);
+        final MembershipService membership = new MembershipService(
+                MembershipSettings.of(instance, settings.text(Setting.REGION), settings.number(Setting.SUBSET)),
+                new HttpInstanceList(client, settings.origin(Setting.INSTANCES).orElseThrow(), timeout),
+                client,
+                random(),
+                clock::millis);
+        final List<URI> peers =
+                settings.list(Setting.PEERS).stream().map(URI::create).toList();
+        configuration = ConfigurationService.reading(
+                ConfigurationSettings.of(
+                        URI.create("http://" + instance), settings.seconds(Setting.LOG_RETENTION_SECONDS)),
+                log,
+                new HttpConfigurationPeer(client, timeout),
+                () -> otherEntries(peers, membership.snapshot()),
+                clock::millis,
+                RandomSource.XO_RO_SHI_RO_128_PP.create());
+        knowledge = new VersionKnowledge(
+                new QualityEstimates(source, QualityEstimates.HALF_LIFE_MILLIS),
+                new Observations(source),
+                clock::millis);
+        final ClaimService claimService =
+                new ClaimService(log, claimSettings(), clock::millis, new AttemptId(clock::millis, random()::nextLong));
+        final ChargeWriter chargeWriter = new ChargeWriter(log, chargeSettings(), clock::millis);
+        final SidecarClient sidecars = new SidecarClient(client, this::origin);
+        charges = new ChargeFlow(chargeWriter, sidecars);
+        final SessionFlow sessions = new SessionFlow(
+                sessionToken(),
+                new SidecarSessionDirectory(client, () -> engines(membership.snapshot())),
+                loop,
+                clock::millis);
+        final AdmissionControl admission = new AdmissionControl(
+                AdmissionQueue.of(settings.number(Setting.QUEUE), RoutingDocument.EMPTY.ranks()),
+                LimitBook.of(source, settings.text(Setting.FAILURE_DOMAIN)),
+                RetryBudget.create());
+        requests = new RequestFlow(
+                context,
+                configuration::effective,
+                admission,
+                new VersionChoice(CascadePolicy.DEFAULT),
+                knowledge,
+                upstreams,
+                sessions);
+        final AnswerFlow answers = new AnswerFlow(
+                context,
+                requests,
+                charges,
+                claimService,
+                new AnswerRatings(ratings(client, timeout), settings.share(Setting.RATED_SHARE)),
+                knowledge,
+                upstreams);
+        final ClaimFlow claims = new ClaimFlow(
+                context,
+                claimService,
+                sidecars,
+                id -> Optional.ofNullable(membership.snapshot().instances().get(id))
+                        .map(Instance::address),
+                requests,
+                answers);
+        attempts = new AttemptFlow(context, requests, sidecars, upstreams, claims, answers, admission.retries());
+        requests.dispatcher(attempts);
+        loop.onTick(this::tick);
+        membership.subscribe(snapshot -> loop.complete(() -> membersChanged(snapshot)));
+        server = new HttpServer(
+                settings.text(Setting.HOST),
+                settings.number(Setting.PORT),
+                settings.number(Setting.IO_THREADS),
+                settings.number(Setting.MAX_BODY_BYTES),
+                new EntryHandler(
+                        loop,
+                        new RequestReader(System::nanoTime, new AttemptId(clock::millis, random()::nextLong)),
+                        configuration::effective,
+                        requests::begin,
+                        counters,
+                        Map.of("/internal/configuration", new ConfigurationHandler(configuration::answer)),
+                        new OperationsHandler(this::ready, metrics, this::status)));
+        kernel.register("http.client", client)
+                .register("membership", membership)
+                .register("configuration", configuration)
+                .register("claims", claimService)
+                .register("charges", chargeWriter)
+                .register("requests", loop)
+                .register("http.server", server);
+    }
+
+    @Override
+    public void start() {
+        kernel.start();
+        LOGGER.info("entry {} listens on port {}", settings.text(Setting.INSTANCE), server.port());
+    }
+
+    /** Becomes unready, refuses new requests, finishes the others, flushes charges and stops. */
+    @Override
+    public void stop() {
+        draining = true;
+        final CompletableFuture<Void> drained = requests.drain();
+        drained.completeOnTimeout(null, settings.seconds(Setting.DRAIN_SECONDS).toMillis(), TimeUnit.MILLISECONDS)
+                .join();
+        charges.flush();
+        kernel.stop();
+    }
+
+    /**
+     * Returns the port in use.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Tells whether the entry takes requests.
+     *
+     * @return {@code true} if a document is in effect and the entry does not drain
+     */
+    public boolean ready() {
+        return !draining && configuration.effective().isPresent();
+    }
+
+    private String origin() {
+        return "http://" + settings.text(Setting.HOST) + ":" + server.port();
+    }
+
+    private void tick() {
+        upstreams.now(clock.millis());
+        requests.tick();
+        attempts.tick();
+        charges.flush();
+        final long now = System.nanoTime();
+        if (now >= nextStepNanos) {
+            nextStepNanos = now + STEP_NANOS;
+            configuration.effective().ifPresent(current -> knowledge.step(current.document(), upstreams));
+        }
+    }
+
+    private void membersChanged(MembershipSnapshot snapshot) {
+        final List<Instance> members = new ArrayList<>();
+        snapshot.subsets().values().forEach(subset -> subset.forEach(member -> members.add(member.instance())));
+        upstreams.members(members);
+        snapshot.subsets()
+                .forEach((service, subset) -> subset.forEach(member -> member.load()
+                        .ifPresent(load -> upstreams.report(
+                                service, member.instance().id(), load, member.heardMillis(), System.nanoTime()))));
+        requests.pump();
+    }
+
+    private EntryStatus status() {
+        final Optional<EffectiveConfiguration> current = configuration.effective();
+        return new EntryStatus(
+                settings.text(Setting.INSTANCE),
+                ready(),
+                current.map(EffectiveConfiguration::offset).orElse(-1L),
+                current.map(EffectiveConfiguration::revision).orElse(0L),
+                current.map(EffectiveConfiguration::sinceMillis).orElse(0L),
+                configuration.tailAgeMillis().orElse(-1));
+    }
+
+    private ClaimSettings claimSettings() {
+        final ClaimSettings standard = ClaimSettings.standard();
+        return new ClaimSettings(
+                settings.number(Setting.CLAIM_PARTITIONS),
+                settings.seconds(Setting.KEY_LIFETIME_SECONDS).toMillis(),
+                standard.maxKeys(),
+                standard.maxWaiting(),
+                standard.batchMillis(),
+                standard.maxBatch(),
+                standard.pageRecords(),
+                standard.pollMillis(),
+                standard.idleMillis(),
+                standard.backoffMillis(),
+                standard.callMillis(),
+                standard.confirmMillis());
+    }
+
+    private ChargeSettings chargeSettings() {
+        final ChargeSettings standard = ChargeSettings.standard();
+        return new ChargeSettings(
+                settings.number(Setting.CHARGE_BATCH_MS),
+                standard.maxBatch(),
+                standard.maxCharges(),
+                standard.holdMillis(),
+                standard.backoffMillis(),
+                standard.callMillis());
+    }
+
+    private SessionToken sessionToken() {
+        final List<byte[]> keys = settings.list(Setting.SESSION_KEYS).stream()
+                .map(key -> key.getBytes(StandardCharsets.UTF_8))
+                .toList();
+        return new SessionToken(keys, settings.seconds(Setting.SESSION_SECONDS).toMillis());
+    }
+
+    private RatingService ratings(HttpClient client, Duration timeout) {
+        return settings.origin(Setting.RATINGS)
+                .<RatingService>map(origin -> new HttpRatingService(client, origin, timeout))
+                .orElse(request -> CompletableFuture.failedFuture(
+                        new PlatformException(PlatformException.Effect.NONE, "no rating service is set", null)));
+    }
+
+    /** Each source of random numbers is used by one thread only. */
+    private static UniformRandomProvider random() {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create();
+    }
+
+    private List<URI> otherEntries(List<URI> peers, MembershipSnapshot snapshot) {
+        final List<URI> all = new ArrayList<>(peers);
+        snapshot.entries().stream()
+                .filter(entry -> !entry.id().equals(settings.text(Setting.INSTANCE)))
+                .map(Instance::address)
+                .filter(address -> !all.contains(address))
+                .forEach(all::add);
+        return all;
+    }
+
+    /** Sidecars of model engines, which keep session bindings. */
+    private Collection<Instance> engines(MembershipSnapshot snapshot) {
+        final Set<String> services = new HashSet<>();
+        configuration
+                .effective()
+                .ifPresent(current -> current.document().versions().values().stream()
+                        .map(ModelVersion::service)
+                        .forEach(services::add));
+        return snapshot.instances().values().stream()
+                .filter(instance -> services.contains(instance.service()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/Refusals.java
@@ -0,0 +1,21 @@
+package org.masticpaddle.entry;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.masticpaddle.wire.Exchanges;
+
+/** Sends a {@link Refusal} as an HTTP answer. Thread-safe, having no state. */
+final class Refusals {
+    private Refusals() {}
+
+    static void send(HttpServerExchange exchange, Refusal refusal) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        if (refusal.retryAfterMillis() > 0) {
+            exchange.getResponseHeaders()
+                    .put(Headers.RETRY_AFTER, Math.max(1, (refusal.retryAfterMillis() + 999) / 1000));
+        }
+        Exchanges.answer(exchange, refusal.kind().status(), RefusalBody.of(refusal));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -0,0 +1,345 @@
+package org.masticpaddle.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.masticpaddle.admission.LimitDecision;
+import org.masticpaddle.admission.Offer;
+import org.masticpaddle.admission.WaitingRequest;
+import org.masticpaddle.claim.IdempotencyKey;
+import org.masticpaddle.claim.KeyCheck;
+import org.masticpaddle.claim.KeyRefusal;
+import org.masticpaddle.document.EffectiveConfiguration;
+import org.masticpaddle.routing.ModelWish;
+import org.masticpaddle.routing.SessionBinding;
+import org.masticpaddle.routing.VersionChoice;
+import org.masticpaddle.routing.VersionPlan;
+import org.masticpaddle.routing.VersionRequest;
+
+/**
+ * Takes a request from its arrival to the moment of its dispatch: limits, session, version, admission.queue().
+ *
+ * <p>Invariants: every request that begins ends exactly once, by an answer or a refusal; its place in the queue and its
+ * count in the limits are given back at that moment. All methods run on the entry's duty.
+ */
+final class RequestFlow {
+    private final EntryContext context;
+    private final AdmissionControl admission;
+    private final Supplier<Optional<EffectiveConfiguration>> documents;
+    private final VersionChoice versions;
+    private final VersionKnowledge knowledge;
+    private final Upstreams upstreams;
+    private final SessionFlow sessions;
+    private final Map<Long, RequestRun> runs = new HashMap<>();
+    private Dispatcher dispatcher;
+    private CompletableFuture<Void> drained;
+    private long lastNumber;
+
+    RequestFlow(
+            EntryContext context,
+            Supplier<Optional<EffectiveConfiguration>> documents,
+            AdmissionControl admission,
+            VersionChoice versions,
+            VersionKnowledge knowledge,
+            Upstreams upstreams,
+            SessionFlow sessions) {
+        this.context = Objects.requireNonNull(context, "context is null");
+        this.documents = Objects.requireNonNull(documents, "documents is null");
+        this.admission = Objects.requireNonNull(admission, "admission is null");
+        this.versions = Objects.requireNonNull(versions, "versions is null");
+        this.knowledge = Objects.requireNonNull(knowledge, "knowledge is null");
+        this.upstreams = Objects.requireNonNull(upstreams, "upstreams is null");
+        this.sessions = Objects.requireNonNull(sessions, "sessions is null");
+    }
+
+    /** Starts attempts of requests that have left the admission.queue(). */
+    interface Dispatcher {
+        /** Dispatches the request, which ends by {@link RequestFlow#finish} or returns by {@link RequestFlow#requeue}. */
+        void dispatch(RequestRun run);
+
+        /** Stops the attempt of a request that ends early, and fails the request. */
+        void abandon(RequestRun run);
+
+        /** Passes a refusal on, corrected by what is known of earlier requests with the same key. */
+        void confirm(RequestRun run, Refusal refusal, Consumer<Refusal> corrected);
+    }
+
+    /** Sets the dispatcher; called once, before the first request. */
+    void dispatcher(Dispatcher part) {
+        dispatcher = Objects.requireNonNull(part, "dispatcher is null");
+    }
+
+    void begin(CallerRequest request, Responder responder) {
+        final Optional<EffectiveConfiguration> document = documents.get();
+        if (document.isEmpty() || drained != null) {
+            responder.fail(Refusal.notRun(Refusal.Kind.NOT_READY, "this entry takes no requests now"));
+            return;
+        }
+        final RequestRun run = new RequestRun(++lastNumber, request, responder, document.get());
+        runs.put(run.number(), run);
+        responder.header("Masticpaddle-Request", request.id());
+        responder.onCallerGone(() -> context.loop().complete(() -> callerGone(run)));
+        if (acceptsKey(run) && withinLimits(run)) {
+            try {
+                sessions.bind(run, () -> chooseVersion(run));
+            } catch (RefusalException e) {
+                fail(run, e.refusal());
+            }
+        }
+    }
+
+    /** Refuses or fails a request. */
+    void fail(RequestRun run, Refusal refusal) {
+        if (run.ended()) {
+            return;
+        }
+        close(run, 0);
+        dispatcher.confirm(run, refusal, corrected -> run.responder().fail(corrected));
+    }
+
+    /** Ends a request whose answer was delivered. */
+    void finish(RequestRun run, long tokens) {
+        if (!run.ended()) {
+            close(run, tokens);
+        }
+    }
+
+    /** Puts a request back into the queue, for example for the second step of a cascade. */
+    void requeue(RequestRun run, long tokensUsed) {
+        giveBackPlace(run, tokensUsed);
+        enqueue(run);
+    }
+
+    /** Starts the graceful shutdown. */
+    CompletableFuture<Void> drain() {
+        final CompletableFuture<Void> done = new CompletableFuture<>();
+        context.loop().complete(() -> {
+            drained = done;
+            completeDrain();
+        });
+        return done;
+    }
+
+    int active() {
+        return runs.size();
+    }
+
+    void tick() {
+        final long now = context.nanos();
+        admission
+                .queue()
+                .expire(now)
+                .forEach(refusal -> fail(runs.get(refusal.request().id()), translate(refusal)));
+        for (final RequestRun run : new ArrayList<>(runs.values())) {
+            if (now >= run.request().deadlineNanos()) {
+                expire(run);
+            }
+        }
+        pump();
+    }
+
+    void pump() {
+        final long now = context.nanos();
+        Optional<WaitingRequest> next = admission.queue().next(now, upstreams);
+        while (next.isPresent()) {
+            final RequestRun run = runs.get(next.get().id());
+            upstreams.dispatched(run.pool());
+            dispatcher.dispatch(run);
+            next = admission.queue().next(now, upstreams);
+        }
+    }
+
+    List<RequestRun> runs() {
+        return List.copyOf(runs.values());
+    }
+
+    private boolean acceptsKey(RequestRun run) {
+        final CallerRequest request = run.request();
+        if (request.target().idempotent() || request.idempotencyKey().isEmpty()) {
+            return true;
+        }
+        final KeyCheck check = IdempotencyKey.read(
+                request.organisation().name(), request.idempotencyKey().get(), request.keyCreated());
+        if (check instanceof KeyCheck.Accepted accepted) {
+            run.key(accepted.key());
+            return true;
+        }
+        final KeyRefusal reason = ((KeyCheck.Refused) check).reason();
+        fail(run, Refusal.notRun(Refusal.Kind.INVALID_IDEMPOTENCY_KEY, reason.message()));
+        return false;
+    }
+
+    private boolean withinLimits(RequestRun run) {
+        final LimitDecision decision = admission
+                .limits()
+                .admit(
+                        run.request().organisation().name(),
+                        run.request().organisation().limits(),
+                        run.request().target().estimatedTokens(),
+                        0,
+                        context.nanos());
+        if (decision instanceof LimitDecision.Exceeded exceeded) {
+            fail(
+                    run,
+                    Refusal.notRun(
+                            Refusal.Kind.LIMIT_REACHED,
+                            "a limit of the organisation is reached: "
+                                    + exceeded.reason().label(),
+                            exceeded.retryAfterNanos() / 1_000_000 + 1));
+            return false;
+        }
+        run.countedByLimits();
+        return true;
+    }
+
+    private void chooseVersion(RequestRun run) {
+        if (run.ended()) {
+            return;
+        }
+        if (!(run.request().target() instanceof CallerRequest.Chat chat)) {
+            enqueue(run);
+            return;
+        }
+        final VersionPlan plan =
+                versions.choose(run.document().document(), versionRequest(run, chat), knowledge, context.random());
+        if (plan instanceof VersionPlan.Refused refused) {
+            fail(run, translate(refused.reason()));
+            return;
+        }
+        if (plan instanceof VersionPlan.Cascade cascade) {
+            run.cascade(cascade);
+        } else {
+            run.version(((VersionPlan.Single) plan).version());
+        }
+        sessions.confirm(run, () -> enqueue(run));
+    }
+
+    private VersionRequest versionRequest(RequestRun run, CallerRequest.Chat chat) {
+        final CallerRequest request = run.request();
+        return new VersionRequest(
+                request.organisation(),
+                request.kind(),
+                ModelWish.parse(chat.model()),
+                request.quality(),
+                chat.idempotent(),
+                chat.promptTokens(),
+                chat.maxTokens(),
+                request.millisLeft(context.nanos()),
+                run.session().map(SessionBinding::session).or(request::session).orElse(request.id()),
+                request.session().isPresent(),
+                run.session().map(SessionBinding::version));
+    }
+
+    private void enqueue(RequestRun run) {
+        if (run.ended()) {
+            return;
+        }
+        final long now = context.nanos();
+        final CallerRequest request = run.request();
+        final WaitingRequest place = new WaitingRequest(
+                run.number(),
+                request.organisation().name(),
+                request.organisation().weight(),
+                request.rank(),
+                run.pool(),
+                run.routedVersion().toString(),
+                Math.max(1, request.target().estimatedTokens()),
+                request.arrivedNanos(),
+                request.deadlineNanos(),
+                expectedRunNanos(run));
+        final Offer offer = admission.queue().offer(place, now);
+        if (offer instanceof Offer.Refused refused) {
+            fail(run, translate(refused.refusal()));
+            return;
+        }
+        run.waiting(place);
+        ((Offer.Queued) offer)
+                .displaced()
+                .ifPresent(refusal -> fail(runs.get(refusal.request().id()), translate(refusal)));
+        pump();
+    }
+
+    private long expectedRunNanos(RequestRun run) {
+        if (run.request().target() instanceof CallerRequest.Chat chat) {
+            // The first token is what has to come in time; a stream may go on after it.
+            return (long) (knowledge.expectedMillis(run.routedVersion(), chat.promptTokens(), 1) * 1_000_000);
+        }
+        return 0;
+    }
+
+    private void expire(RequestRun run) {
+        if (run.attempt().isPresent()) {
+            dispatcher.abandon(run);
+        } else if (!run.claiming()) {
+            fail(run, Refusal.notRun(Refusal.Kind.DEADLINE_EXCEEDED, "the deadline passed before the dispatch"));
+        }
+    }
+
+    private void callerGone(RequestRun run) {
+        if (run.ended()) {
+            return;
+        }
+        if (run.attempt().isPresent()) {
+            dispatcher.abandon(run);
+        } else {
+            fail(run, Refusal.notRun(Refusal.Kind.INVALID_REQUEST, "the caller is gone"));
+        }
+    }
+
+    private void close(RequestRun run, long tokens) {
+        run.end();
+        runs.remove(run.number());
+        giveBackPlace(run, tokens);
+        if (run.limited()) {
+            final long expected = run.request().target().estimatedTokens();
+            admission.limits().finish(run.request().organisation().name(), tokens - expected, 0);
+        }
+        completeDrain();
+        context.loop().offer(this::pump);
+    }
+
+    private void giveBackPlace(RequestRun run, long tokens) {
+        run.waiting().ifPresent(place -> {
+            if (admission.queue().settle(place.pool(), place.id(), tokens, context.nanos())) {
+                upstreams.finished(place.pool());
+            } else {
+                admission.queue().cancel(place.pool(), place.id(), context.nanos());
+            }
+        });
+    }
+
+    private void completeDrain() {
+        if (drained != null && runs.isEmpty()) {
+            drained.complete(null);
+        }
+    }
+
+    private static Refusal translate(org.masticpaddle.admission.Refusal refusal) {
+        final Refusal.Kind kind =
+                refusal.reason().status() == 504 ? Refusal.Kind.DEADLINE_EXCEEDED : Refusal.Kind.OVERLOADED;
+        return Refusal.notRun(
+                kind, "the request was not admitted: " + refusal.reason().label(), refusal.retryAfterSeconds() * 1000);
+    }
+
+    private static Refusal translate(VersionPlan.Reason reason) {
+        return switch (reason) {
+            case NOTHING_ALLOWED ->
+                Refusal.notRun(Refusal.Kind.NOT_ALLOWED, "the organisation may not use this model or version");
+            case NOTHING_ACTIVE, NOTHING_HEALTHY ->
+                Refusal.notRun(Refusal.Kind.NO_UPSTREAM, "no version that may answer takes new work");
+            case NOTHING_IN_TIME ->
+                Refusal.notRun(Refusal.Kind.DEADLINE_EXCEEDED, "no version is expected to answer in time");
+            case SESSION_ENDED ->
+                Refusal.notRun(Refusal.Kind.SESSION_ENDED, "the version of this session is withdrawn");
+            case SESSION_HAS_OTHER_VERSION ->
+                Refusal.notRun(Refusal.Kind.INVALID_REQUEST, "the session is bound to another version");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/RequestReader.java
@@ -0,0 +1,202 @@
+package org.masticpaddle.entry;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import org.masticpaddle.document.Organisation;
+import org.masticpaddle.document.PlainService;
+import org.masticpaddle.document.RankPolicy;
+import org.masticpaddle.document.RoutingDocument;
+import org.masticpaddle.wire.Exchanges;
+import org.masticpaddle.wire.Hashing;
+import org.masticpaddle.wire.Json;
+import org.masticpaddle.wire.MalformedMessageException;
+import org.masticpaddle.wire.Rank;
+
+/** Checks a caller's request and turns it into a {@link CallerRequest}. Thread-safe, having no mutable state. */
+final class RequestReader {
+    private static final String BEARER = "Bearer ";
+    private static final String DEFAULT_KIND = "chat";
+    private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final int MAX_FIELD_LENGTH = 256;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    private final LongSupplier nanoClock;
+    private final Supplier<String> identifiers;
+
+    RequestReader(LongSupplier nanoClock, Supplier<String> identifiers) {
+        this.nanoClock = nanoClock;
+        this.identifiers = identifiers;
+    }
+
+    Organisation authenticate(HttpServerExchange exchange, RoutingDocument document) {
+        final String header = Exchanges.header(exchange, "Authorization").orElse("");
+        if (!header.startsWith(BEARER)) {
+            throw refusal(Refusal.Kind.UNAUTHORIZED, "the header Authorization: Bearer KEY is missing");
+        }
+        final byte[] key = header.substring(BEARER.length()).trim().getBytes(StandardCharsets.UTF_8);
+        return document.organisationOf("sha256:" + Hashing.sha256(key))
+                .orElseThrow(() -> refusal(Refusal.Kind.UNAUTHORIZED, "the key belongs to no organisation"));
+    }
+
+    CallerRequest chat(HttpServerExchange exchange, byte[] body, RoutingDocument document) {
+        final Organisation organisation = authenticate(exchange, document);
+        final ObjectNode json = json(body);
+        final int promptTokens = promptTokens(json);
+        final CallerRequest.Chat chat = new CallerRequest.Chat(
+                json.path("model").asText("auto"),
+                json,
+                promptTokens,
+                maxTokens(json),
+                json.path("stream").asBoolean(false),
+                !header(exchange, "Masticpaddle-Idempotent")
+                        .map("false"::equalsIgnoreCase)
+                        .orElse(false));
+        return request(exchange, organisation, document, DEFAULT_KIND, chat);
+    }
+
+    CallerRequest plain(HttpServerExchange exchange, byte[] body, RoutingDocument document, String prefix) {
+        final Organisation organisation = authenticate(exchange, document);
+        final String rest = exchange.getRequestPath().substring(prefix.length());
+        final int slash = rest.indexOf('/');
+        final String name = slash < 0 ? rest : rest.substring(0, slash);
+        final PlainService service = document.services().get(name);
+        if (service == null || !organisation.services().contains(name)) {
+            throw refusal(Refusal.Kind.NOT_FOUND, "there is no service \"" + name + "\" for this organisation");
+        }
+        final String query = exchange.getQueryString().isEmpty() ? "" : "?" + exchange.getQueryString();
+        final String path = (slash < 0 ? "/" : rest.substring(slash)) + query;
+        return request(
+                exchange,
+                organisation,
+                document,
+                name,
+                new CallerRequest.Plain(
+                        service,
+                        exchange.getRequestMethod().toString(),
+                        path,
+                        header(exchange, "Content-Type").orElse(""),
+                        body));
+    }
+
+    private CallerRequest request(
+            HttpServerExchange exchange,
+            Organisation organisation,
+            RoutingDocument document,
+            String defaultKind,
+            CallerRequest.Target target) {
+        final Rank rank = rank(exchange);
+        final RankPolicy policy = document.policy(rank);
+        final long now = nanoClock.getAsLong();
+        return new CallerRequest(
+                identifiers.get(),
+                organisation,
+                rank,
+                header(exchange, "Masticpaddle-Kind").orElse(defaultKind),
+                now,
+                now + deadlineMillis(exchange, policy) * 1_000_000,
+                quality(exchange),
+                header(exchange, "Masticpaddle-Session"),
+                header(exchange, "Idempotency-Key"),
+                header(exchange, "Idempotency-Key-Created"),
+                target);
+    }
+
+    private static ObjectNode json(byte[] body) {
+        try {
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body));
+        } catch (CharacterCodingException e) {
+            throw refusal(Refusal.Kind.INVALID_REQUEST, "the body is not valid UTF-8");
+        }
+        try {
+            final JsonNode tree = Json.tree(body);
+            if (tree instanceof ObjectNode object && object.path("messages").isArray()) {
+                return object;
+            }
+        } catch (MalformedMessageException e) {
+            throw refusal(Refusal.Kind.INVALID_REQUEST, "the body is not valid JSON");
+        }
+        throw refusal(Refusal.Kind.INVALID_REQUEST, "the body is not a JSON object with an array \"messages\"");
+    }
+
+    private static int promptTokens(ObjectNode json) {
+        int characters = 0;
+        for (final JsonNode message : json.path("messages")) {
+            characters += message.path("content").asText("").length();
+        }
+        return characters / CHARACTERS_PER_TOKEN + 1;
+    }
+
+    private static int maxTokens(ObjectNode json) {
+        final JsonNode limit =
+                json.has("max_completion_tokens") ? json.path("max_completion_tokens") : json.path("max_tokens");
+        if (limit.isMissingNode() || limit.isNull()) {
+            return DEFAULT_MAX_TOKENS;
+        }
+        if (!limit.canConvertToInt() || limit.asInt() <= 0) {
+            throw refusal(Refusal.Kind.INVALID_REQUEST, "max_tokens is not a positive whole number");
+        }
+        return limit.asInt();
+    }
+
+    private static Rank rank(HttpServerExchange exchange) {
+        return header(exchange, "Masticpaddle-Rank")
+                .map(text -> Rank.of(text)
+                        .orElseThrow(() -> refusal(
+                                Refusal.Kind.INVALID_REQUEST,
+                                "Masticpaddle-Rank is not urgent, standard or background")))
+                .orElse(Rank.STANDARD);
+    }
+
+    private static long deadlineMillis(HttpServerExchange exchange, RankPolicy policy) {
+        return header(exchange, "Masticpaddle-Deadline-Ms")
+                .map(text -> {
+                    final long millis = number(text, "Masticpaddle-Deadline-Ms").longValue();
+                    if (millis <= 0) {
+                        throw refusal(Refusal.Kind.DEADLINE_EXCEEDED, "the deadline has passed");
+                    }
+                    return Math.min(millis, policy.timeoutMillis());
+                })
+                .orElse(policy.timeoutMillis());
+    }
+
+    private static OptionalDouble quality(HttpServerExchange exchange) {
+        final Optional<Double> wanted =
+                header(exchange, "Masticpaddle-Quality").map(text -> number(text, "Masticpaddle-Quality"));
+        if (wanted.isEmpty()) {
+            return OptionalDouble.empty();
+        }
+        if (!(wanted.get() >= 0 && wanted.get() <= 1)) {
+            throw refusal(Refusal.Kind.INVALID_REQUEST, "Masticpaddle-Quality is not between 0 and 1");
+        }
+        return OptionalDouble.of(wanted.get());
+    }
+
+    private static Double number(String text, String name) {
+        try {
+            return Double.valueOf(text);
+        } catch (NumberFormatException e) {
+            throw refusal(Refusal.Kind.INVALID_REQUEST, name + " is not a number");
+        }
+    }
+
+    private static Optional<String> header(HttpServerExchange exchange, String name) {
+        final Optional<String> value = Exchanges.header(exchange, name);
+        if (value.isPresent() && value.get().length() > MAX_FIELD_LENGTH && !"Masticpaddle-Session".equals(name)) {
+            throw refusal(Refusal.Kind.INVALID_REQUEST, name + " is longer than " + MAX_FIELD_LENGTH + " characters");
+        }
+        return value;
+    }
+
+    private static RefusalException refusal(Refusal.Kind kind, String message) {
+        return new RefusalException(Refusal.notRun(kind, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -0,0 +1,164 @@
+package org.masticpaddle.entry;
+
+import java.net.URI;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.admission.Availability;
+import org.masticpaddle.admission.ConcurrencyBound;
+import org.masticpaddle.document.VersionName;
+import org.masticpaddle.platform.Instance;
+import org.masticpaddle.routing.PrefixIndex;
+import org.masticpaddle.routing.UpstreamChoice;
+import org.masticpaddle.routing.UpstreamRequest;
+import org.masticpaddle.routing.UpstreamSet;
+import org.masticpaddle.routing.UpstreamView;
+import org.masticpaddle.wire.LoadReport;
+import org.masticpaddle.wire.Rank;
+
+/**
+ * Upstreams that this entry may dispatch to, by service, with what is in flight. Owned by the entry's duty; not
+ * thread-safe.
+ */
+final class Upstreams implements Availability {
+    private static final String PLAIN_MODEL = "plain";
+    private static final int INITIAL_IN_FLIGHT = 16;
+    private static final Pool EMPTY = new Pool();
+
+    private final Map<String, Pool> pools = new HashMap<>();
+    private final Map<String, URI> addresses = new HashMap<>();
+    private final PrefixIndex prefixes;
+    private final UpstreamChoice choice;
+    private long nowMillis;
+
+    Upstreams(PrefixIndex prefixes, UpstreamChoice choice) {
+        this.prefixes = Objects.requireNonNull(prefixes, "prefixes is null");
+        this.choice = Objects.requireNonNull(choice, "choice is null");
+    }
+
+    /** Chooses the upstream of a service for one attempt. */
+    Optional<UpstreamView> choose(String service, UpstreamRequest wanted, long atMillis, UniformRandomProvider random) {
+        return choice.choose(pool(service).set, wanted, prefixes, atMillis, random);
+    }
+
+    /** Name that the sidecars of a plain service report in place of a loaded version. */
+    static VersionName plainVersion(String service) {
+        return new VersionName(PLAIN_MODEL, service);
+    }
+
+    PrefixIndex prefixes() {
+        return prefixes;
+    }
+
+    /** Takes over the members that this entry may use; all others are forgotten. */
+    void members(Collection<Instance> members) {
+        final Set<String> present = new HashSet<>();
+        for (final Instance instance : members) {
+            present.add(instance.id());
+            addresses.put(instance.id(), instance.address());
+            final Pool pool = pools.computeIfAbsent(instance.service(), name -> new Pool());
+            final UpstreamView known = pool.set.find(instance.id()).orElseGet(() -> {
+                final UpstreamView view = new UpstreamView(instance.id(), instance.region(), instance.failureDomain());
+                pool.set.put(view);
+                return view;
+            });
+            known.setLeaving(instance.state() != Instance.State.LIVE);
+        }
+        for (final Pool pool : pools.values()) {
+            for (int index = pool.set.size() - 1; index >= 0; index--) {
+                final String id = pool.set.get(index).id();
+                if (!present.contains(id)) {
+                    pool.set.remove(id);
+                    prefixes.forget(id);
+                }
+            }
+        }
+        addresses.keySet().retainAll(present);
+    }
+
+    /** Takes over a load report; its figures were true at {@code atMillis} at the latest. */
+    void report(String service, String id, LoadReport report, long atMillis, long nowNanos) {
+        final Pool pool = pools.get(service);
+        if (pool == null) {
+            return;
+        }
+        pool.set.find(id).ifPresent(view -> {
+            view.onReport(report, atMillis);
+            pool.bound.report(id, report, pool.inFlight, nowNanos);
+        });
+    }
+
+    void now(long millis) {
+        nowMillis = millis;
+    }
+
+    UpstreamSet set(String service) {
+        return pool(service).set;
+    }
+
+    ConcurrencyBound bound(String service) {
+        return pool(service).bound;
+    }
+
+    int inFlight(String service) {
+        return pool(service).inFlight;
+    }
+
+    void dispatched(String service) {
+        pool(service).inFlight++;
+    }
+
+    void finished(String service) {
+        final Pool pool = pool(service);
+        pool.inFlight = Math.max(0, pool.inFlight - 1);
+    }
+
+    Optional<URI> address(String id) {
+        return Optional.ofNullable(addresses.get(id));
+    }
+
+    /** Number of upstreams of a service that have a version loaded, and of all that are ready. */
+    int[] loaded(String service, VersionName version) {
+        final UpstreamSet set = set(service);
+        int loaded = 0;
+        int ready = 0;
+        for (int index = 0; index < set.size(); index++) {
+            if (set.get(index).report().ready()) {
+                ready++;
+                loaded += set.get(index).loaded(version) ? 1 : 0;
+            }
+        }
+        return new int[] {loaded, ready};
+    }
+
+    @Override
+    public boolean free(String service, String version, Rank rank) {
+        final Pool pool = pools.get(service);
+        if (pool == null || !pool.bound.free(rank, pool.inFlight)) {
+            return false;
+        }
+        final VersionName name = VersionName.parse(version);
+        for (int index = 0; index < pool.set.size(); index++) {
+            if (pool.set.get(index).takes(name, nowMillis)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Pool pool(String service) {
+        return pools.getOrDefault(service, EMPTY);
+    }
+
+    private static final class Pool {
+        private final UpstreamSet set = new UpstreamSet();
+        private final ConcurrencyBound bound = ConcurrencyBound.of(INITIAL_IN_FLIGHT);
+        private int inFlight;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry role: takes callers' requests, decides, dispatches to sidecars, and relays the answers. */
+package org.masticpaddle.entry;
--- a/src/main/java/org/masticpaddle/kernel/Duty.java
+++ b/src/main/java/org/masticpaddle/kernel/Duty.java
@@ -98,6 +98,24 @@
         return true;
     }
 
+    /**
+     * Puts a message into the ring, waiting while the ring is full. Meant for completions that must not be lost; never
+     * called from the duty's own thread, which would wait for itself.
+     *
+     * @param message the message
+     * @return {@code false} if the duty is not running; the message is then not handled
+     */
+    public boolean put(T message) {
+        final RingBuffer<Slot<T>> current = ring;
+        if (current == null) {
+            return false;
+        }
+        final long sequence = current.next();
+        current.get(sequence).message = message;
+        current.publish(sequence);
+        return true;
+    }
+
     /**
      * Owner of the state behind a duty. Called on the duty's thread only.
      *
--- a/src/main/java/org/masticpaddle/membership/InstanceView.java
+++ b/src/main/java/org/masticpaddle/membership/InstanceView.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.masticpaddle.platform.Instance;
 import org.masticpaddle.platform.InstanceChanges;
@@ -184,6 +185,29 @@
         return result;
     }
 
+    /**
+     * Lists the services that have instances, the entries aside.
+     *
+     * @return names in order
+     */
+    public Collection<String> services() {
+        final Collection<String> services = new TreeSet<>();
+        members.values().forEach(member -> services.add(member.instance().service()));
+        services.remove(Instance.ENTRY_SERVICE);
+        return services;
+    }
+
+    /**
+     * Copies the rows of all instances.
+     *
+     * @return rows by identifier
+     */
+    public Map<String, Instance> instances() {
+        final Map<String, Instance> rows = new LinkedHashMap<>();
+        members.forEach((id, member) -> rows.put(id, member.instance()));
+        return Collections.unmodifiableMap(rows);
+    }
+
     /**
      * Returns the version of the list up to which changes are folded.
      *
--- a/src/main/java/org/masticpaddle/membership/MembershipFolder.java
+++ b/src/main/java/org/masticpaddle/membership/MembershipFolder.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.membership;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
     private final Subset subset;
     private final Map<String, List<String>> chosen = new LinkedHashMap<>();
     private List<Instance> entries = List.of();
+    private Map<String, Instance> instances = Map.of();
     private boolean rowsChanged;
     private boolean changed;
 
@@ -69,19 +71,24 @@
         changed = false;
         final Map<String, List<Member>> subsets = new LinkedHashMap<>();
         chosen.forEach((service, ids) -> subsets.put(service, find(ids)));
-        return Optional.of(new MembershipSnapshot(view.listVersion(), subsets, entries));
+        return Optional.of(new MembershipSnapshot(view.listVersion(), subsets, entries, instances));
     }
 
     private List<Member> find(List<String> ids) {
         return ids.stream().map(view::find).flatMap(Optional::stream).toList();
     }
 
+    private Collection<String> services() {
+        return settings.services().isEmpty() ? view.services() : settings.services();
+    }
+
     private void choose() {
         if (!rowsChanged) {
             return;
         }
         rowsChanged = false;
-        for (final String service : settings.services()) {
+        chosen.keySet().retainAll(services());
+        for (final String service : services()) {
             chosen.put(
                     service,
                     subset.choose(view.eligible(service)).stream()
@@ -89,5 +96,6 @@
                             .toList());
         }
         entries = view.eligible(Instance.ENTRY_SERVICE);
+        instances = view.instances();
     }
 }
--- a/src/main/java/org/masticpaddle/membership/MembershipSettings.java
+++ b/src/main/java/org/masticpaddle/membership/MembershipSettings.java
@@ -8,7 +8,7 @@
  *
  * @param self identifier of this process in the instance list
  * @param region its region
- * @param services services whose upstreams it sends work to
+ * @param services services whose upstreams it sends work to, empty for all
  * @param subsetSize largest subset of each service
  * @param pollMillis milliseconds between two reads of the instance list, give or take a fifth
  * @param probeMillis milliseconds without a report after which a member is probed
@@ -34,14 +34,14 @@
     }
 
     /**
-     * Builds settings with a subset of 64, a poll and a probe each second, an age of 30 s and 8,000 bytes a second.
+     * Builds settings for all services with a poll and a probe each second, an age of 30 s and 8,000 bytes a second.
      *
      * @param self identifier of this process in the instance list
      * @param region its region
-     * @param services services whose upstreams it sends work to
+     * @param subsetSize largest subset of each service
      * @return the settings
      */
-    public static MembershipSettings of(String self, String region, List<String> services) {
-        return new MembershipSettings(self, region, services, 64, 1000, 1000, 1000, 30_000, 8000);
+    public static MembershipSettings of(String self, String region, int subsetSize) {
+        return new MembershipSettings(self, region, List.of(), subsetSize, 1000, 1000, 1000, 30_000, 8000);
     }
 }
--- a/src/main/java/org/masticpaddle/membership/MembershipSnapshot.java
+++ b/src/main/java/org/masticpaddle/membership/MembershipSnapshot.java
@@ -12,8 +12,10 @@
  * @param listVersion version of the instance list, 0 before its first answer
  * @param subsets members of the subset by service
  * @param entries live entries in the list, this process included
+ * @param instances rows of all instances by identifier, also outside the subsets; not to be changed
  */
-public record MembershipSnapshot(long listVersion, Map<String, List<Member>> subsets, List<Instance> entries) {
+public record MembershipSnapshot(
+        long listVersion, Map<String, List<Member>> subsets, List<Instance> entries, Map<String, Instance> instances) {
     /** Copies the collections. */
     public MembershipSnapshot {
         subsets = Map.copyOf(subsets);
@@ -26,7 +28,7 @@
      * @return a snapshot without members
      */
     public static MembershipSnapshot empty() {
-        return new MembershipSnapshot(0, Map.of(), List.of());
+        return new MembershipSnapshot(0, Map.of(), List.of(), Map.of());
     }
 
     /**
--- a/src/main/java/org/masticpaddle/wire/Dispatch.java
+++ b/src/main/java/org/masticpaddle/wire/Dispatch.java
@@ -20,6 +20,8 @@
  * @param timeoutMillis milliseconds left until the caller's deadline
  * @param resumeOffset bytes of the answer that the entry already has
  * @param identity identity under which the request is billed
+ * @param pricing prices that the charge is computed with
+ * @param documentOffset offset of the routing document that the entry has in effect
  */
 public record Dispatch(
         String requestId,
@@ -36,4 +38,54 @@
         boolean idempotent,
         long timeoutMillis,
         long resumeOffset,
-        String identity) {}
+        String identity,
+        Pricing pricing,
+        long documentOffset) {
+    /**
+     * Returns the same attempt for a stream that broke off.
+     *
+     * @param offset bytes of the answer that the entry already has
+     * @return the order
+     */
+    public Dispatch resumedFrom(long offset) {
+        return new Dispatch(
+                requestId,
+                attemptId,
+                incarnation,
+                organisation,
+                rank,
+                model,
+                version,
+                method,
+                path,
+                headers,
+                body,
+                idempotent,
+                timeoutMillis,
+                offset,
+                identity,
+                pricing,
+                documentOffset);
+    }
+
+    /**
+     * Prices of one attempt in millionths of the currency unit. Immutable.
+     *
+     * @param promptMicros price of 1,000 prompt tokens
+     * @param outputMicros price of 1,000 generated tokens
+     * @param callMicros price of the call itself
+     * @param draft whether the answer is a draft of a cascade, whose price is not billed unless it is delivered
+     */
+    public record Pricing(long promptMicros, long outputMicros, long callMicros, boolean draft) {
+        /**
+         * Computes the price of an answer.
+         *
+         * @param promptTokens tokens of the prompt
+         * @param outputTokens generated tokens
+         * @return price, rounded up to a whole millionth
+         */
+        public long of(int promptTokens, int outputTokens) {
+            return callMicros + Math.floorDiv(promptTokens * promptMicros + outputTokens * outputMicros + 999, 1000);
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/wire/Json.java
+++ b/src/main/java/org/masticpaddle/wire/Json.java
@@ -11,7 +11,7 @@
 /** JSON codec of all messages. Unknown fields are ignored, so that old and new processes understand each other. Thread-safe. */
 public final class Json {
     private static final ObjectMapper MAPPER = new ObjectMapper()
-            .setSerializationInclusion(JsonInclude.Include.NON_NULL)
+            .setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL)
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
     private Json() {}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/wire/OperationsHandler.java
@@ -0,0 +1,53 @@
+package org.masticpaddle.wire;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+
+/** Answers {@code /healthz}, {@code /readyz}, {@code /metrics} and status questions. Thread-safe; never blocks. */
+public final class OperationsHandler implements HttpHandler {
+    private final BooleanSupplier ready;
+    private final Supplier<String> metrics;
+    private final Supplier<?> status;
+
+    /**
+     * Creates the handler.
+     *
+     * @param ready whether the process takes work
+     * @param metrics page in the text format of metrics scrapers
+     * @param status message that describes the process
+     */
+    public OperationsHandler(BooleanSupplier ready, Supplier<String> metrics, Supplier<?> status) {
+        this.ready = Objects.requireNonNull(ready, "ready is null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        this.status = Objects.requireNonNull(status, "status is null");
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        switch (exchange.getRequestPath()) {
+            case "/healthz" -> Exchanges.answer(exchange, 200, Map.of("alive", true));
+            case "/readyz" -> {
+                final boolean now = ready.getAsBoolean();
+                Exchanges.answer(exchange, now ? 200 : 503, Map.of("ready", now));
+            }
+            case "/metrics" ->
+                Exchanges.answer(
+                        exchange,
+                        200,
+                        "text/plain; version=0.0.4; charset=utf-8",
+                        metrics.get().getBytes(StandardCharsets.UTF_8));
+            case "/internal/process" -> Exchanges.answer(exchange, 200, status.get());
+            default ->
+                Exchanges.answer(
+                        exchange,
+                        404,
+                        Map.of("error", Map.of("type", "not_found", "message", "no such path", "run", "not_run")));
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/wire/ResponseStream.java
+++ b/src/main/java/org/masticpaddle/wire/ResponseStream.java
@@ -26,6 +26,7 @@
     private boolean ended;
     private boolean closed;
     private boolean draining;
+    private Runnable closeAction = () -> {};
 
     private ResponseStream(HttpServerExchange exchange, long maxPendingBytes) {
         this.exchange = exchange;
@@ -73,6 +74,21 @@
         return false;
     }
 
+    /**
+     * Sets the action for a peer that goes away before the end of the answer. It runs at most once, on any thread.
+     *
+     * @param action the action; runs at once if the peer is already gone
+     */
+    public void onClosed(Runnable action) {
+        synchronized (this) {
+            if (!closed) {
+                closeAction = action;
+                return;
+            }
+        }
+        action.run();
+    }
+
     /** Ends the answer after the queued pieces. */
     public synchronized void end() {
         ended = true;
@@ -81,9 +97,7 @@
 
     /** Cuts the connection, so that the peer sees an incomplete answer. */
     public void abort() {
-        synchronized (this) {
-            closed = true;
-        }
+        markClosed();
         exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
 
@@ -94,11 +108,28 @@
         }
     }
 
+    private void markClosed() {
+        final Runnable action;
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            action = closeAction;
+        }
+        action.run();
+    }
+
     private void open() {
         synchronized (this) {
             if (closed) {
                 return;
             }
+            exchange.getConnection().addCloseListener(connection -> {
+                if (!exchange.isComplete()) {
+                    markClosed();
+                }
+            });
             channel = exchange.getResponseChannel();
             channel.getWriteSetter().set(sink -> drain());
             draining = true;
@@ -143,9 +174,7 @@
                 channel.resumeWrites();
             }
         } catch (IOException e) {
-            synchronized (this) {
-                closed = true;
-            }
+            markClosed();
             IoUtils.safeClose(exchange.getConnection());
         }
     }
