Bound the memory of a claim partition and log outages of its stream

Cause: at 65,536 keys a ledger takes 42 MB without answers, so 16 partitions could exceed the 256 MB of a node, and answers of up to 4 KiB came on top.

The first failure of a kind of call on a stream is logged, and its end.

--- a/src/main/java/org/masticpaddle/claim/ClaimLedger.java
+++ b/src/main/java/org/masticpaddle/claim/ClaimLedger.java
@@ -30,10 +30,12 @@
 
     private final long lifetimeMillis;
     private final int maxKeys;
+    private final long maxAnswerBytes;
     private final Map<Name, List<KeyState>> names = new HashMap<>();
     private final PriorityQueue<KeyState> oldest =
             new PriorityQueue<>(Comparator.comparingLong(state -> state.key.createdMillis()));
     private long next;
+    private long answerBytes;
     private long untrackedMillis = Long.MIN_VALUE;
 
     /**
@@ -41,10 +43,12 @@
      *
      * @param lifetimeMillis key lifetime in milliseconds
      * @param maxKeys keys held at most; a claim beyond is never won rather than another key forgotten early
+     * @param maxAnswerBytes total of the answers held; an outcome beyond is held without its answer
      */
-    public ClaimLedger(long lifetimeMillis, int maxKeys) {
+    public ClaimLedger(long lifetimeMillis, int maxKeys, long maxAnswerBytes) {
         this.lifetimeMillis = lifetimeMillis;
         this.maxKeys = maxKeys;
+        this.maxAnswerBytes = maxAnswerBytes;
     }
 
     /**
@@ -96,7 +100,7 @@
         }
         return find(decoded.get().key())
                 .filter(state -> state.heldBy(decoded.get().attemptId()) && state.outcome.isEmpty())
-                .map(state -> state.end(decoded.get()))
+                .map(state -> end(state, decoded.get()))
                 .orElse(IGNORED);
     }
 
@@ -157,6 +161,7 @@
     public void forget(long nowMillis) {
         while (!oldest.isEmpty() && expired(oldest.peek().key, nowMillis - MARGIN_MILLIS)) {
             final KeyState state = oldest.poll();
+            answerBytes -= state.outcome.map(outcome -> outcome.answer().length).orElse(0);
             final Name name = Name.of(state.key);
             final List<KeyState> states = names.get(name);
             states.remove(state);
@@ -188,6 +193,15 @@
         return other.<Fold>map(standing -> new Fold.Behind(claim, standing)).orElse(new Fold.Won(claim));
     }
 
+    private Fold end(KeyState state, ClaimRecord record) {
+        if (record instanceof ClaimRecord.Outcome outcome) {
+            final boolean fits = answerBytes + outcome.answer().length <= maxAnswerBytes;
+            answerBytes += fits ? outcome.answer().length : 0;
+            return state.record(fits ? outcome : outcome.withoutAnswer());
+        }
+        return state.release();
+    }
+
     private boolean expired(IdempotencyKey key, long nowMillis) {
         return key.createdMillis() <= nowMillis - lifetimeMillis;
     }
@@ -239,11 +253,12 @@
             offset = at;
         }
 
-        Fold end(ClaimRecord record) {
-            if (record instanceof ClaimRecord.Outcome result) {
-                outcome = Optional.of(result);
-                return new Fold.Recorded(standing());
-            }
+        Fold record(ClaimRecord.Outcome result) {
+            outcome = Optional.of(result);
+            return new Fold.Recorded(standing());
+        }
+
+        Fold release() {
             final ClaimRecord.Claim released = live.orElseThrow();
             live = Optional.empty();
             round++;
--- a/src/main/java/org/masticpaddle/claim/ClaimPartition.java
+++ b/src/main/java/org/masticpaddle/claim/ClaimPartition.java
@@ -29,7 +29,7 @@
     ClaimPartition(ClaimSettings settings, Supplier<String> attemptIds) {
         this.settings = settings;
         this.attemptIds = attemptIds;
-        this.ledger = new ClaimLedger(settings.lifetimeMillis(), settings.maxKeys());
+        this.ledger = new ClaimLedger(settings.lifetimeMillis(), settings.maxKeys(), settings.maxAnswerBytes());
         this.reader = new PartitionReader(settings, ledger);
         this.writer = new PartitionWriter(settings);
     }
@@ -221,6 +221,9 @@
      * on the log when the request was given up.
      */
     private void finishWithdrawn(long nowMillis) {
+        if (!withdrawing) {
+            return;
+        }
         withdrawing = false;
         for (final Map.Entry<String, Waiting> entry : List.copyOf(waiting.entrySet())) {
             final Waiting wait = entry.getValue();
--- a/src/main/java/org/masticpaddle/claim/ClaimRecord.java
+++ b/src/main/java/org/masticpaddle/claim/ClaimRecord.java
@@ -119,8 +119,17 @@
          * @return the outcome
          */
         public static Outcome of(Claim claim, int status, byte[] answer) {
-            final boolean complete = answer.length <= MAX_ANSWER_BYTES;
-            return new Outcome(claim.key(), claim.attemptId(), status, complete, complete ? answer : new byte[0]);
+            final Outcome whole = new Outcome(claim.key(), claim.attemptId(), status, true, answer);
+            return answer.length <= MAX_ANSWER_BYTES ? whole : whole.withoutAnswer();
+        }
+
+        /**
+         * Returns this outcome with its status alone.
+         *
+         * @return outcome that is not complete
+         */
+        public Outcome withoutAnswer() {
+            return new Outcome(key, attemptId, status, false, new byte[0]);
         }
     }
 }
--- a/src/main/java/org/masticpaddle/claim/ClaimService.java
+++ b/src/main/java/org/masticpaddle/claim/ClaimService.java
@@ -1,8 +1,10 @@
 package org.masticpaddle.claim;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLongArray;
@@ -38,6 +40,7 @@
     private final List<ClaimPartition> partitions;
     private final AtomicLongArray tails;
     private final Duty<Runnable> duty;
+    private final Set<String> failing = new HashSet<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile boolean accepting;
     private boolean stopping;
@@ -177,14 +180,18 @@
         }
     }
 
-    /** Starts the calls of the log that a partition needs. Runs on the thread of the service. */
+    /**
+     * Starts the calls of the log that a partition needs. A result that finds the ring full is dropped; the partition
+     * repeats the call after its time limit.
+     */
     private void advance(int index) {
         final ClaimPartition partition = partitions.get(index);
         final String stream = "claims-" + index;
         partition
                 .nextAppend(now())
                 .ifPresent(append -> guard(() -> log.append(stream, append.records()))
-                        .whenComplete((offset, error) -> report(stream, error, () -> {
+                        .whenComplete((offset, error) -> duty.offer(() -> {
+                            watch("append", index, error);
                             partition.appendDone(append.sequence(), error == null, now());
                             advance(index);
                         })));
@@ -192,7 +199,8 @@
                 .nextRead(now())
                 .ifPresent(read -> guard(
                                 () -> log.read(stream, read.from(), read.limit(), Duration.ofMillis(read.waitMillis())))
-                        .whenComplete((page, error) -> report(stream, error, () -> {
+                        .whenComplete((page, error) -> duty.offer(() -> {
+                            watch("read", index, error);
                             if (error == null) {
                                 partition.readDone(read.sequence(), page, now());
                                 tails.set(index, partition.tailMillis());
@@ -203,12 +211,14 @@
                         })));
     }
 
-    /** A result that finds the ring full is dropped; the partition then repeats the call after its time limit. */
-    private void report(String stream, Throwable error, Runnable action) {
-        if (error != null) {
-            LOGGER.debug("call of log stream {} failed: {}", stream, error.getMessage());
+    /** Logs the first failure of a kind of call and its end, not each call in between. */
+    private void watch(String call, int index, Throwable error) {
+        final String name = call + " of log stream claims-" + index;
+        if (error != null && failing.add(name)) {
+            LOGGER.warn("{} fails, claims wait: {}", name, error.getMessage());
+        } else if (error == null && failing.remove(name)) {
+            LOGGER.info("{} works again", name);
         }
-        duty.offer(action);
     }
 
     private static <T> CompletableFuture<T> guard(Supplier<CompletableFuture<T>> call) {
--- a/src/main/java/org/masticpaddle/claim/PartitionReader.java
+++ b/src/main/java/org/masticpaddle/claim/PartitionReader.java
@@ -18,7 +18,7 @@
     private boolean started;
     private long sequence;
     private boolean reading;
-    private boolean lagging = true;
+    private boolean lagging;
     private long startedMillis;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long tailSequence;
@@ -43,6 +43,7 @@
         }
         if (!started) {
             started = true;
+            lagging = true;
             search =
                     Optional.of(new StartSearch(nowMillis - settings.lifetimeMillis() - 2 * ClaimLedger.MARGIN_MILLIS));
         }
