Let cancelled streams wait for their resumption

Change: a request may be marked as begun; it is not refused for its wait, and a later refusal says that it ran. The queue tells how long the oldest request of a rank has waited. A bench scenario with background streams of ten times the size.

--- a/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
@@ -50,7 +50,8 @@
     }
 
     /**
-     * Asks for a place.
+     * Asks for a place. A request that has begun is refused only if the queue is full of work of more value or its
+     * deadline has passed.
      *
      * @param request the request; its id is neither waiting nor running
      * @param now time in nanoseconds
@@ -153,6 +154,18 @@
         return find(pool).map(queue -> queue.size(rank)).orElse(0);
     }
 
+    /**
+     * Tells how long the oldest waiting request of a rank has waited.
+     *
+     * @param pool the pool
+     * @param rank the rank
+     * @param now time in nanoseconds
+     * @return time since its arrival in nanoseconds, 0 if none waits
+     */
+    public long oldestWaitNanos(String pool, Rank rank, long now) {
+        return find(pool).map(queue -> queue.oldestWait(rank, now)).orElse(0L);
+    }
+
     /**
      * Counts dispatched requests that are not settled.
      *
--- a/src/main/java/org/masticpaddle/admission/Flow.java
+++ b/src/main/java/org/masticpaddle/admission/Flow.java
@@ -66,6 +66,13 @@
                 .orElseThrow(() -> new IllegalStateException("flow is empty"));
     }
 
+    long oldestArrival() {
+        return byVersion.values().stream()
+                .mapToLong(lane -> lane.first().arrived())
+                .min()
+                .orElseThrow(() -> new IllegalStateException("flow is empty"));
+    }
+
     void dispatch(WaitingRequest request) {
         remove(request);
         start += request.tokens() / weight;
--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -61,7 +61,8 @@
             return refused(request, RefusalReason.DEADLINE_PASSED, wait);
         }
         final long allowed = (long) (left * share(request, now));
-        if (wait > allowed) {
+        // A stream that has begun was admitted before; refusing it now would waste what it has produced.
+        if (wait > allowed && !request.begun()) {
             return refused(request, RefusalReason.WAIT_EXCEEDS_DEADLINE, wait - allowed);
         }
         Optional<Refusal> displaced = Optional.empty();
@@ -156,6 +157,10 @@
         return WaitEstimate.nanos(request, ranks, floors, rate.perSecond(), perSecond);
     }
 
+    long oldestWait(Rank rank, long now) {
+        return ranks.get(rank).oldestArrival().map(arrived -> now - arrived).orElse(0L);
+    }
+
     int size() {
         return waiting.size();
     }
--- a/src/main/java/org/masticpaddle/admission/Preemption.java
+++ b/src/main/java/org/masticpaddle/admission/Preemption.java
@@ -40,7 +40,7 @@
      *
      * @param running all streams in flight from this entry to the pool
      * @param urgentWaiting urgent requests that wait
-     * @param urgentWaitNanos expected wait of the next urgent request, in nanoseconds
+     * @param urgentWaitNanos time that the oldest urgent request has waited, in nanoseconds
      * @param free places that are free for urgent work now
      * @param limit bound on requests in flight
      * @return streams to cancel, at most one for each urgent request without a place; background keeps its floor of the
--- a/src/main/java/org/masticpaddle/admission/RankQueue.java
+++ b/src/main/java/org/masticpaddle/admission/RankQueue.java
@@ -128,6 +128,13 @@
         return flow.start() + flow.queuedTokens() / flow.weight();
     }
 
+    Optional<Long> oldestArrival() {
+        return flows.values().stream()
+                .filter(flow -> flow.size() > 0)
+                .map(Flow::oldestArrival)
+                .min(Long::compare);
+    }
+
     int size() {
         return size;
     }
--- a/src/main/java/org/masticpaddle/admission/Refusal.java
+++ b/src/main/java/org/masticpaddle/admission/Refusal.java
@@ -5,7 +5,7 @@
 import org.masticpaddle.wire.RunState;
 
 /**
- * Refusal of a request that was never dispatched. Immutable and thread-safe.
+ * Refusal of a request that waits or asks for a place. Immutable and thread-safe.
  *
  * @param request the request
  * @param reason why
@@ -21,10 +21,11 @@
     /**
      * Returns whether this call ran; an earlier call with the same key is the caller's to consider.
      *
-     * @return always {@link RunState#NOT_RUN}, because only undispatched requests are refused
+     * @return {@link RunState#RAN} if it was cancelled for more urgent work after it had begun, else
+     *     {@link RunState#NOT_RUN}
      */
     public RunState run() {
-        return RunState.NOT_RUN;
+        return request.begun() ? RunState.RAN : RunState.NOT_RUN;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/admission/WaitingRequest.java
+++ b/src/main/java/org/masticpaddle/admission/WaitingRequest.java
@@ -17,6 +17,7 @@
  * @param arrived arrival, in nanoseconds
  * @param deadline time after which the answer is worthless, in nanoseconds
  * @param runNanos expected time from dispatch to the useful answer, or 0 if unknown
+ * @param begun whether a part of it ran before it was cancelled for more urgent work
  */
 public record WaitingRequest(
         long id,
@@ -28,7 +29,8 @@
         long tokens,
         long arrived,
         long deadline,
-        long runNanos) {
+        long runNanos,
+        boolean begun) {
     /** Checks the arguments. */
     public WaitingRequest {
         Objects.requireNonNull(organisation, "organisation is null");
@@ -46,6 +48,18 @@
         }
     }
 
+    /**
+     * Makes the request of a stream that was cancelled and is to be resumed.
+     *
+     * @param tokensLeft expected tokens that are left, at least 1
+     * @param runNanosLeft expected time to run that is left
+     * @return request with the same id, arrival and deadline, marked as begun
+     */
+    public WaitingRequest resumed(long tokensLeft, long runNanosLeft) {
+        return new WaitingRequest(
+                id, organisation, weight, rank, pool, version, tokensLeft, arrived, deadline, runNanosLeft, true);
+    }
+
     /**
      * Returns the last moment at which a dispatch can still be useful.
      *
--- a/src/main/java/org/masticpaddle/bench/AdmissionScenario.java
+++ b/src/main/java/org/masticpaddle/bench/AdmissionScenario.java
@@ -62,6 +62,15 @@
                     / run.apply(List.of(small())).answeredShare("small");
         }
     },
+    /** Urgent work at 0.3 of capacity beside background streams of ten times the size, at twice the capacity. */
+    LONG_STREAMS("long-streams", "urgent p99 against unloaded", 1.2, true) {
+        @Override
+        double measure(Function<List<LoadSource>, AdmissionOutcome> run) {
+            final LoadSource streams = new LoadSource("background", Rank.BACKGROUND, organisations(10), 2, 10, 0, END);
+            return run.apply(List.of(urgent(0.3), streams)).p99("urgent")
+                    / run.apply(List.of(urgent(0.3))).p99("urgent");
+        }
+    },
     /** Urgent work at 20 times capacity beside background work at capacity. */
     FLOOR("urgent-overload", "background share of served tokens against its floor", 0.9, false) {
         @Override
@@ -122,25 +131,25 @@
 
     private static List<LoadSource> mixed(String prefix, double load, double from, double to) {
         return List.of(
-                new LoadSource(prefix + "urgent", Rank.URGENT, organisations(10), 0.2 * load, from, to),
-                new LoadSource(prefix + "standard", Rank.STANDARD, organisations(10), 0.5 * load, from, to),
-                new LoadSource(prefix + "background", Rank.BACKGROUND, organisations(10), 0.3 * load, from, to));
+                new LoadSource(prefix + "urgent", Rank.URGENT, organisations(10), 0.2 * load, 1, from, to),
+                new LoadSource(prefix + "standard", Rank.STANDARD, organisations(10), 0.5 * load, 1, from, to),
+                new LoadSource(prefix + "background", Rank.BACKGROUND, organisations(10), 0.3 * load, 1, from, to));
     }
 
     private static LoadSource urgent(double load) {
-        return new LoadSource("urgent", Rank.URGENT, organisations(10), load, 0, END);
+        return new LoadSource("urgent", Rank.URGENT, organisations(10), load, 1, 0, END);
     }
 
     private static LoadSource background(double load) {
-        return new LoadSource("background", Rank.BACKGROUND, organisations(10), load, 0, END);
+        return new LoadSource("background", Rank.BACKGROUND, organisations(10), load, 1, 0, END);
     }
 
     private static LoadSource small() {
-        return new LoadSource("small", Rank.STANDARD, organisations(9), 0.4, 0, END);
+        return new LoadSource("small", Rank.STANDARD, organisations(9), 0.4, 1, 0, END);
     }
 
     private static LoadSource large() {
-        return new LoadSource("large", Rank.STANDARD, List.of("large"), 20, 0, END);
+        return new LoadSource("large", Rank.STANDARD, List.of("large"), 20, 1, 0, END);
     }
 
     private static List<String> organisations(int count) {
--- a/src/main/java/org/masticpaddle/bench/LoadSource.java
+++ b/src/main/java/org/masticpaddle/bench/LoadSource.java
@@ -13,11 +13,18 @@
  * @param rank rank of its requests
  * @param organisations organisations, each of weight 1
  * @param load offered load as a multiple of the capacity of the pool
+ * @param size mean size of a request, as a multiple of the mean of the deployment
  * @param fromSeconds start
  * @param toSeconds end
  */
 record LoadSource(
-        String name, Rank rank, List<String> organisations, double load, double fromSeconds, double toSeconds) {
+        String name,
+        Rank rank,
+        List<String> organisations,
+        double load,
+        double size,
+        double fromSeconds,
+        double toSeconds) {
     static final String POOL = "pool";
     static final String VERSION = "model/1";
 
@@ -29,31 +36,32 @@
 
     void generate(
             AdmissionDeployment deployment, UniformRandomProvider random, long firstId, List<SimulatedRequest> sink) {
-        final double perSecond = load * deployment.capacity();
+        final double perSecond = load * deployment.capacity() / size;
         long id = firstId;
         double at = fromSeconds + exponential(random) / perSecond;
         while (at < toSeconds) {
             final String organisation = organisations.get(random.nextInt(organisations.size()));
-            final long tokens = Math.max(1, Math.round(deployment.meanTokens() * size(random)));
+            final long tokens = Math.max(1, Math.round(size * deployment.meanTokens() * variate(random)));
             final long arrived = (long) (at * 1e9);
-            final long expected = Math.round(deployment.meanTokens());
+            final long expected = Math.round(size * deployment.meanTokens());
             final long run = (long) (RUN_QUANTILE * expected * deployment.nanosPerToken());
             final WaitingRequest request = new WaitingRequest(
-                    id++, organisation, 1, rank, POOL, VERSION, expected, arrived, arrived + patience(), run);
+                    id++, organisation, 1, rank, POOL, VERSION, expected, arrived, arrived + patience(), run, false);
             sink.add(new SimulatedRequest(name, request, tokens, (long) (tokens * deployment.nanosPerToken())));
             at += exponential(random) / perSecond;
         }
     }
 
     private long patience() {
-        return switch (rank) {
-            case URGENT -> 10_000_000_000L;
-            case STANDARD -> 15_000_000_000L;
-            case BACKGROUND -> 30_000_000_000L;
-        };
+        return (long) Math.max(1, size / 2)
+                * switch (rank) {
+                    case URGENT -> 10_000_000_000L;
+                    case STANDARD -> 15_000_000_000L;
+                    case BACKGROUND -> 30_000_000_000L;
+                };
     }
 
-    private static double size(UniformRandomProvider random) {
+    private static double variate(UniformRandomProvider random) {
         double sum = 0;
         for (int stage = 0; stage < STAGES; stage++) {
             sum += exponential(random);
--- a/src/test/java/org/masticpaddle/admission/AdmissionQueuePropertyTest.java
+++ b/src/test/java/org/masticpaddle/admission/AdmissionQueuePropertyTest.java
@@ -93,7 +93,8 @@
                 1 + random.nextInt(300),
                 now,
                 now + random.nextLong(3_000_000_000L),
-                random.nextInt(500_000_000));
+                random.nextInt(500_000_000),
+                random.nextInt(5) == 0);
     }
 
     /** Also guards against starvation: between organisations with work, service differs by a bounded amount. */
--- a/src/test/java/org/masticpaddle/admission/AdmissionQueueTest.java
+++ b/src/test/java/org/masticpaddle/admission/AdmissionQueueTest.java
@@ -185,17 +185,29 @@
         // 50 requests of 100 tokens at 1000 tokens a second are 5 s of work.
         final long now = SECOND;
         final Refusal refusal = ((Offer.Refused) queue.offer(
-                        new WaitingRequest(99, "large", 1, Rank.STANDARD, "pool", "m/1", 100, now, now + 3 * SECOND, 0),
+                        new WaitingRequest(
+                                99, "large", 1, Rank.STANDARD, "pool", "m/1", 100, now, now + 3 * SECOND, 0, false),
                         now))
                 .refusal();
         assertThat(refusal.reason()).isEqualTo(RefusalReason.WAIT_EXCEEDS_DEADLINE);
         assertThat(refusal.retryAfterSeconds()).isAtLeast(2);
         assertThat(refusal.retryAfterSeconds()).isAtMost(6);
         final WaitingRequest other =
-                new WaitingRequest(100, "small", 1, Rank.STANDARD, "pool", "m/1", 100, now, now + 3 * SECOND, 0);
+                new WaitingRequest(100, "small", 1, Rank.STANDARD, "pool", "m/1", 100, now, now + 3 * SECOND, 0, false);
         assertThat(queue.offer(other, now)).isInstanceOf(Offer.Queued.class);
     }
 
+    /** Guards against "not run" for a stream that was cancelled midway, and against refusing it for its wait. */
+    @Test
+    void shouldTellThatACancelledStreamHasBegun() {
+        queue.offer(Requests.of(1, "a", Rank.BACKGROUND, 100), 0);
+        final WaitingRequest served = queue.next(1, ALWAYS).orElseThrow();
+        queue.settle("pool", 1, 40, 1);
+        assertThat(queue.offer(served.resumed(60, 0), 1)).isInstanceOf(Offer.Queued.class);
+        final Refusal expired = queue.expire(2_000 * SECOND).get(0);
+        assertThat(expired.run()).isEqualTo(RunState.RAN);
+    }
+
     /** Guards against a refund or a charge that is applied twice. */
     @Test
     void shouldSettleOnce() {
--- a/src/test/java/org/masticpaddle/admission/Requests.java
+++ b/src/test/java/org/masticpaddle/admission/Requests.java
@@ -13,16 +13,16 @@
     private Requests() {}
 
     static WaitingRequest of(long id, String organisation, Rank rank, long tokens) {
-        return new WaitingRequest(id, organisation, 1, rank, "pool", "m/1", tokens, id, 1_000 * SECOND, 0);
+        return new WaitingRequest(id, organisation, 1, rank, "pool", "m/1", tokens, id, 1_000 * SECOND, 0, false);
     }
 
     static WaitingRequest weighted(long id, String organisation, double weight, long tokens) {
         return new WaitingRequest(
-                id, organisation, weight, Rank.STANDARD, "pool", "m/1", tokens, id, 1_000 * SECOND, 0);
+                id, organisation, weight, Rank.STANDARD, "pool", "m/1", tokens, id, 1_000 * SECOND, 0, false);
     }
 
     static WaitingRequest at(long id, long arrived, long deadline, String pool, String version) {
-        return new WaitingRequest(id, "a", 1, Rank.STANDARD, pool, version, 10, arrived, deadline, 0);
+        return new WaitingRequest(id, "a", 1, Rank.STANDARD, pool, version, 10, arrived, deadline, 0, false);
     }
 
     static AdmissionQueue queue(int bound, double standardFloor, double backgroundFloor) {
