--- /dev/null
+++ b/src/main/java/org/masticpaddle/bench/FakeUpstream.java
@@ -0,0 +1,115 @@
+package org.masticpaddle.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.masticpaddle.document.VersionName;
+import org.masticpaddle.platform.EngineControl.CacheEvent;
+import org.masticpaddle.wire.LoadReport;
+
+/** A fake upstream: fixed slots, a queue, and a prefix cache that evicts the block used least recently. */
+final class FakeUpstream {
+    private final String id;
+    private final VersionName version;
+    private final int slots;
+    private final Deque<Job> queue = new ArrayDeque<>();
+    private final LinkedHashMap<Long, Boolean> cache;
+    private final List<CacheEvent> journal = new ArrayList<>();
+    private final List<Long> journalTimes = new ArrayList<>();
+    private int running;
+    private double meanService = 1_000;
+    private long now;
+
+    FakeUpstream(String id, VersionName version, int slots, int cacheBlocks) {
+        this.id = id;
+        this.version = version;
+        this.slots = slots;
+        cache = new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+                if (size() <= cacheBlocks) {
+                    return false;
+                }
+                journal(eldest.getKey(), false);
+                return true;
+            }
+        };
+    }
+
+    String id() {
+        return id;
+    }
+
+    /** Accepts a job; returns whether it starts at once. */
+    boolean accept(Job job) {
+        if (running == slots) {
+            queue.add(job);
+            return false;
+        }
+        return true;
+    }
+
+    /** Starts a job and returns its service time in milliseconds. */
+    double start(Job job, long at) {
+        now = at;
+        running++;
+        int hits = 0;
+        while (hits < job.prefixes.length && cache.get(job.prefixes[hits]) != null) {
+            hits++;
+        }
+        for (final long prefix : job.prefixes) {
+            if (cache.put(prefix, true) == null) {
+                journal(prefix, true);
+            }
+        }
+        job.hits = hits;
+        final double part = job.prefixes.length == 0 ? 0 : hits / (double) job.prefixes.length;
+        final double service = job.prefillMillis * (1 - part) + job.decodeMillis;
+        meanService += 0.05 * (service - meanService);
+        return service;
+    }
+
+    /** Ends a job and returns the next one to start, or an empty list. */
+    List<Job> end() {
+        running--;
+        return queue.isEmpty() ? List.of() : List.of(queue.poll());
+    }
+
+    LoadReport report() {
+        return new LoadReport(1, false, true, running, queue.size(), slots, List.of(version.toString()), meanService);
+    }
+
+    /** Events after a number that are older than a time. */
+    List<CacheEvent> events(long after, long until) {
+        final List<CacheEvent> events = new ArrayList<>();
+        for (int index = (int) after + 1; index < journal.size() && journalTimes.get(index) <= until; index++) {
+            events.add(journal.get(index));
+        }
+        return events;
+    }
+
+    private void journal(long prefix, boolean stored) {
+        journal.add(new CacheEvent(journal.size(), version.toString(), prefix, stored));
+        journalTimes.add(now);
+    }
+
+    /** One request at an upstream. */
+    static final class Job {
+        final long[] prefixes;
+        final double prefillMillis;
+        final double decodeMillis;
+        final long arrived;
+        int hits;
+
+        Job(long[] prefixes, double prefillMillis, double decodeMillis, long arrived) {
+            this.prefixes = prefixes;
+            this.prefillMillis = prefillMillis;
+            this.decodeMillis = decodeMillis;
+            this.arrived = arrived;
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/routing/PrefixIndex.java
+++ b/src/main/java/org/masticpaddle/routing/PrefixIndex.java
@@ -55,7 +55,7 @@
                 feed.onGap(event.sequence() - feed.last - 1);
             }
             feed.last = event.sequence();
-            final Long key = key(VersionName.parse(event.version()), event.prefixHash());
+            final Long key = key(VersionName.parse(event.version()).hashCode(), event.prefixHash());
             if (event.stored()) {
                 store(key, feed, 1, now);
             } else {
@@ -85,8 +85,9 @@
      */
     public void onDispatch(String upstream, VersionName version, long[] prefixes, long now) {
         final Feed feed = feeds.computeIfAbsent(upstream, Feed::new);
+        final long versionHash = version.hashCode();
         for (final long prefix : prefixes) {
-            store(key(version, prefix), feed, UNCONFIRMED, now);
+            store(key(versionHash, prefix), feed, UNCONFIRMED, now);
         }
     }
 
@@ -107,8 +108,9 @@
      * @return identifiers, at most four
      */
     public List<String> holders(VersionName version, long[] prefixes) {
+        final long versionHash = version.hashCode();
         for (int index = prefixes.length - 1; index >= 0; index--) {
-            final List<Holder> holders = blocks.get(key(version, prefixes[index]));
+            final List<Holder> holders = blocks.get(key(versionHash, prefixes[index]));
             if (holders != null && !holders.isEmpty()) {
                 final List<String> ids = new ArrayList<>(holders.size());
                 for (final Holder holder : holders) {
@@ -135,10 +137,11 @@
      */
     public double expectedHit(String upstream, VersionName version, long[] prefixes, long now) {
         final Feed feed = feeds.get(upstream);
+        final long versionHash = version.hashCode();
         double sum = 0;
         double confidence = 1;
         for (int index = 0; feed != null && index < prefixes.length; index++) {
-            final List<Holder> holders = blocks.get(key(version, prefixes[index]));
+            final List<Holder> holders = blocks.get(key(versionHash, prefixes[index]));
             confidence = Math.min(confidence, holders == null ? 0 : confidence(holders, feed, now));
             if (confidence == 0) {
                 break;
@@ -176,8 +179,8 @@
         feed.stored = Math.max(0, feed.stored - 1);
     }
 
-    private static Long key(VersionName version, long prefix) {
-        return prefix * 0x9E3779B97F4A7C15L + version.hashCode();
+    private static Long key(long versionHash, long prefix) {
+        return prefix * 0x9E3779B97F4A7C15L + versionHash;
     }
 
     private static <K, V> LinkedHashMap<K, V> bounded(int max) {
