--- a/src/main/java/org/masticpaddle/standin/EngineBatch.java
+++ b/src/main/java/org/masticpaddle/standin/EngineBatch.java
@@ -22,7 +22,8 @@
     private static final double NANOS_PER_MILLI = 1e6;
     // A timer below 1 ms costs more processor time than the tokens themselves.
     private static final long MIN_TICK_NANOS = 1_000_000;
-    private static final int MAX_KEPT_RUNS = 4096;
+    // A streamed answer takes about 10 KB.
+    private static final int MAX_KEPT_RUNS = 512;
     private static final int MAX_EVENTS = 1000;
 
     private final EngineSettings settings;
@@ -55,7 +56,8 @@
         runs.put(run.request().id(), run);
         final Iterator<EngineRun> oldest = runs.values().iterator();
         while (runs.size() > MAX_KEPT_RUNS && oldest.hasNext()) {
-            if (oldest.next().state() == EngineRun.State.DONE) {
+            final EngineRun.State state = oldest.next().state();
+            if (state == EngineRun.State.DONE || state == EngineRun.State.CANCELLED) {
                 oldest.remove();
             }
         }
@@ -145,10 +147,9 @@
         final double interval = (settings.tokenMillis() + settings.tokenMillisPerRunning() * (running.size() - 1))
                 * settings.timeScale()
                 * NANOS_PER_MILLI;
-        long next = Long.MAX_VALUE;
         for (final Iterator<EngineRun> iterator = running.iterator(); iterator.hasNext(); ) {
             final EngineRun run = iterator.next();
-            next = Math.min(next, run.advance(lastTickNanos, now, interval));
+            run.advance(lastTickNanos, now, interval);
             if (run.state() == EngineRun.State.DONE) {
                 iterator.remove();
                 journal.update(run.request().id(), entry -> entry.ended(run.emitted(), false, false));
@@ -158,7 +159,7 @@
         fillSlots();
         ticking = !running.isEmpty();
         if (ticking) {
-            server.schedule(this::tick, Math.max(MIN_TICK_NANOS, next));
+            server.schedule(this::tick, Math.max(MIN_TICK_NANOS, (long) interval));
         }
     }
 }
--- a/src/main/java/org/masticpaddle/standin/EngineRun.java
+++ b/src/main/java/org/masticpaddle/standin/EngineRun.java
@@ -44,11 +44,11 @@
         credit = 1;
     }
 
-    /** Emits the tokens that are due and returns the nanoseconds until the next one. */
-    long advance(long lastNanos, long nowNanos, double intervalNanos) {
+    /** Emits the tokens that are due. */
+    void advance(long lastNanos, long nowNanos, double intervalNanos) {
         final double interval = intervalNanos * slowness;
         if (nowNanos < readyNanos) {
-            return readyNanos - nowNanos;
+            return;
         }
         credit += Math.max(0, nowNanos - Math.max(lastNanos, readyNanos)) / interval;
         final int due = (int) Math.min(credit, words.length - emitted);
@@ -57,7 +57,6 @@
             emit(due);
             buffer.wake();
         }
-        return (long) ((1 - credit) * interval);
     }
 
     void emit(int count) {
@@ -104,7 +103,7 @@
     }
 
     private Completion whole() {
-        final Map<String, String> message = Map.of("role", "assistant", "content", String.join("", words));
+        final Message message = new Message("assistant", String.join("", words));
         final Choice choice = new Choice(0, null, message, finishReason());
         return new Completion(shownId, "chat.completion", request.version(), List.of(choice), usage());
     }
@@ -174,7 +173,9 @@
 
     record Completion(String id, String object, String model, List<Choice> choices, Usage usage) {}
 
-    record Choice(int index, Map<String, String> delta, Map<String, String> message, String finish_reason) {}
+    record Choice(int index, Map<String, String> delta, Message message, String finish_reason) {}
+
+    record Message(String role, String content) {}
 
     record Usage(
             int prompt_tokens, int completion_tokens, int total_tokens, Map<String, Integer> prompt_tokens_details) {}
--- a/src/main/java/org/masticpaddle/standin/ProxyStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/ProxyStandIn.java
@@ -2,7 +2,6 @@
 
 import java.net.URI;
 import java.util.Map;
-import java.util.Objects;
 
 import io.undertow.server.HttpServerExchange;
 import org.masticpaddle.wire.Json;
@@ -69,7 +68,10 @@
             return;
         }
         final Command command = Json.decode(body, Command.class);
-        Objects.requireNonNull(command.action(), "action is null").apply(proxy, command);
+        if (command.action() == null) {
+            throw new IllegalArgumentException("action is missing");
+        }
+        command.action().apply(proxy, command);
         server.answer(exchange, 200, Map.of("accepted", proxy.accepted()));
     }
 
