Apply the document's floors to the admission queue

Cause: the queue took the floors of the ranks once, at the start of the entry, when no document is in effect; lower ranks then had no floor at all.

--- a/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
@@ -39,14 +39,27 @@
         if (bound < 1) {
             throw new IllegalArgumentException("bound is below 1: " + bound);
         }
-        final Map<Rank, Double> floors = new EnumMap<>(Rank.class);
-        policies.forEach((rank, policy) -> floors.put(rank, policy.floor()));
+        final AdmissionQueue queue = new AdmissionQueue(bound, new EnumMap<>(Rank.class));
+        queue.policies(policies);
+        return queue;
+    }
+
+    /**
+     * Takes over the floors of a new routing document; requests that wait keep their places.
+     *
+     * @param policies policies by rank; a missing rank has no floor
+     * @throws IllegalArgumentException if the floors are not between 0 and 1 in sum
+     */
+    public void policies(Map<Rank, RankPolicy> policies) {
+        final Map<Rank, Double> next = new EnumMap<>(Rank.class);
+        policies.forEach((rank, policy) -> next.put(rank, policy.floor()));
         final double sum =
-                floors.values().stream().mapToDouble(Double::doubleValue).sum();
-        if (!(sum <= 1) || floors.values().stream().anyMatch(floor -> floor < 0)) {
-            throw new IllegalArgumentException("floors are not between 0 and 1 in sum: " + floors);
+                next.values().stream().mapToDouble(Double::doubleValue).sum();
+        if (!(sum <= 1) || next.values().stream().anyMatch(floor -> floor < 0)) {
+            throw new IllegalArgumentException("floors are not between 0 and 1 in sum: " + next);
         }
-        return new AdmissionQueue(bound, floors);
+        floors.clear();
+        floors.putAll(next);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/admission/FloorLedger.java
+++ b/src/main/java/org/masticpaddle/admission/FloorLedger.java
@@ -12,18 +12,19 @@
  * dispatchable work, and pays for the tokens it is served. Not thread-safe.
  */
 final class FloorLedger {
-    private final Map<Rank, Double> floors = new EnumMap<>(Rank.class);
+    private final Map<Rank, Double> floors;
     private final Map<Rank, Double> owed = new EnumMap<>(Rank.class);
 
+    /** Keeps the map, so that a change of the routing document takes effect at once. */
     FloorLedger(Map<Rank, Double> floors) {
+        this.floors = floors;
         for (final Rank rank : Rank.values()) {
-            this.floors.put(rank, floors.getOrDefault(rank, 0.0));
             owed.put(rank, 0.0);
         }
     }
 
     double floor(Rank rank) {
-        return floors.get(rank);
+        return floors.getOrDefault(rank, 0.0);
     }
 
     /** Finds the rank with work that is owed most, measured against its floor. */
--- a/src/main/java/org/masticpaddle/bench/AdmissionBench.java
+++ b/src/main/java/org/masticpaddle/bench/AdmissionBench.java
@@ -55,7 +55,7 @@
         return new BenchRow(
                 deployment.label() + " " + scenario.scenario(),
                 scenario.measureName(),
-                scenario.target(),
+                scenario.targetText(),
                 value,
                 values[values.length - 1] - values[0],
                 baselines,
@@ -84,7 +84,7 @@
     private static void print(List<BenchRow> rows, PrintStream out) {
         for (final BenchRow row : rows) {
             out.printf(
-                    "%-32s %-56s target %5.2f value %7.3f spread %6.3f fifo %7.3f strict %7.3f %s%n",
+                    "%-32s %-56s target %s value %7.3f spread %6.3f fifo %7.3f strict %7.3f %s%n",
                     row.scenario(),
                     row.measure(),
                     row.target(),
--- a/src/main/java/org/masticpaddle/bench/AdmissionScenario.java
+++ b/src/main/java/org/masticpaddle/bench/AdmissionScenario.java
@@ -120,6 +120,10 @@
         return target;
     }
 
+    String targetText() {
+        return (upperBound ? "at most " : "at least ") + target;
+    }
+
     boolean met(double value) {
         return upperBound ? value <= target : value >= target;
     }
--- a/src/main/java/org/masticpaddle/bench/BenchRow.java
+++ b/src/main/java/org/masticpaddle/bench/BenchRow.java
@@ -17,7 +17,7 @@
 public record BenchRow(
         String scenario,
         String measure,
-        double target,
+        String target,
         double value,
         double spread,
         Map<String, Double> baselines,
@@ -26,6 +26,7 @@
     public BenchRow {
         Objects.requireNonNull(scenario, "scenario is null");
         Objects.requireNonNull(measure, "measure is null");
+        Objects.requireNonNull(target, "target is null");
         baselines = Map.copyOf(baselines);
     }
 }
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -77,7 +77,9 @@
     private final VersionKnowledge knowledge;
     private final ConfigurationService configuration;
     private volatile boolean draining;
+    private final AdmissionControl admission;
     private long nextStepNanos;
+    private long revision;
 
     /**
      * Wires an entry.
@@ -131,7 +133,7 @@
                 new SidecarSessionDirectory(client, () -> engines(membership.snapshot())),
                 loop,
                 clock::millis);
-        final AdmissionControl admission = new AdmissionControl(
+        admission = new AdmissionControl(
                 AdmissionQueue.of(settings.number(Setting.QUEUE), RoutingDocument.EMPTY.ranks()),
                 LimitBook.of(source, settings.text(Setting.FAILURE_DOMAIN)),
                 RetryBudget.create());
@@ -232,7 +234,15 @@
         final long now = System.nanoTime();
         if (now >= nextStepNanos) {
             nextStepNanos = now + STEP_NANOS;
-            configuration.effective().ifPresent(current -> knowledge.step(current.document(), upstreams));
+            configuration.effective().ifPresent(this::step);
+        }
+    }
+
+    private void step(EffectiveConfiguration current) {
+        knowledge.step(current.document(), upstreams);
+        if (current.revision() != revision) {
+            revision = current.revision();
+            admission.queue().policies(current.document().ranks());
         }
     }
 
@@ -264,6 +274,7 @@
                 settings.number(Setting.CLAIM_PARTITIONS),
                 settings.seconds(Setting.KEY_LIFETIME_SECONDS).toMillis(),
                 standard.maxKeys(),
+                standard.maxAnswerBytes(),
                 standard.maxWaiting(),
                 standard.batchMillis(),
                 standard.maxBatch(),
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -253,7 +253,8 @@
                 Math.max(1, request.target().estimatedTokens()),
                 request.arrivedNanos(),
                 request.deadlineNanos(),
-                expectedRunNanos(run));
+                expectedRunNanos(run),
+                false);
         final Offer offer = admission.queue().offer(place, now);
         if (offer instanceof Offer.Refused refused) {
             fail(run, translate(refused.refusal()));
@@ -299,7 +300,7 @@
         giveBackPlace(run, tokens);
         if (run.limited()) {
             final long expected = run.request().target().estimatedTokens();
-            admission.limits().finish(run.request().organisation().name(), tokens - expected, 0);
+            admission.limits().finish(run.request().organisation().name(), tokens - expected, 0, context.nanos());
         }
         completeDrain();
         context.loop().offer(this::pump);
