Make the tests of the stand-ins independent of the machine's speed

Some tests relied on a run or a limit of one second outlasting the test's own steps, which a busy machine can delay. They now wait for conditions, or use runs that only a cancel ends.

--- a/src/test/java/org/masticpaddle/standin/EngineStandInTest.java
+++ b/src/test/java/org/masticpaddle/standin/EngineStandInTest.java
@@ -66,13 +66,13 @@
     @Test
     void shouldResumeACancelledStreamAtTheByte() throws Exception {
         final Chunks chunks = new Chunks();
-        final StreamHandle handle = client.stream(call("r2", 400, true, 1), chunks);
+        final StreamHandle handle = client.stream(call("r2", 3000, true, 1), chunks);
         chunks.awaitBytes(2000);
         assertThat(post("/engine/cancel", Map.of("id", "r2"))).contains("true");
         assertThrows(CompletionException.class, () -> handle.finished().join());
         final String first = chunks.text();
         final String rest = post("/engine/resume", Map.of("id", "r2", "from", first.length()));
-        assertThat(content(first + rest)).isEqualTo(engine.expectedAnswer(VERSION, PROMPT, "r2", 400));
+        assertThat(content(first + rest)).isEqualTo(engine.expectedAnswer(VERSION, PROMPT, "r2", 3000));
         final EngineJournal.Entry entry = engine.journal("r2").orElseThrow();
         assertThat(entry.cancelled()).isTrue();
         assertThat(entry.runs()).isEqualTo(1);
@@ -82,7 +82,7 @@
     @Test
     void shouldGoOnWithAnImportedRun() throws Exception {
         final Chunks chunks = new Chunks();
-        client.stream(call("r3", 400, true, 1), chunks);
+        client.stream(call("r3", 3000, true, 1), chunks);
         chunks.awaitBytes(2000);
         post("/engine/cancel", Map.of("id", "r3"));
         final byte[] exported =
@@ -92,7 +92,7 @@
         assertThat(send("PUT", "/engine/kv/r3", Map.of(), exported).status()).isEqualTo(200);
         final String all = post("/engine/resume", Map.of("id", "r3", "from", 0));
         first.stop();
-        assertThat(content(all)).isEqualTo(engine.expectedAnswer(VERSION, PROMPT, "r3", 400));
+        assertThat(content(all)).isEqualTo(engine.expectedAnswer(VERSION, PROMPT, "r3", 3000));
         assertThat(engine.journal("r3").orElseThrow().runs()).isEqualTo(0);
     }
 
@@ -101,11 +101,13 @@
         engine.stop();
         use(settings().withSlots(1));
         final List<StreamHandle> handles = new ArrayList<>();
-        handles.add(client.stream(call("long", 300, true, 1), new Chunks()));
+        client.stream(call("long", 100_000, true, 1), new Chunks());
         Conditions.await(() -> engine.state().running() == 1);
         handles.add(client.stream(call("background", 2, true, 2), new Chunks()));
         Conditions.await(() -> engine.state().waiting() == 1);
         handles.add(client.stream(call("urgent", 2, true, 0), new Chunks()));
+        Conditions.await(() -> engine.state().waiting() == 2);
+        post("/engine/cancel", Map.of("id", "long"));
         handles.forEach(handle -> handle.finished().join());
         Conditions.await(() -> engine.journal("background").orElseThrow().endMillis() > 0);
         assertThat(engine.journal("urgent").orElseThrow().startMillis())
--- a/src/test/java/org/masticpaddle/standin/FaultProxyTest.java
+++ b/src/test/java/org/masticpaddle/standin/FaultProxyTest.java
@@ -52,7 +52,7 @@
         assertThat(get(LONG).join().status()).isEqualTo(200);
         proxy.silence(FaultProxy.Direction.TO_CLIENT);
         assertThat(delivery(get(SHORT))).isEqualTo(CallException.Delivery.POSSIBLY_SENT);
-        assertThat(service.lookups()).isEqualTo(2);
+        Conditions.await(() -> service.lookups() == 2);
         assertThat(get(LONG).join().status()).isEqualTo(200);
         assertThat(proxy.accepted()).isEqualTo(2);
     }
--- a/src/test/java/org/masticpaddle/standin/LogStandInTest.java
+++ b/src/test/java/org/masticpaddle/standin/LogStandInTest.java
@@ -22,7 +22,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
     private final HttpClient client = new HttpClient(1);
-    private final LogStandIn server = new LogStandIn(50, 5, Duration.ofDays(1));
+    private final LogStandIn server = new LogStandIn(10, 5, Duration.ofDays(1));
     private HttpEventLog log;
 
     @BeforeEach
--- a/src/test/java/org/masticpaddle/standin/ServiceStandInsTest.java
+++ b/src/test/java/org/masticpaddle/standin/ServiceStandInsTest.java
@@ -74,7 +74,7 @@
         final InstanceListStandIn server = run(new InstanceListStandIn());
         final HttpInstanceList list = new HttpInstanceList(client, server.origin(), TIMEOUT);
         server.register(instance("a"));
-        server.omit("a", Duration.ofSeconds(1));
+        server.omit("a", Duration.ofSeconds(2));
         final InstanceChanges gap = list.changes(0).join();
         assertThat(ids(gap)).isEmpty();
         Conditions.await(() -> ids(list.changes(gap.version()).join()).equals(List.of("a")));
@@ -82,7 +82,7 @@
 
     @Test
     void shouldShowChangesLate() {
-        final InstanceListStandIn server = run(new InstanceListStandIn(Duration.ofSeconds(1)));
+        final InstanceListStandIn server = run(new InstanceListStandIn(Duration.ofSeconds(2)));
         final HttpInstanceList list = new HttpInstanceList(client, server.origin(), TIMEOUT);
         server.register(instance("a"));
         assertThat(ids(list.changes(0).join())).isEmpty();
@@ -123,6 +123,21 @@
         assertThat(store.reserve("m/v", "c").join()).isGreaterThan(second);
     }
 
+    @Test
+    void shouldSwitchTheFaultsOfAProxyByHttp() {
+        final ProxyStandIn proxy = run(new ProxyStandIn(URI.create("http://127.0.0.1:9")));
+        final ProxyStandIn.Command refuse =
+                new ProxyStandIn.Command(ProxyStandIn.Action.REFUSE, FaultProxy.Direction.TO_CLIENT, 1);
+        final HttpCall command = HttpCall.post(proxy.control(), "/proxy", refuse, TIMEOUT);
+        assertThat(client.send(command).join().status()).isEqualTo(200);
+        assertThrows(CompletionException.class, () -> book(proxy.origin(), "k"));
+        // A connection that the proxy accepted would fail too, since nothing listens at the target.
+        final byte[] answer = client.send(command).join().body();
+        assertThat(Json.tree(answer).path("accepted").asInt(-1)).isEqualTo(0);
+        final HttpCall bad = HttpCall.post(proxy.control(), "/proxy", Map.of("value", 1), TIMEOUT);
+        assertThat(client.send(bad).join().status()).isEqualTo(400);
+    }
+
     @Test
     void shouldStartTheStandInsOfAFileAndSwitchTheirFaults(@TempDir Path directory) throws Exception {
         final Path file = directory.resolve("standins.ini");
