--- a/src/test/java/org/masticpaddle/document/ConfigurationWorld.java
+++ b/src/test/java/org/masticpaddle/document/ConfigurationWorld.java
@@ -59,7 +59,7 @@
                 log.nowMillis += random.nextInt(6) == 0 ? random.nextInt(40_000) : random.nextInt(2_000);
                 log.trim(RETENTION_MILLIS);
             }
-            case 5 -> log.deliverDelayed();
+            case 5 -> deliverLate();
             case 6, 7, 8 -> open();
             case 9, 10, 11, 12, 13 -> publish();
             case 14, 15, 16 -> readers.get(index).reader.tick();
@@ -67,6 +67,16 @@
         }
     }
 
+    /** Delivers a delayed append, or a snapshot that a reader took some records ago. */
+    private void deliverLate() {
+        if (random.nextBoolean()) {
+            log.deliverDelayed();
+        } else {
+            final int offset = Math.max(0, log.records.size() - random.nextInt(8));
+            log.store(log.truth.get(offset).snapshot().encode());
+        }
+    }
+
     private void toggleOutage() {
         if (random.nextBoolean()) {
             log.out = random.nextInt(3) == 0;
