Keep the queues of the sidecars free of lower ranks

Cause: the bound on requests in flight exceeds the slots by an eighth, and background work in that part stood before urgent work in the sidecars' queues. Change: lower ranks use the bound only up to the slots, except a rank that holds less than its floor of the places.

--- a/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionQueue.java
@@ -176,6 +176,17 @@
         return find(pool).map(PoolQueue::running).orElse(0);
     }
 
+    /**
+     * Counts dispatched requests of a rank that are not settled.
+     *
+     * @param pool the pool
+     * @param rank the rank
+     * @return number of requests
+     */
+    public int running(String pool, Rank rank) {
+        return find(pool).map(queue -> queue.running(rank)).orElse(0);
+    }
+
     private Optional<PoolQueue> find(String pool) {
         return Optional.ofNullable(pools.get(pool));
     }
--- a/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
+++ b/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
@@ -20,6 +20,9 @@
     /** A service time of twice the best one means that the engine is saturated, whatever its slots say. */
     private static final double LATENCY_TOLERANCE = 2;
 
+    /** Places in flight vary around the share of tokens, so a tight bound would cut the floor. */
+    private static final double FLOOR_SLACK = 1.25;
+
     private static final long REPORT_LIFETIME_NANOS = 10_000_000_000L;
     private static final double SMOOTHING = 0.1;
 
@@ -106,11 +109,20 @@
      * Tells whether one more request may be dispatched.
      *
      * @param rank rank of the request
+     * @param floor floor of the rank, between 0 and 1
      * @param inFlight requests in flight now
+     * @param rankInFlight those of the rank
      * @return {@code true} if it may
      */
-    public boolean free(Rank rank, int inFlight) {
-        return inFlight < limit();
+    public boolean free(Rank rank, double floor, int inFlight, int rankInFlight) {
+        if (inFlight >= limit()) {
+            return false;
+        }
+        // The queue at the sidecars is in order of arrival, so lower ranks in it would delay urgent work. Only a rank
+        // below its floor of the places may use it, else urgent work that fills all places would take the floor away.
+        return rank == Rank.URGENT
+                || inFlight < Math.max(least, Math.floor(bound / OCCUPANCY_TARGET))
+                || rankInFlight < floor * limit() * FLOOR_SLACK;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/admission/PoolQueue.java
+++ b/src/main/java/org/masticpaddle/admission/PoolQueue.java
@@ -37,6 +37,7 @@
     private final Map<Rank, DecayingRate> admitted = new EnumMap<>(Rank.class);
     private final Map<Long, WaitingRequest> waiting = new HashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
+    private final Map<Rank, Integer> runningByRank = new EnumMap<>(Rank.class);
     private final TreeSet<WaitingRequest> byLatestStart =
             new TreeSet<>(Comparator.comparingLong(WaitingRequest::latestStart).thenComparingLong(WaitingRequest::id));
     private final List<Refusal> expired = new ArrayList<>();
@@ -106,6 +107,7 @@
 
         waiting.remove(request.id());
         byLatestStart.remove(request);
+        runningByRank.merge(rank, 1, Integer::sum);
         running.put(request.id(), new Running(request, due.isPresent()));
         rate.observe(now, !waiting.isEmpty());
         return Optional.of(request);
@@ -142,6 +144,7 @@
         rate.observe(now, !waiting.isEmpty());
         rate.completed(tokens);
         final Rank rank = done.request().rank();
+        runningByRank.merge(rank, -1, Integer::sum);
         ranks.get(rank).settle(done.request(), tokens);
         floors.corrected(rank, tokens - done.request().tokens(), done.claimed(), ranksWithWork());
         return true;
@@ -173,6 +176,10 @@
         return running.size();
     }
 
+    int running(Rank rank) {
+        return runningByRank.getOrDefault(rank, 0);
+    }
+
     private Set<Rank> ranksWithWork() {
         final Set<Rank> found = EnumSet.noneOf(Rank.class);
         ranks.forEach((rank, queue) -> {
--- a/src/main/java/org/masticpaddle/bench/MasticpaddlePolicy.java
+++ b/src/main/java/org/masticpaddle/bench/MasticpaddlePolicy.java
@@ -15,6 +15,8 @@
     static final double BACKGROUND_FLOOR = 0.1;
     static final double STANDARD_FLOOR = 0.2;
 
+    private static final Map<Rank, Double> FLOORS =
+            Map.of(Rank.URGENT, 0.0, Rank.STANDARD, STANDARD_FLOOR, Rank.BACKGROUND, BACKGROUND_FLOOR);
     private static final int BOUND = 4_096;
 
     private final AdmissionQueue queue = AdmissionQueue.of(
@@ -32,7 +34,9 @@
     @Override
     public Optional<WaitingRequest> next(long now, int inFlight) {
         queue.expire(now);
-        return queue.next(now, (pool, version, rank) -> concurrency.free(rank, inFlight));
+        return queue.next(
+                now,
+                (pool, version, rank) -> concurrency.free(rank, FLOORS.get(rank), inFlight, queue.running(pool, rank)));
     }
 
     @Override
--- a/src/test/java/org/masticpaddle/admission/ConcurrencyBoundTest.java
+++ b/src/test/java/org/masticpaddle/admission/ConcurrencyBoundTest.java
@@ -81,7 +81,18 @@
         final ConcurrencyBound bound = ConcurrencyBound.of(10);
         bound.refused();
         assertThat(bound.limit()).isEqualTo(9);
-        assertThat(bound.free(Rank.URGENT, 8)).isTrue();
-        assertThat(bound.free(Rank.URGENT, 9)).isFalse();
+        assertThat(bound.free(Rank.URGENT, 0, 8, 8)).isTrue();
+        assertThat(bound.free(Rank.URGENT, 0, 9, 9)).isFalse();
+    }
+
+    /** Guards against background work in the queues of the sidecars, and against a floor lost to urgent work. */
+    @Test
+    void shouldKeepTheLastPlacesForUrgentWorkAndFloors() {
+        final ConcurrencyBound bound = ConcurrencyBound.of(90);
+        assertThat(bound.free(Rank.BACKGROUND, 0.1, 79, 79)).isTrue();
+        assertThat(bound.free(Rank.BACKGROUND, 0.1, 80, 80)).isFalse();
+        assertThat(bound.free(Rank.BACKGROUND, 0.1, 89, 8)).isTrue();
+        assertThat(bound.free(Rank.BACKGROUND, 0.1, 90, 8)).isFalse();
+        assertThat(bound.free(Rank.URGENT, 0, 89, 0)).isTrue();
     }
 }
