Bound the requests in flight by rank

Cause: the concurrency bound now needs the floor and the requests in flight of each rank, which the entry did not count. Change: the entry counts what is in flight by rank and passes the floors of the document in effect.

--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -243,6 +243,7 @@
         if (current.revision() != revision) {
             revision = current.revision();
             admission.queue().policies(current.document().ranks());
+            upstreams.policies(current.document().ranks());
         }
     }
 
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -150,7 +150,7 @@
         Optional<WaitingRequest> next = admission.queue().next(now, upstreams);
         while (next.isPresent()) {
             final RequestRun run = runs.get(next.get().id());
-            upstreams.dispatched(run.pool());
+            upstreams.dispatched(run.pool(), run.request().rank());
             dispatcher.dispatch(run);
             next = admission.queue().next(now, upstreams);
         }
@@ -309,7 +309,7 @@
     private void giveBackPlace(RequestRun run, long tokens) {
         run.waiting().ifPresent(place -> {
             if (admission.queue().settle(place.pool(), place.id(), tokens, context.nanos())) {
-                upstreams.finished(place.pool());
+                upstreams.finished(place.pool(), place.rank());
             } else {
                 admission.queue().cancel(place.pool(), place.id(), context.nanos());
             }
--- a/src/main/java/org/masticpaddle/entry/Upstreams.java
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -12,6 +12,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.admission.Availability;
 import org.masticpaddle.admission.ConcurrencyBound;
+import org.masticpaddle.document.RankPolicy;
 import org.masticpaddle.document.VersionName;
 import org.masticpaddle.platform.Instance;
 import org.masticpaddle.routing.PrefixIndex;
@@ -35,6 +36,7 @@
     private final Map<String, URI> addresses = new HashMap<>();
     private final PrefixIndex prefixes;
     private final UpstreamChoice choice;
+    private Map<Rank, RankPolicy> policies = Map.of();
     private long nowMillis;
 
     Upstreams(PrefixIndex prefixes, UpstreamChoice choice) {
@@ -110,13 +112,26 @@
         return pool(service).inFlight;
     }
 
-    void dispatched(String service) {
-        pool(service).inFlight++;
+    void dispatched(String service, Rank rank) {
+        final Pool pool = pool(service);
+        pool.inFlight++;
+        pool.byRank[rank.ordinal()]++;
     }
 
-    void finished(String service) {
+    void finished(String service, Rank rank) {
         final Pool pool = pool(service);
-        pool.inFlight = Math.max(0, pool.inFlight - 1);
+        pool.inFlight--;
+        pool.byRank[rank.ordinal()]--;
+    }
+
+    /** Takes over the floors of a new routing document. */
+    void policies(Map<Rank, RankPolicy> declared) {
+        policies = Map.copyOf(declared);
+    }
+
+    private double floor(Rank rank) {
+        final RankPolicy policy = policies.get(rank);
+        return policy == null ? 0 : policy.floor();
     }
 
     Optional<URI> address(String id) {
@@ -140,7 +155,7 @@
     @Override
     public boolean free(String service, String version, Rank rank) {
         final Pool pool = pools.get(service);
-        if (pool == null || !pool.bound.free(rank, pool.inFlight)) {
+        if (pool == null || !pool.bound.free(rank, floor(rank), pool.inFlight, pool.byRank[rank.ordinal()])) {
             return false;
         }
         final VersionName name = VersionName.parse(version);
@@ -159,6 +174,7 @@
     private static final class Pool {
         private final UpstreamSet set = new UpstreamSet();
         private final ConcurrencyBound bound = ConcurrencyBound.of(INITIAL_IN_FLIGHT);
+        private final int[] byRank = new int[Rank.values().length];
         private int inFlight;
     }
 }
--- a/src/main/java/org/masticpaddle/standin/AnswerText.java
+++ b/src/main/java/org/masticpaddle/standin/AnswerText.java
@@ -14,8 +14,9 @@
 public final class AnswerText {
     private static final String QUALITY = "quality=";
     private static final String[] WORDS = {
-        "clause", "term", "rent", "harvest", "tractor", "season", "deposit", "roof", "tile", "wash", "quote", "visit",
-        "crew", "slope", "gutter", "note", "field", "north", "south", "morning", "rain", "review", "advice", "summary"
+        "alpha", "bravo", "charlie", "delta", "echo", "foxtrot", "golf", "hotel", "india", "juliett", "kilo", "lima",
+        "mike", "november", "oscar", "papa", "quebec", "romeo", "sierra", "tango", "uniform", "victor", "whiskey",
+                "zulu"
     };
     private static final int MIN_TOKENS = 8;
     private static final int SPREAD_TOKENS = 33;
