Share demand and version knowledge between entries

Cause: each entry learnt quality, health and demand alone: limits were enforced as if it were the only entry, and a bad version had to be found by each entry for itself. The effect on limits and on exposure through real processes is not measured yet.

--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -78,6 +78,9 @@
     private final ConfigurationService configuration;
     private volatile boolean draining;
     private final AdmissionControl admission;
+    private final KnowledgeExchange exchange;
+    private final DemandExchange demand;
+    private final MembershipService membership;
     private long nextStepNanos;
     private long revision;
 
@@ -103,7 +106,7 @@
         final HttpClient client = new HttpClient(settings.number(Setting.IO_THREADS));
         final HttpEventLog log =
                 new HttpEventLog(client, settings.origin(Setting.LOG).orElseThrow(), timeout);
-        final MembershipService membership = new MembershipService(
+        membership = new MembershipService(
                 MembershipSettings.of(instance, settings.text(Setting.REGION), settings.number(Setting.SUBSET)),
                 new HttpInstanceList(client, settings.origin(Setting.INSTANCES).orElseThrow(), timeout),
                 client,
@@ -163,6 +166,9 @@
                 answers);
         attempts = new AttemptFlow(context, requests, sidecars, upstreams, claims, answers, admission.retries());
         requests.dispatcher(attempts);
+        exchange = new KnowledgeExchange(context, log, source, knowledge);
+        demand = new DemandExchange(
+                context, client, instance, settings.text(Setting.FAILURE_DOMAIN), admission.limits());
         loop.onTick(this::tick);
         membership.subscribe(snapshot -> loop.complete(() -> membersChanged(snapshot)));
         server = new HttpServer(
@@ -176,7 +182,9 @@
                         configuration::effective,
                         requests::begin,
                         counters,
-                        Map.of("/internal/configuration", new ConfigurationHandler(configuration::answer)),
+                        Map.of(
+                                "/internal/configuration", new ConfigurationHandler(configuration::answer),
+                                "/internal/demand", new DemandHandler(loop, demand)),
                         new OperationsHandler(this::ready, metrics, this::status)));
         kernel.register("http.client", client)
                 .register("membership", membership)
@@ -231,6 +239,9 @@
         requests.tick();
         attempts.tick();
         charges.flush();
+        final List<Instance> entries = membership.snapshot().entries();
+        exchange.tick(entries.size());
+        demand.tick(entries);
         final long now = System.nanoTime();
         if (now >= nextStepNanos) {
             nextStepNanos = now + STEP_NANOS;
--- a/src/main/java/org/masticpaddle/entry/VersionKnowledge.java
+++ b/src/main/java/org/masticpaddle/entry/VersionKnowledge.java
@@ -147,12 +147,15 @@
         return Map.copyOf(health);
     }
 
-    void merge(RolloutState other) {
-        rollouts.computeIfPresent(other.rollout(), (name, known) -> known.merge(other));
-    }
-
-    void merge(VersionHealth other) {
-        health.computeIfPresent(other.version(), (name, known) -> known.merge(other));
+    /** Takes over what another entry has learnt. */
+    void merge(EntrySummary summary) {
+        final long now = clock.getAsLong();
+        summary.qualities().forEach(quality -> qualities.merge(quality, now));
+        summary.observations().forEach(observations::merge);
+        summary.rollouts()
+                .forEach(other -> rollouts.computeIfPresent(other.rollout(), (name, known) -> known.merge(other)));
+        summary.versions()
+                .forEach(other -> health.computeIfPresent(other.version(), (name, known) -> known.merge(other)));
     }
 
     QualityEstimates qualities() {
