--- a/src/test/java/org/masticpaddle/claim/ClaimWorld.java
+++ b/src/test/java/org/masticpaddle/claim/ClaimWorld.java
@@ -25,7 +25,8 @@
 final class ClaimWorld {
     static final long LIFETIME = 600_000;
     private static final long RETENTION = LIFETIME + 300_000;
-    private static final ClaimSettings CLAIMS = new ClaimSettings(1, LIFETIME, 5, 6, 10, 4, 3, 20, 100, 30, 200, 150);
+    private static final ClaimSettings CLAIMS =
+            new ClaimSettings(1, LIFETIME, 5, 10, 6, 10, 4, 3, 20, 100, 30, 200, 150);
     private static final ChargeSettings CHARGES = new ChargeSettings(50, 3, 1_000, 400, 30, 200);
 
     final UniformRandomProvider random;
--- /dev/null
+++ b/src/test/java/org/masticpaddle/claim/FakeEventLog.java
@@ -0,0 +1,143 @@
+package org.masticpaddle.claim;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+
+import org.masticpaddle.platform.EventLog;
+import org.masticpaddle.platform.LogPage;
+import org.masticpaddle.platform.LogRecord;
+import org.masticpaddle.platform.PlatformException;
+
+/** Log in memory whose appends and reads can be made to fail or hang. Thread-safe. */
+public final class FakeEventLog implements EventLog {
+    private static final long LONGEST_WAIT_MILLIS = 5;
+
+    private final AtomicInteger appends = new AtomicInteger();
+    private final AtomicInteger reads = new AtomicInteger();
+    private volatile Behaviour appending = Behaviour.WORK;
+    private volatile Behaviour reading = Behaviour.WORK;
+    private final Map<String, RecordedLog> streams = new HashMap<>();
+    private final LongSupplier clock;
+
+    /**
+     * Creates an empty log.
+     *
+     * @param clock time of the log
+     */
+    public FakeEventLog(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    /** How a call ends. */
+    public enum Behaviour {
+        /** The call succeeds. */
+        WORK,
+        /** The call fails without effect. */
+        FAIL,
+        /** The call takes effect and its answer is lost. */
+        LOSE_ANSWER,
+        /** The call takes effect twice and succeeds. */
+        REPEAT,
+        /** The call has no effect and never ends. */
+        HANG
+    }
+
+    @Override
+    public synchronized CompletableFuture<Long> append(String stream, List<byte[]> records) {
+        switch (appending) {
+            case FAIL:
+                return CompletableFuture.failedFuture(error(PlatformException.Effect.NONE));
+            case HANG:
+                return new CompletableFuture<>();
+            case REPEAT:
+                stream(stream).append(records, clock.getAsLong());
+                break;
+            default:
+        }
+        appends.incrementAndGet();
+        final long offset = stream(stream).append(records, clock.getAsLong());
+        return appending == Behaviour.LOSE_ANSWER
+                ? CompletableFuture.failedFuture(error(PlatformException.Effect.POSSIBLE))
+                : CompletableFuture.completedFuture(offset);
+    }
+
+    @Override
+    public synchronized CompletableFuture<LogPage> read(String stream, long from, int limit, Duration wait) {
+        reads.incrementAndGet();
+        if (reading == Behaviour.FAIL) {
+            return CompletableFuture.failedFuture(error(PlatformException.Effect.NONE));
+        }
+        if (reading == Behaviour.HANG) {
+            return new CompletableFuture<>();
+        }
+        final LogPage page = page(stream, from, limit);
+        if (!page.records().isEmpty() || wait.isZero()) {
+            return CompletableFuture.completedFuture(page);
+        }
+        final long millis = Math.min(LONGEST_WAIT_MILLIS, wait.toMillis());
+        return CompletableFuture.supplyAsync(
+                () -> page(stream, from, limit), CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS));
+    }
+
+    /**
+     * Sets how appends end.
+     *
+     * @param behaviour how they end
+     */
+    public void appending(Behaviour behaviour) {
+        appending = behaviour;
+    }
+
+    /**
+     * Returns the number of appends that took effect.
+     *
+     * @return number of appends
+     */
+    public int appends() {
+        return appends.get();
+    }
+
+    void reading(Behaviour behaviour) {
+        reading = behaviour;
+    }
+
+    int reads() {
+        return reads.get();
+    }
+
+    /**
+     * Returns all records ever appended to a stream.
+     *
+     * @param stream name of the stream
+     * @return copy of the records
+     */
+    public synchronized List<LogRecord> history(String stream) {
+        return List.copyOf(stream(stream).history());
+    }
+
+    synchronized void put(String stream, long timeMillis, List<byte[]> records) {
+        stream(stream).append(records, timeMillis);
+    }
+
+    synchronized void trim(String stream, long beforeMillis) {
+        stream(stream).trim(beforeMillis);
+    }
+
+    private synchronized LogPage page(String stream, long from, int limit) {
+        return stream(stream).read(from, limit);
+    }
+
+    private RecordedLog stream(String stream) {
+        return streams.computeIfAbsent(stream, name -> new RecordedLog());
+    }
+
+    private static PlatformException error(PlatformException.Effect effect) {
+        return new PlatformException(effect, "the fake log fails", null);
+    }
+}
--- a/src/test/java/org/masticpaddle/claim/SimulatedEntry.java
+++ b/src/test/java/org/masticpaddle/claim/SimulatedEntry.java
@@ -105,7 +105,10 @@
 
     private void decided(Call call, ClaimDecision decision) {
         calls.remove(call);
-        world.count(decision.getClass().getSimpleName());
+        world.count(
+                decision instanceof ClaimDecision.Unavailable unavailable
+                        ? unavailable.reason().name()
+                        : decision.getClass().getSimpleName());
         if (decision instanceof ClaimDecision.Won won) {
             dispatch(won.claim());
         } else if (decision instanceof ClaimDecision.Stands stands
