Report unusable pages of a claim stream and remove time limits from tests

Cause: a stream that starts anew at a lower offset made every claim wait without a word in the log file. Idle reads waited at the log although nothing needed them. Three service tests could fail on a slow machine: a read had to end within 200 ms, a count of reads depended on time, and a read under way could see a claim that the test meant to hide.

Change: a page that cannot be folded is logged like a failed read; idle reads do not wait; the tests move their clock past the confirmation time, check the lowest offset read, and make reads hang before the service starts.

--- a/src/main/java/org/masticpaddle/claim/ClaimPartition.java
+++ b/src/main/java/org/masticpaddle/claim/ClaimPartition.java
@@ -96,9 +96,11 @@
         return reader.next(!waiting.isEmpty() || !releases.isEmpty(), !withdrawing, nowMillis);
     }
 
-    void readDone(long sequence, LogPage page, long nowMillis) {
+    /** Folds a page and returns whether it could be folded. */
+    boolean readDone(long sequence, LogPage page, long nowMillis) {
         reader.done(sequence, page, nowMillis).forEach(fold -> settle(fold, nowMillis));
         finishWithdrawn(nowMillis);
+        return reader.usable();
     }
 
     void readFailed(long sequence, long nowMillis) {
--- a/src/main/java/org/masticpaddle/claim/ClaimService.java
+++ b/src/main/java/org/masticpaddle/claim/ClaimService.java
@@ -19,6 +19,7 @@
 import org.masticpaddle.kernel.Duty;
 import org.masticpaddle.kernel.Service;
 import org.masticpaddle.platform.EventLog;
+import org.masticpaddle.wire.MalformedMessageException;
 import org.masticpaddle.wire.RunState;
 
 /**
@@ -33,6 +34,8 @@
     private static final int RING_CAPACITY = 8_192;
     private static final long TICK_MILLIS = 5;
     private static final long STOP_MILLIS = 5_000;
+    private static final RuntimeException UNUSABLE = new MalformedMessageException(
+            "the page leaves out retained records or ends before records that were read", null);
 
     private final EventLog log;
     private final ClaimSettings settings;
@@ -200,12 +203,13 @@
                 .ifPresent(read -> guard(
                                 () -> log.read(stream, read.from(), read.limit(), Duration.ofMillis(read.waitMillis())))
                         .whenComplete((page, error) -> duty.offer(() -> {
-                            watch("read", index, error);
                             if (error == null) {
-                                partition.readDone(read.sequence(), page, now());
+                                final boolean usable = partition.readDone(read.sequence(), page, now());
+                                watch("read", index, usable ? null : UNUSABLE);
                                 tails.set(index, partition.tailMillis());
                             } else {
                                 partition.readFailed(read.sequence(), now());
+                                watch("read", index, error);
                             }
                             advance(index);
                         })));
--- a/src/main/java/org/masticpaddle/claim/PartitionReader.java
+++ b/src/main/java/org/masticpaddle/claim/PartitionReader.java
@@ -19,6 +19,7 @@
     private long sequence;
     private boolean reading;
     private boolean lagging;
+    private boolean usable = true;
     private long startedMillis;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long tailSequence;
@@ -53,7 +54,7 @@
         if (search.isPresent()) {
             return Optional.of(new Read(sequence, search.get().offset(), 1, 0));
         }
-        final long wait = patient && !lagging ? settings.pollMillis() : 0;
+        final long wait = wanted && patient && !lagging ? settings.pollMillis() : 0;
         return Optional.of(new Read(sequence, ledger.next(), settings.pageRecords(), wait));
     }
 
@@ -71,7 +72,8 @@
             });
             return List.of();
         }
-        if (!consistent(page)) {
+        usable = consistent(page);
+        if (!usable) {
             failed(readSequence, nowMillis);
             return List.of();
         }
@@ -97,6 +99,11 @@
         }
     }
 
+    /** Tells whether the last page could be folded. */
+    boolean usable() {
+        return usable;
+    }
+
     /** Returns the number of the last read that was started. */
     long sequence() {
         return sequence;
--- a/src/test/java/org/masticpaddle/claim/ClaimServiceTest.java
+++ b/src/test/java/org/masticpaddle/claim/ClaimServiceTest.java
@@ -22,6 +22,7 @@
     private static final long LIFETIME = 3_600_000;
     private static final String STREAM = "claims-0";
     private static final long FAR = 60_000;
+    private static final long CONFIRM = 20_000;
     private static final long START = System.nanoTime();
 
     private final AtomicLong shift = new AtomicLong();
@@ -37,8 +38,8 @@
 
     @Test
     void shouldNotWinOnTheAcknowledgementAlone() {
-        final ClaimService service = service(10);
         log.reading(FakeEventLog.Behaviour.HANG);
+        final ClaimService service = service(10);
         final CompletableFuture<ClaimDecision> decision = service.claim(request("k", "b"), now() + FAR);
         until(() -> log.appends() > 0);
         assertThat(decision.isDone()).isFalse();
@@ -89,8 +90,9 @@
         won(service, "before");
         log.appending(FakeEventLog.Behaviour.FAIL);
         log.reading(FakeEventLog.Behaviour.FAIL);
-        assertThat(get(service.claim(request("k", "b"), now() + 20)))
-                .isEqualTo(new ClaimDecision.Unavailable(RunState.UNKNOWN, ClaimDecision.Reason.DEADLINE));
+        final CompletableFuture<ClaimDecision> late = service.claim(request("k", "b"), now() + 20);
+        shift.addAndGet(20 + CONFIRM);
+        assertThat(get(late)).isEqualTo(new ClaimDecision.Unavailable(RunState.UNKNOWN, ClaimDecision.Reason.DEADLINE));
         assertThat(get(service.claim(request("before", "b"), now() + FAR))).isInstanceOf(ClaimDecision.Stands.class);
         final CompletableFuture<ClaimDecision> waiting = service.claim(request("k", "b"), now() + FAR);
         log.appending(FakeEventLog.Behaviour.WORK);
@@ -165,7 +167,17 @@
         log.put(STREAM, now() - 60_000, List.of(request.claim("a", 0).encode()));
         final ClaimService service = service(10);
         assertThat(get(service.claim(request, now() + FAR))).isInstanceOf(ClaimDecision.Stands.class);
-        assertThat(log.reads()).isLessThan(100);
+        assertThat(log.lowestOffsetRead()).isEqualTo(3_000);
+    }
+
+    @Test
+    void shouldNotDecideOnAStreamThatStartedAnew() {
+        final ClaimService service = service(10);
+        won(service, "k1");
+        log.reading(FakeEventLog.Behaviour.RESTART);
+        final CompletableFuture<ClaimDecision> waiting = service.claim(request("k2", "b"), now() + 20);
+        shift.addAndGet(20 + CONFIRM);
+        assertThat(((ClaimDecision.Unavailable) get(waiting)).run()).isEqualTo(RunState.UNKNOWN);
     }
 
     @Test
@@ -194,7 +206,7 @@
 
     private ClaimService service(int maxWaiting) {
         final ClaimSettings settings =
-                new ClaimSettings(1, LIFETIME, 1_000, 10_000, maxWaiting, 5, 64, 50, 20, 50, 10, 500, 200);
+                new ClaimSettings(1, LIFETIME, 1_000, 10_000, maxWaiting, 5, 64, 50, 20, 50, 10, 500, CONFIRM);
         final ClaimService service = new ClaimService(
                 log,
                 settings,
--- a/src/test/java/org/masticpaddle/claim/FakeEventLog.java
+++ b/src/test/java/org/masticpaddle/claim/FakeEventLog.java
@@ -19,7 +19,7 @@
     private static final long LONGEST_WAIT_MILLIS = 5;
 
     private final AtomicInteger appends = new AtomicInteger();
-    private final AtomicInteger reads = new AtomicInteger();
+    private long lowestOffsetRead = Long.MAX_VALUE;
     private volatile Behaviour appending = Behaviour.WORK;
     private volatile Behaviour reading = Behaviour.WORK;
     private final Map<String, RecordedLog> streams = new HashMap<>();
@@ -44,6 +44,8 @@
         LOSE_ANSWER,
         /** The call takes effect twice and succeeds. */
         REPEAT,
+        /** The read answers as if the stream had started anew. */
+        RESTART,
         /** The call has no effect and never ends. */
         HANG
     }
@@ -69,13 +71,16 @@
 
     @Override
     public synchronized CompletableFuture<LogPage> read(String stream, long from, int limit, Duration wait) {
-        reads.incrementAndGet();
+        lowestOffsetRead = limit > 1 ? Math.min(lowestOffsetRead, from) : lowestOffsetRead;
         if (reading == Behaviour.FAIL) {
             return CompletableFuture.failedFuture(error(PlatformException.Effect.NONE));
         }
         if (reading == Behaviour.HANG) {
             return new CompletableFuture<>();
         }
+        if (reading == Behaviour.RESTART) {
+            return CompletableFuture.completedFuture(new LogPage(0, 0, List.of()));
+        }
         final LogPage page = page(stream, from, limit);
         if (!page.records().isEmpty() || wait.isZero()) {
             return CompletableFuture.completedFuture(page);
@@ -107,8 +112,9 @@
         reading = behaviour;
     }
 
-    int reads() {
-        return reads.get();
+    /** Returns the lowest offset from which more than one record was read. */
+    synchronized long lowestOffsetRead() {
+        return lowestOffsetRead;
     }
 
     /**
