--- a/src/main/java/org/masticpaddle/command/PartFile.java
+++ b/src/main/java/org/masticpaddle/command/PartFile.java
@@ -22,8 +22,11 @@
  * @param base revision in the first line
  */
 record PartFile(Path path, Part part, OptionalLong base) {
+    /** Room for the first line, which does not count towards the size of the document. */
+    private static final int MARK_BYTES = 200;
+
     private static final Pattern MARK =
-            Pattern.compile("\\A\uFEFF?# masticpaddle: team (\\S+) revision (\\d{1,15})\\R");
+            Pattern.compile("\\A\uFEFF?# masticpaddle: team (\\S{1,64}) revision (\\d{1,15})\\R");
 
     static String mark(String team, long revision) {
         return "# masticpaddle: team " + team + " revision " + revision + "\n";
@@ -32,7 +35,12 @@
     /** Reads a file. With {@code select}, only the sections of the owner are taken. */
     static PartFile read(String file, String owner, boolean select) {
         final Path path = Path.of(file);
-        final Part whole = DocumentCheck.read(owner, file, bytes(path));
+        final byte[] bytes = bytes(path);
+        if (select && bytes.length > DocumentCheck.MAX_BYTES + MARK_BYTES) {
+            throw new CommandException(
+                    ExitCode.NEGATIVE, file + ": expected at most " + DocumentCheck.MAX_BYTES + " bytes");
+        }
+        final Part whole = DocumentCheck.read(owner, file, bytes);
         final Matcher matcher = MARK.matcher(whole.text());
         final boolean marked = matcher.find();
         if (marked && !owner.isEmpty() && !matcher.group(1).equals(owner)) {
@@ -50,7 +58,7 @@
 
     private static byte[] bytes(Path path) {
         try (InputStream input = Files.newInputStream(path)) {
-            return input.readNBytes(DocumentCheck.MAX_BYTES + 1);
+            return input.readNBytes(DocumentCheck.MAX_BYTES + 2 * MARK_BYTES);
         } catch (IOException e) {
             throw new CommandException(ExitCode.USAGE, "cannot read " + path + ": " + e.getMessage());
         }
--- a/src/main/java/org/masticpaddle/command/PublishCommand.java
+++ b/src/main/java/org/masticpaddle/command/PublishCommand.java
@@ -63,6 +63,9 @@
         final ConfigurationFold fold = publisher.read();
         final long current = fold.partRevision(team);
         if (baseRevision != current) {
+            if (output == OutputFormat.JSON) {
+                Printing.json(out, Map.of("result", "refused", "reason", "STALE_BASE", "revision", current));
+            }
             throw new CommandException(
                     ExitCode.NEGATIVE,
                     "stale base: the file was edited from revision " + baseRevision + ", the part of team " + team
@@ -74,6 +77,9 @@
                 .forEach(part -> parts.add(Part.of(part.team(), part.text())));
         final CheckResult check = DocumentCheck.check(parts);
         if (!check.passed()) {
+            if (output == OutputFormat.JSON) {
+                Printing.json(out, Map.of("result", "refused", "reason", "CHECK_FAILED", "problems", check.problems()));
+            }
             Printing.problems(err, check.problems());
             return ExitCode.NEGATIVE;
         }
--- a/src/main/java/org/masticpaddle/document/ConfigurationReader.java
+++ b/src/main/java/org/masticpaddle/document/ConfigurationReader.java
@@ -64,7 +64,7 @@
         final long now = clock.getAsLong();
         log.ifPresent(reading -> {
             reading.tick(now);
-            reading.writeSnapshot(now, peers.get().stream().map(URI::toString).toList());
+            reading.writeSnapshot(now, peers);
         });
         final boolean complete = follower.complete();
         if (!complete && log.map(LogReading::needsPeers).orElse(true)) {
--- a/src/main/java/org/masticpaddle/document/LogReading.java
+++ b/src/main/java/org/masticpaddle/document/LogReading.java
@@ -1,9 +1,11 @@
 package org.masticpaddle.document;
 
+import java.net.URI;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.logging.log4j.LogManager;
@@ -130,14 +132,13 @@
     }
 
     /** Writes a snapshot if one is due and the state is read to the end of the log. */
-    void writeSnapshot(long now, List<String> entries) {
+    void writeSnapshot(long now, Supplier<List<URI>> entries) {
         if (!atTail || now < nextSnapshotMillis || follower.searching()) {
             return;
         }
         final ConfigurationFold fold = follower.fold().orElseThrow();
-        final int rank =
-                SnapshotSchedule.rank(fold.newestSnapshot(), settings.self().toString(), entries);
-        if (schedule.due(fold, now, rank)) {
+        // Hashing the names of all entries is left out while not even the first one in the order would write.
+        if (schedule.due(fold, now, 0) && schedule.due(fold, now, rank(fold, entries.get()))) {
             nextSnapshotMillis = now + SNAPSHOT_RETRY_MILLIS;
             log.append(ConfigurationRecord.STREAM, List.of(fold.snapshot().encode()))
                     .whenComplete((offset, error) -> {
@@ -148,6 +149,11 @@
         }
     }
 
+    private int rank(ConfigurationFold fold, List<URI> entries) {
+        final List<String> names = entries.stream().map(URI::toString).toList();
+        return SnapshotSchedule.rank(fold.newestSnapshot(), settings.self().toString(), names);
+    }
+
     void handle(ConfigurationEvent.SnapshotFailed event) {
         LOGGER.warn(
                 "snapshot may not be written, next try in {} ms at the earliest: {}",
--- a/src/main/java/org/masticpaddle/document/Publication.java
+++ b/src/main/java/org/masticpaddle/document/Publication.java
@@ -44,7 +44,7 @@
         }
     }
 
-    /** Tells whether the last call failed. */
+    /** Tells whether the last call failed or showed that the append must be repeated, so that a pause is due. */
     boolean failed() {
         return failed;
     }
@@ -83,6 +83,7 @@
         }
         if (follower.readFrom() >= page.end()) {
             appended = false;
+            failed = true;
         }
         return Optional.empty();
     }
--- a/src/main/java/org/masticpaddle/document/Publisher.java
+++ b/src/main/java/org/masticpaddle/document/Publisher.java
@@ -62,11 +62,16 @@
                     throw e;
                 }
                 pause(backoff);
+                continue;
             }
-            if (!fresh.complete() && fresh.readFrom() == before && System.nanoTime() >= deadline) {
+            if (fresh.complete() || fresh.readFrom() > before) {
+                continue;
+            }
+            if (System.nanoTime() >= deadline) {
                 throw new PlatformException(
                         PlatformException.Effect.NONE, "the log holds no snapshot to start from", null);
             }
+            pause(backoff);
         }
         follower = fresh;
         return fresh.fold().orElseThrow();
