Choose upstreams by the cached prefixes that engines report

Cause: the entry knew no prefix hashes, so that the choice of an upstream ignored the prefix caches. Change: one function computes the block hashes for engine stand-in and entry; sidecars buffer the engine's cache events and an entry reads one sidecar after the other, twice a second, 64 events at most, so that the bytes a second do not grow with the number of sidecars. The hit rate through real processes is not measured yet.

--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -117,7 +117,10 @@
 
     private Optional<UpstreamView> choose(RequestRun run) {
         final UpstreamRequest wanted = new UpstreamRequest(
-                run.routedVersion(), PromptPrefixes.of(run), PromptPrefixes.prefillMillis(run), run.firstTry());
+                run.routedVersion(),
+                run.prefixes().of(run.routedVersion()),
+                run.prefixes().prefillMillis(),
+                run.firstTry());
         return upstreams.choose(run.pool(), wanted, context.millis(), context.random());
     }
 
@@ -132,7 +135,10 @@
                 new AttemptCall(order(run, upstream, attemptId), upstream, address.get(), target, context.nanos());
         run.attempt(call);
         upstream.onDispatch(context.millis());
-        upstreams.prefixes().onDispatch(upstream.id(), run.routedVersion(), PromptPrefixes.of(run), context.millis());
+        upstreams
+                .prefixes()
+                .onDispatch(
+                        upstream.id(), run.routedVersion(), run.prefixes().of(run.routedVersion()), context.millis());
         run.responder().header("Masticpaddle-Model", run.routedVersion().model());
         run.responder().header("Masticpaddle-Version", run.routedVersion().toString());
         run.responder().header("Masticpaddle-Attempt", attemptId);
--- a/src/main/java/org/masticpaddle/entry/DemandExchange.java
+++ b/src/main/java/org/masticpaddle/entry/DemandExchange.java
@@ -67,8 +67,8 @@
         domainRelays.stream()
                 .filter(relay -> !relay.id().equals(instance))
                 .forEach(relay -> send(relay.address(), own));
-        final DemandSummary sum = new DemandSummary(
-                List.of(limits.summary(context.nanos()).fold(domain, context.millis())));
+        final DemandSummary sum =
+                new DemandSummary(List.of(limits.summary(context.nanos()).fold(domain, context.millis())));
         relays.forEach((other, members) -> {
             if (!other.equals(domain)) {
                 turn(members).forEach(relay -> send(relay.address(), sum));
@@ -93,8 +93,8 @@
 
     private static List<Instance> first(List<Instance> members) {
         return members.stream()
-                .sorted(Comparator.comparingLong((Instance member) ->
-                                Hashing.rendezvous(member.failureDomain(), member.id()))
+                .sorted(Comparator.comparingLong(
+                                (Instance member) -> Hashing.rendezvous(member.failureDomain(), member.id()))
                         .thenComparing(Instance::id))
                 .limit(RELAYS)
                 .toList();
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -80,6 +80,7 @@
     private final AdmissionControl admission;
     private final KnowledgeExchange exchange;
     private final DemandExchange demand;
+    private final CacheEventExchange cacheEvents;
     private final MembershipService membership;
     private long nextStepNanos;
     private long revision;
@@ -167,6 +168,7 @@
         attempts = new AttemptFlow(context, requests, sidecars, upstreams, claims, answers, admission.retries());
         requests.dispatcher(attempts);
         exchange = new KnowledgeExchange(context, log, source, knowledge);
+        cacheEvents = new CacheEventExchange(context, client, upstreams);
         demand = new DemandExchange(
                 context, client, instance, settings.text(Setting.FAILURE_DOMAIN), admission.limits());
         loop.onTick(this::tick);
@@ -242,6 +244,7 @@
         final List<Instance> entries = membership.snapshot().entries();
         exchange.tick(entries.size());
         demand.tick(entries);
+        cacheEvents.tick();
         final long now = System.nanoTime();
         if (now >= nextStepNanos) {
             nextStepNanos = now + STEP_NANOS;
--- a/src/main/java/org/masticpaddle/entry/RequestRun.java
+++ b/src/main/java/org/masticpaddle/entry/RequestRun.java
@@ -23,6 +23,7 @@
     private final CallerRequest request;
     private final Responder responder;
     private final EffectiveConfiguration document;
+    private final PromptPrefixes prefixes;
     private Optional<IdempotencyKey> key = Optional.empty();
     private Optional<SessionBinding> session = Optional.empty();
     private Optional<VersionPlan.Cascade> cascade = Optional.empty();
@@ -42,6 +43,7 @@
         this.request = Objects.requireNonNull(request, "request is null");
         this.responder = Objects.requireNonNull(responder, "responder is null");
         this.document = Objects.requireNonNull(document, "document is null");
+        this.prefixes = new PromptPrefixes(request.target());
     }
 
     long number() {
@@ -52,6 +54,10 @@
         return request;
     }
 
+    PromptPrefixes prefixes() {
+        return prefixes;
+    }
+
     Responder responder() {
         return responder;
     }
--- a/src/main/java/org/masticpaddle/entry/Upstreams.java
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -1,9 +1,11 @@
 package org.masticpaddle.entry;
 
 import java.net.URI;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -134,6 +136,20 @@
         return policy == null ? 0 : policy.floor();
     }
 
+    /** Identifiers of the upstreams that are model engines. */
+    List<String> engines() {
+        final List<String> ids = new ArrayList<>();
+        for (final Pool pool : pools.values()) {
+            for (int index = 0; index < pool.set.size(); index++) {
+                final UpstreamView view = pool.set.get(index);
+                if (view.report().versions().stream().anyMatch(name -> !name.startsWith(PLAIN_MODEL + "/"))) {
+                    ids.add(view.id());
+                }
+            }
+        }
+        return ids;
+    }
+
     Optional<URI> address(String id) {
         return Optional.ofNullable(addresses.get(id));
     }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/sidecar/CacheEventBuffer.java
@@ -0,0 +1,41 @@
+package org.masticpaddle.sidecar;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+import org.masticpaddle.platform.EngineControl.CacheEvent;
+
+/** Newest cache events of the engine, kept for entries; older ones are gaps to them. Thread-safe. */
+final class CacheEventBuffer {
+    private static final int MAX_EVENTS = 4_096;
+
+    private final Deque<CacheEvent> events = new ArrayDeque<>();
+
+    synchronized void add(List<CacheEvent> newer) {
+        for (final CacheEvent event : newer) {
+            if (event.sequence() > last()) {
+                events.add(event);
+            }
+        }
+        while (events.size() > MAX_EVENTS) {
+            events.poll();
+        }
+    }
+
+    synchronized long last() {
+        return events.isEmpty() ? 0 : events.peekLast().sequence();
+    }
+
+    /** The newest events after a number, at most {@code limit}, in order. */
+    synchronized List<CacheEvent> after(long sequence, int limit) {
+        final List<CacheEvent> newest = new ArrayList<>();
+        for (final CacheEvent event : events) {
+            if (event.sequence() > sequence) {
+                newest.add(event);
+            }
+        }
+        return List.copyOf(newest.subList(Math.max(0, newest.size() - limit), newest.size()));
+    }
+}
--- a/src/main/java/org/masticpaddle/sidecar/EngineKeeper.java
+++ b/src/main/java/org/masticpaddle/sidecar/EngineKeeper.java
@@ -91,9 +91,14 @@
         }
         failures = 0;
         load.upstream(true, state.versions());
+        readCacheEvents();
         nextOrder(state).ifPresent(this::give);
     }
 
+    private void readCacheEvents() {
+        engine.cacheEvents(load.cacheEvents().last()).thenAccept(load.cacheEvents()::add);
+    }
+
     private Optional<EngineOrder> nextOrder(EngineState state) {
         final Set<String> wanted = declared(ModelVersion.State.ACTIVE);
         final Set<String> withdrawn = declared(ModelVersion.State.WITHDRAWN);
--- a/src/main/java/org/masticpaddle/sidecar/LoadBook.java
+++ b/src/main/java/org/masticpaddle/sidecar/LoadBook.java
@@ -4,13 +4,14 @@
 
 import org.masticpaddle.wire.LoadReport;
 
-/** Load of the upstream, written by the sidecar's duties and read by any thread. Thread-safe. */
+/** Load and cache events of the upstream, written by the sidecar's duties and read by any thread. Thread-safe. */
 final class LoadBook {
     private static final double SMOOTHING = 0.1;
     private static final double NANOS_PER_MILLI = 1_000_000.0;
 
     private final long incarnation;
     private final int slots;
+    private final CacheEventBuffer cacheEvents = new CacheEventBuffer();
     private volatile LoadReport report;
     private volatile List<String> versions = List.of();
     private volatile boolean upstreamReady;
@@ -23,6 +24,10 @@
         publish(0, 0, false);
     }
 
+    CacheEventBuffer cacheEvents() {
+        return cacheEvents;
+    }
+
     LoadReport report() {
         return report;
     }
--- a/src/main/java/org/masticpaddle/sidecar/SidecarHandler.java
+++ b/src/main/java/org/masticpaddle/sidecar/SidecarHandler.java
@@ -9,6 +9,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
+import org.masticpaddle.platform.HttpEngineControl.CacheEvents;
 import org.masticpaddle.wire.CancelOrder;
 import org.masticpaddle.wire.Dispatch;
 import org.masticpaddle.wire.Exchanges;
@@ -21,6 +22,8 @@
 
 /** HTTP interface of a sidecar towards entries. Thread-safe: it only turns requests into events. */
 final class SidecarHandler implements HttpHandler {
+    // Bounds the answer to about 5 KB, since entries ask twice a second.
+    private static final int MAX_EVENTS = 64;
     private static final long MAX_PENDING_BYTES = 4 << 20;
 
     private final Predicate<SidecarEvent> events;
@@ -62,6 +65,12 @@
                             Exchanges.answer(exchange, 200, load.report());
                         }));
             case "GET /internal/status" -> Exchanges.answer(exchange, 200, load.report());
+            case "GET /internal/cache-events" ->
+                Exchanges.answer(
+                        exchange,
+                        200,
+                        new CacheEvents(
+                                load.cacheEvents().after(Exchanges.queryLong(exchange, "after", 0), MAX_EVENTS)));
             case "GET /internal/session", "POST /internal/session" -> sessions.handleRequest(exchange);
             default -> operations.handleRequest(exchange);
         }
--- a/src/main/java/org/masticpaddle/standin/EngineRequest.java
+++ b/src/main/java/org/masticpaddle/standin/EngineRequest.java
@@ -1,9 +1,8 @@
 package org.masticpaddle.standin;
 
-import java.util.Locale;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import io.undertow.server.HttpServerExchange;
+import org.masticpaddle.platform.PrefixBlocks;
 import org.masticpaddle.wire.Exchanges;
 import org.masticpaddle.wire.Json;
 
@@ -26,15 +25,10 @@
         if (!messages.isArray() || messages.isEmpty()) {
             throw new IllegalArgumentException("messages must be an array that is not empty");
         }
-        final StringBuilder prompt = new StringBuilder();
-        messages.forEach(message -> prompt.append(message.path("role").asText().toLowerCase(Locale.ROOT))
-                .append(": ")
-                .append(message.path("content").asText())
-                .append('\n'));
         return new EngineRequest(
                 Exchanges.header(exchange, "X-Request-Id").orElse(fallbackId),
                 tree.path("model").asText(),
-                prompt.toString(),
+                PrefixBlocks.prompt(messages),
                 Math.max(0, Math.min(MAX_TOKENS, tree.path("max_tokens").asInt(0))),
                 tree.path("stream").asBoolean(false),
                 Exchanges.header(exchange, "X-Priority")
--- a/src/main/java/org/masticpaddle/standin/PrefixCache.java
+++ b/src/main/java/org/masticpaddle/standin/PrefixCache.java
@@ -1,7 +1,7 @@
 package org.masticpaddle.standin;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.masticpaddle.platform.EngineControl.CacheEvent;
-import org.masticpaddle.wire.Hashing;
+import org.masticpaddle.platform.PrefixBlocks;
 
 /**
  * Cache of prompt prefixes in blocks, which forgets the least recently used block first. Not thread-safe.
@@ -36,18 +36,9 @@
 
     /** Hashes of the full blocks of a prompt. */
     List<Long> hashes(String version, String prompt) {
-        final String[] words = prompt.strip().split("\\s+");
-        final List<Long> result = new ArrayList<>();
-        long hash = Hashing.of(version);
-        for (int start = 0; start + blockTokens <= words.length; start += blockTokens) {
-            final StringBuilder block = new StringBuilder(Long.toHexString(hash));
-            for (int index = start; index < start + blockTokens; index++) {
-                block.append(' ').append(words[index]);
-            }
-            hash = Hashing.of(block.toString());
-            result.add(hash);
-        }
-        return result;
+        return Arrays.stream(PrefixBlocks.hashes(version, prompt, blockTokens))
+                .boxed()
+                .toList();
     }
 
     /** Stores the blocks and returns the number of leading tokens that were cached before. */
