Add the bench command and benches through real processes

Cause: figures came from separate programs in virtual time only, and nothing measured entry and sidecar themselves. Change: bin/masticpaddle bench runs a scenario file (admission, routing, overhead, overload), prints rows against their targets and exits 1 on a missed one; classes that measure cost laws for the capacity page.

--- a/src/main/java/org/masticpaddle/command/Commands.java
+++ b/src/main/java/org/masticpaddle/command/Commands.java
@@ -13,6 +13,7 @@
                 new ShowCommand(),
                 new DiffCommand(),
                 new HistoryCommand(),
-                new DemoCommand());
+                new DemoCommand(),
+                new BenchCommand());
     }
 }
--- a/src/main/java/org/masticpaddle/command/Tool.java
+++ b/src/main/java/org/masticpaddle/command/Tool.java
@@ -6,9 +6,12 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** Main class of the tool {@code bin/masticpaddle}. Used by one thread. */
 public final class Tool {
+    private static final Logger LOGGER = LogManager.getLogger(Tool.class);
     private static final String EXIT_CODES = """
 
             Exit codes:
@@ -35,7 +38,13 @@
      * @param arguments name of a command and its arguments
      */
     public static void main(String[] arguments) {
-        final int exitCode = new Tool(Commands.all()).run(System.out, System.err, arguments);
+        int exitCode = ExitCode.UNAVAILABLE;
+        try {
+            exitCode = new Tool(Commands.all()).run(System.out, System.err, arguments);
+        } catch (RuntimeException e) {
+            // Threads of a failed command would otherwise keep the process alive.
+            LOGGER.error("the command failed", e);
+        }
         System.out.flush();
         System.exit(exitCode);
     }
