Preempt long background streams only

Cause: beside long background streams, urgent work waited for a place although the floor left many to take. Change: the bench cancels streams by the advice of Preemption and offers the rest again, with 200 ms of prefill for each resumption. Advice spares streams with less than 1000 tokens left (set by the caller) and leaves background twice its floor of the places, as ConcurrencyBound does.

--- a/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
+++ b/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
@@ -21,7 +21,7 @@
     private static final double LATENCY_TOLERANCE = 2;
 
     /** Places in flight vary around the share of tokens, so a tight bound would cut the floor; 1.25 cost a tenth of it. */
-    private static final double FLOOR_SLACK = 2;
+    static final double FLOOR_SLACK = 2;
 
     private static final long REPORT_LIFETIME_NANOS = 10_000_000_000L;
     private static final double SMOOTHING = 0.1;
--- a/src/main/java/org/masticpaddle/admission/Preemption.java
+++ b/src/main/java/org/masticpaddle/admission/Preemption.java
@@ -17,10 +17,12 @@
 
     private final double floor;
     private final long patienceNanos;
+    private final long leastTokensLeft;
 
-    private Preemption(double floor, long patienceNanos) {
+    private Preemption(double floor, long patienceNanos, long leastTokensLeft) {
         this.floor = floor;
         this.patienceNanos = patienceNanos;
+        this.leastTokensLeft = leastTokensLeft;
     }
 
     /**
@@ -29,10 +31,12 @@
      * @param floor floor of background, between 0 and 1
      * @param patienceNanos wait that urgent work accepts before background is cancelled, in nanoseconds; a good value is
      *     a tenth of the target for the first token
+     * @param leastTokensLeft expected tokens that a stream must have left; a stream near its end frees its place soon and
+     *     would spend more on its resumption than urgent work gains
      * @return the rule
      */
-    public static Preemption of(double floor, long patienceNanos) {
-        return new Preemption(floor, patienceNanos);
+    public static Preemption of(double floor, long patienceNanos, long leastTokensLeft) {
+        return new Preemption(floor, patienceNanos, leastTokensLeft);
     }
 
     /**
@@ -43,8 +47,8 @@
      * @param urgentWaitNanos time that the oldest urgent request has waited, in nanoseconds
      * @param free places that are free for urgent work now
      * @param limit bound on requests in flight
-     * @return streams to cancel, at most one for each urgent request without a place; background keeps its floor of the
-     *     limit, rounded up
+     * @return streams to cancel, at most one for each urgent request without a place; background keeps twice its floor
+     *     of the limit, because {@link ConcurrencyBound#free} lets it have that much
      */
     public List<RunningStream> advise(
             Collection<RunningStream> running, int urgentWaiting, long urgentWaitNanos, int free, int limit) {
@@ -61,9 +65,10 @@
                 held.merge(stream.request().organisation(), 1, Integer::sum);
             }
         }
-        final int spare = background.size() - (int) Math.ceil(floor * limit);
+        final int spare = background.size() - (int) Math.ceil(ConcurrencyBound.FLOOR_SLACK * floor * limit);
         final List<RunningStream> candidates = new ArrayList<>(background.stream()
                 .filter(stream -> stream.resumable() && stream.resumed() < MOST_RESUMES)
+                .filter(stream -> stream.request().tokens() - stream.tokensDone() >= leastTokensLeft)
                 .toList());
         final List<RunningStream> chosen = new ArrayList<>();
         while (chosen.size() < Math.min(wanted, spare) && !candidates.isEmpty()) {
--- a/src/main/java/org/masticpaddle/bench/AdmissionOutcome.java
+++ b/src/main/java/org/masticpaddle/bench/AdmissionOutcome.java
@@ -41,6 +41,13 @@
         }
     }
 
+    /** Counts the tokens of a stream that was cancelled to be resumed. */
+    void served(SimulatedRequest work, long tokens, long now) {
+        if (measured(now)) {
+            servedTokens.merge(work.source(), tokens, Long::sum);
+        }
+    }
+
     /** Ends the run: a request without a useful answer counts with its patience, or its wait if that is longer. */
     AdmissionOutcome close() {
         failed.values()
--- a/src/main/java/org/masticpaddle/bench/AdmissionRun.java
+++ b/src/main/java/org/masticpaddle/bench/AdmissionRun.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 
 import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.admission.RunningStream;
 import org.masticpaddle.admission.WaitingRequest;
 import org.masticpaddle.wire.LoadReport;
 
@@ -16,6 +17,11 @@
     /** Interval and age of load reports. */
     private static final long REPORT_NANOS = 100_000_000L;
 
+    /** Prefill of the prompt and of the tokens produced before. */
+    private static final long RESUME_NANOS = 200_000_000L;
+
+    private final AdmissionDeployment deployment;
+    private final Map<Long, Integer> resumed = new HashMap<>();
     private final FakePool pool;
     private final AdmissionPolicy policy;
     private final Map<Long, SimulatedRequest> outstanding = new HashMap<>();
@@ -23,6 +29,7 @@
     private List<LoadReport> delayed;
 
     private AdmissionRun(AdmissionDeployment deployment, AdmissionPolicy policy) {
+        this.deployment = deployment;
         this.pool = new FakePool(deployment);
         this.policy = policy;
         this.delayed = pool.reports();
@@ -63,6 +70,7 @@
                 finish(pool.finishFirst(), now);
             }
             dispatch(now);
+            preempt(now);
         }
         return outcome.close();
     }
@@ -89,4 +97,41 @@
             request = policy.next(now, pool.inFlight());
         }
     }
+
+    private void preempt(long now) {
+        if (!policy.wantsPreemption(now)) {
+            return;
+        }
+        final List<RunningStream> streams = new ArrayList<>();
+        for (final FakePool.Attempt attempt : pool.running()) {
+            final long left = tokens(attempt.ends() - now);
+            final int before = resumed.getOrDefault(attempt.work().request().id(), 0);
+            streams.add(new RunningStream(
+                    attempt.work().request(), Math.max(0, attempt.work().tokens() - left), true, before));
+        }
+        for (final RunningStream stream : policy.preempt(streams, pool.inFlight(), now)) {
+            pool.cancel(stream.request().id(), now).ifPresent(attempt -> resumeLater(attempt, now));
+        }
+        dispatch(now);
+    }
+
+    private void resumeLater(FakePool.Attempt attempt, long now) {
+        final SimulatedRequest work = attempt.work();
+        final WaitingRequest request = work.request();
+        final long left = attempt.ends() - now;
+        final long done = Math.max(0, work.tokens() - tokens(left));
+        resumed.merge(request.id(), 1, Integer::sum);
+        policy.finished(request, done, now - attempt.dispatched(), now);
+        outcome.served(work, done, now);
+        final long expected = Math.max(1, request.tokens() - done);
+        final WaitingRequest rest =
+                request.resumed(expected, (long) (request.runNanos() * (expected / (double) request.tokens())));
+        outstanding.put(
+                request.id(), new SimulatedRequest(work.source(), rest, work.tokens() - done, left + RESUME_NANOS));
+        policy.offer(rest, now);
+    }
+
+    private long tokens(long nanos) {
+        return (long) Math.ceil(nanos / deployment.nanosPerToken());
+    }
 }
--- a/src/main/java/org/masticpaddle/bench/FakePool.java
+++ b/src/main/java/org/masticpaddle/bench/FakePool.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeSet;
 
 import org.masticpaddle.wire.LoadReport;
@@ -41,6 +42,22 @@
         return done;
     }
 
+    /** Cancels a running attempt; one that waits for a slot stays. */
+    Optional<Attempt> cancel(long id, long now) {
+        final Optional<Attempt> found = running.stream()
+                .filter(attempt -> attempt.work().request().id() == id)
+                .findFirst();
+        found.ifPresent(attempt -> {
+            running.remove(attempt);
+            startQueued(now);
+        });
+        return found;
+    }
+
+    List<Attempt> running() {
+        return List.copyOf(running);
+    }
+
     private void startQueued(long now) {
         final Attempt next = queued.poll();
         if (next != null) {
--- a/src/main/java/org/masticpaddle/bench/MasticpaddlePolicy.java
+++ b/src/main/java/org/masticpaddle/bench/MasticpaddlePolicy.java
@@ -1,10 +1,14 @@
 package org.masticpaddle.bench;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.masticpaddle.admission.AdmissionQueue;
 import org.masticpaddle.admission.ConcurrencyBound;
+import org.masticpaddle.admission.Preemption;
+import org.masticpaddle.admission.RunningStream;
 import org.masticpaddle.admission.WaitingRequest;
 import org.masticpaddle.document.RankPolicy;
 import org.masticpaddle.wire.LoadReport;
@@ -17,6 +21,12 @@
 
     private static final Map<Rank, Double> FLOORS =
             Map.of(Rank.URGENT, 0.0, Rank.STANDARD, STANDARD_FLOOR, Rank.BACKGROUND, BACKGROUND_FLOOR);
+    /** A tenth of the target of 0.41 s for the first token. */
+    private static final long PATIENCE_NANOS = 41_000_000L;
+
+    /** Some seconds of generation in both deployments. */
+    private static final long LEAST_TOKENS_LEFT = 1_000;
+
     private static final int BOUND = 4_096;
 
     private final AdmissionQueue queue = AdmissionQueue.of(
@@ -24,6 +34,7 @@
             Map.of(
                     Rank.STANDARD, new RankPolicy(Rank.STANDARD, 1_000, 15_000, STANDARD_FLOOR),
                     Rank.BACKGROUND, new RankPolicy(Rank.BACKGROUND, 5_000, 30_000, BACKGROUND_FLOOR)));
+    private final Preemption preemption = Preemption.of(BACKGROUND_FLOOR, PATIENCE_NANOS, LEAST_TOKENS_LEFT);
     private final ConcurrencyBound concurrency = ConcurrencyBound.of(16);
 
     @Override
@@ -45,6 +56,23 @@
         concurrency.finished(nanos, tokens);
     }
 
+    @Override
+    public List<RunningStream> preempt(Collection<RunningStream> running, int inFlight, long now) {
+        final int limit = concurrency.limit();
+        return preemption.advise(
+                running,
+                queue.waiting(LoadSource.POOL, Rank.URGENT),
+                queue.oldestWaitNanos(LoadSource.POOL, Rank.URGENT, now),
+                limit - inFlight,
+                limit);
+    }
+
+    @Override
+    public boolean wantsPreemption(long now) {
+        return queue.oldestWaitNanos(LoadSource.POOL, Rank.URGENT, now) >= PATIENCE_NANOS
+                && queue.running(LoadSource.POOL, Rank.BACKGROUND) > 0;
+    }
+
     @Override
     public void report(String sidecar, LoadReport load, int inFlight, long now) {
         concurrency.report(sidecar, load, inFlight, now);
--- a/src/main/java/org/masticpaddle/bench/QueueBaseline.java
+++ b/src/main/java/org/masticpaddle/bench/QueueBaseline.java
@@ -1,9 +1,12 @@
 package org.masticpaddle.bench;
 
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
 
+import org.masticpaddle.admission.RunningStream;
 import org.masticpaddle.admission.WaitingRequest;
 import org.masticpaddle.wire.LoadReport;
 
@@ -42,6 +45,16 @@
     @Override
     public void finished(WaitingRequest request, long tokens, long nanos, long now) {}
 
+    @Override
+    public List<RunningStream> preempt(Collection<RunningStream> running, int inFlight, long now) {
+        return List.of();
+    }
+
+    @Override
+    public boolean wantsPreemption(long now) {
+        return false;
+    }
+
     @Override
     public void report(String sidecar, LoadReport load, int inFlight, long now) {}
 }
