--- a/src/test/java/org/masticpaddle/command/ToolTest.java
+++ b/src/test/java/org/masticpaddle/command/ToolTest.java
@@ -81,6 +81,8 @@
             assertThat(run("publish", "--team", "products", rival.toString(), "--log", origin))
                     .isEqualTo(ExitCode.NEGATIVE);
             assertThat(err.toString(StandardCharsets.UTF_8)).contains("stale base");
+            run("publish", "--output", "json", "--team", "products", rival.toString(), "--log", origin);
+            assertThat(Json.tree(out.toByteArray()).path("reason").asText()).isEqualTo("STALE_BASE");
             assertThat(run("publish", "--team", "platform", mine.toString(), "--log", origin))
                     .isEqualTo(ExitCode.USAGE);
 
