--- /dev/null
+++ b/src/main/java/org/masticpaddle/bench/RolloutExperiment.java
@@ -0,0 +1,202 @@
+package org.masticpaddle.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.document.ModelVersion;
+import org.masticpaddle.document.Rollout;
+import org.masticpaddle.document.VersionName;
+import org.masticpaddle.rollout.HealthBaseline;
+import org.masticpaddle.rollout.ObservationSummary;
+import org.masticpaddle.rollout.Observations;
+import org.masticpaddle.rollout.RolloutEvidence;
+import org.masticpaddle.rollout.RolloutState;
+import org.masticpaddle.rollout.VersionHealth;
+import org.masticpaddle.routing.SessionShare;
+
+/** One roll-out in virtual time over several entries that exchange summaries late. */
+final class RolloutExperiment {
+    static final VersionName OLD = new VersionName("m", "1");
+    static final VersionName NEW = new VersionName("m", "2");
+
+    private static final long STAGE_MILLIS = 600_000;
+    private static final Rollout ROLLOUT =
+            new Rollout("r", "m", "1", "2", List.of(0.01, 0.05, 0.25, 1.0), STAGE_MILLIS, Rollout.State.RUNNING);
+    private static final long HISTORY_MILLIS = 600_000;
+    private static final long EXCHANGE_MILLIS = 2_000;
+    private static final long EXCHANGE_DELAY_MILLIS = 1_000;
+    private static final long RATING_MILLIS = 1_500;
+    /** Mean number of requests in a session. */
+    private static final int SESSION_REQUESTS = 4;
+    /** Share and length of the fixed stage of the baseline. */
+    private static final double FIXED_SHARE = 0.1;
+
+    private static final long FIXED_MILLIS = 600_000;
+
+    private final double requestsPerSecond;
+    private final Rates oldRates;
+    private final Rates newRates;
+    private final UniformRandomProvider random;
+    private final List<Entry> entries = new ArrayList<>();
+    private final PriorityQueue<Outcome> outcomes = new PriorityQueue<>();
+    private final ArrayDeque<Delivery> deliveries = new ArrayDeque<>();
+    private int exposed;
+    private int fixedExposed;
+
+    RolloutExperiment(double requestsPerSecond, Rates oldRates, Rates newRates, int entries, long seed) {
+        this.requestsPerSecond = requestsPerSecond;
+        this.oldRates = oldRates;
+        this.newRates = newRates;
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        for (int index = 0; index < entries; index++) {
+            this.entries.add(new Entry("e" + index));
+        }
+    }
+
+    /**
+     * True rates of a version.
+     *
+     * @param quality part of the answers rated 1, the others being rated 0
+     * @param error part of the requests that fail
+     * @param slow part of the requests that are slow
+     */
+    record Rates(double quality, double error, double slow) {}
+
+    /**
+     * Result of a roll-out.
+     *
+     * @param halted whether all entries stopped it
+     * @param anyHalted whether any entry stopped it
+     * @param complete whether all sessions use the new version
+     * @param exposed requests that reached the new version
+     * @param fixedExposed requests that a fixed stage of 10% and 10 minutes sends to it
+     */
+    record Result(boolean halted, boolean anyHalted, boolean complete, int exposed, int fixedExposed) {}
+
+    /** Runs until the roll-out is halted everywhere, or complete and a stage older, or for the given time at most. */
+    Result run(long stepMillis, long longest) {
+        final long start = HISTORY_MILLIS;
+        double next = 0;
+        boolean halted = false;
+        boolean complete = false;
+        for (long now = 0; now < start + longest; now += stepMillis) {
+            for (; next < now + stepMillis; next += -Math.log(1 - random.nextDouble()) * 1_000 / requestsPerSecond) {
+                request((long) next, next >= start, next - start < FIXED_MILLIS);
+            }
+            final long end = now + stepMillis;
+            while (!outcomes.isEmpty() && outcomes.peek().at <= end) {
+                outcomes.poll().observe();
+            }
+            exchange(end);
+            if (end >= start) {
+                entries.forEach(entry -> entry.step(end));
+                halted = entries.stream().allMatch(entry -> entry.state.halted());
+                complete = entries.stream()
+                        .allMatch(
+                                entry -> entry.state.stage() == 3 && end - entry.state.stageStartedAt() > STAGE_MILLIS);
+            }
+            if (complete || halted && end > start + FIXED_MILLIS) {
+                break;
+            }
+        }
+        final boolean any = entries.stream().anyMatch(entry -> entry.state.halted());
+        return new Result(halted, any, complete, exposed, fixedExposed);
+    }
+
+    private void request(long at, boolean begun, boolean fixedStage) {
+        final Entry entry = entries.get(random.nextInt(entries.size()));
+        // Requests of about the same time share a session, so that a session has several.
+        final String session = "s" + at / (SESSION_REQUESTS * 1_000L) + "-" + random.nextInt((int) requestsPerSecond);
+        final boolean isNew = begun && entry.takesNew(session);
+        if (isNew) {
+            exposed++;
+        }
+        if (begun && fixedStage && SessionShare.includes("fixed", session, FIXED_SHARE)) {
+            fixedExposed++;
+        }
+        final Rates rates = isNew ? newRates : oldRates;
+        final boolean error = random.nextDouble() < rates.error;
+        final long end = at + 1_000 + random.nextInt(2_000);
+        final VersionName version = isNew ? NEW : OLD;
+        final boolean slow = random.nextDouble() < rates.slow;
+        outcomes.add(new Outcome(end, () -> entry.observations.onEnd(version, error, slow, end)));
+        if (!error) {
+            final double rating = random.nextDouble() < rates.quality ? 1 : 0;
+            final long rated = end + RATING_MILLIS;
+            outcomes.add(new Outcome(rated, () -> entry.observations.onRating(version, rating, rated)));
+        }
+    }
+
+    private void exchange(long now) {
+        for (final Entry entry : entries) {
+            if (now - entry.sentAt >= EXCHANGE_MILLIS) {
+                entry.sentAt = now;
+                entry.observations
+                        .summary()
+                        .ifPresent(summary -> deliveries.add(
+                                new Delivery(now + EXCHANGE_DELAY_MILLIS, summary, entry.state, entry.health)));
+            }
+        }
+        while (!deliveries.isEmpty() && deliveries.peek().at <= now) {
+            final Delivery delivery = deliveries.poll();
+            entries.forEach(entry -> entry.receive(delivery));
+        }
+    }
+
+    private record Outcome(long at, Runnable action) implements Comparable<Outcome> {
+        private void observe() {
+            action.run();
+        }
+
+        @Override
+        public int compareTo(Outcome other) {
+            return Long.compare(at, other.at);
+        }
+    }
+
+    private record Delivery(long at, ObservationSummary summary, RolloutState state, VersionHealth health) {}
+
+    /** One entry with its own observations and states. */
+    private static final class Entry {
+        private final Observations observations;
+        private final ModelVersion declared = new ModelVersion(
+                NEW, "llm", ModelVersion.State.ACTIVE, 1, 1, 0.88, Map.of(), 20, ModelVersion.SessionEnd.MOVE);
+        private RolloutState state = RolloutState.begin("r", HISTORY_MILLIS);
+        private VersionHealth health = VersionHealth.begin(NEW, 0);
+        private long sentAt;
+
+        private Entry(String id) {
+            observations = new Observations(id);
+        }
+
+        private boolean takesNew(String session) {
+            return health.takes(session) && SessionShare.includes("r", session, state.share(ROLLOUT));
+        }
+
+        private void step(long now) {
+            health = health.step(declared, observations, now);
+            final HealthBaseline baseline =
+                    HealthBaseline.of(observations.since(OLD, 0), declared.quality(), declared.priorWeight());
+            state = state.step(
+                    ROLLOUT,
+                    new RolloutEvidence(
+                            observations.since(NEW, state.startedAt()),
+                            baseline,
+                            health.phase() == VersionHealth.Phase.HEALTHY,
+                            8,
+                            8),
+                    now);
+        }
+
+        private void receive(Delivery delivery) {
+            observations.merge(delivery.summary);
+            state = state.merge(delivery.state);
+            health = health.merge(delivery.health);
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
@@ -17,6 +17,8 @@
  */
 public final class UpstreamChoice {
     private static final double TYPICAL_SMOOTHING = 0.02;
+    /** Requests that a just full upstream counts for in the expected wait. */
+    private static final double NEAR_FULL = 4;
     /** Random draws for each sample before all upstreams are scanned. */
     private static final int DRAWS = 8;
 
@@ -147,14 +149,15 @@
     private double score(UpstreamView view, UpstreamRequest request, PrefixIndex prefixes, long now) {
         final LoadReport report = view.report();
         final double slots = Math.max(1, report.slots());
-        final double reported = (report.running() + report.queued()) / slots;
+        final double others = view.othersAtReport() / slots;
         final double trust = Math.exp(-view.reportAge(now) / policy.reportMemoryMillis());
-        typicalLoad += TYPICAL_SMOOTHING * (reported - typicalLoad);
-        final double load = (trust * reported + (1 - trust) * typicalLoad) * slots + view.dispatchesSinceReport();
-        final double ahead = Math.max(load, view.outstanding());
-        // Work below the slots still slows a batch; beyond them a request waits for whole services.
+        typicalLoad += TYPICAL_SMOOTHING * (others - typicalLoad);
+        // Own attempts are known exactly, so that dispatches since a stale report count and finished ones do not.
+        final double ahead = (trust * others + (1 - trust) * typicalLoad) * slots + view.outstanding();
+        // Beyond its slots an upstream makes a request wait for whole services; near them the chance of a wait grows.
         final double service = Math.max(1, report.meanServiceMillis());
-        final double wait = (Math.max(0, ahead + 1 - slots) + 0.1 * Math.min(ahead, slots)) * service / slots;
+        final double busy = Math.min(1, ahead / slots);
+        final double wait = (Math.max(0, ahead + 1 - slots) + NEAR_FULL * busy * busy) * service / slots;
         final double hit = request.prefixes().length == 0
                 ? 0
                 : prefixes.expectedHit(view.id(), request.version(), request.prefixes(), now);
--- a/src/main/java/org/masticpaddle/routing/UpstreamPolicy.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPolicy.java
@@ -28,6 +28,6 @@
      * @return the policy
      */
     public static UpstreamPolicy of(String region) {
-        return new UpstreamPolicy(region, 2, 1_000, 60, 0.25);
+        return new UpstreamPolicy(region, 4, 250, 60, 0.05);
     }
 }
--- a/src/main/java/org/masticpaddle/routing/UpstreamView.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamView.java
@@ -14,10 +14,8 @@
  * <p>Not thread-safe: the duty of the entry owns it.
  */
 public final class UpstreamView {
-    /** Own dispatches remembered by time; more since one report count as this many. */
-    private static final int REMEMBERED = 128;
-    /** Part of a new latency in the smoothed mean and deviation. */
-    private static final double SMOOTHING = 0.1;
+    /** Part of a new latency in the smoothed mean and deviation; larger ones let noise outweigh the load. */
+    private static final double SMOOTHING = 0.03;
     /** Deviations above the mean that stand for the tail, about the 95th percentile. */
     private static final double TAIL_DEVIATIONS = 2;
 
@@ -25,8 +23,7 @@
     private final String region;
     private final String failureDomain;
     private final CircuitBreaker breaker = new CircuitBreaker();
-    private final long[] dispatches = new long[REMEMBERED];
-    private long dispatched;
+    private int ownAtReport;
     private int outstanding;
     private LoadReport report = new LoadReport(0, false, false, 0, 0, 1, List.of(), 0);
     private Set<VersionName> versions = Set.of();
@@ -71,6 +68,7 @@
         }
         report = newer;
         reportedAt = at;
+        ownAtReport = outstanding;
     }
 
     /**
@@ -79,8 +77,6 @@
      * @param now current time in milliseconds
      */
     public void onDispatch(long now) {
-        dispatches[(int) (dispatched % REMEMBERED)] = now;
-        dispatched++;
         outstanding++;
         breaker.onSent(now);
     }
@@ -135,19 +131,12 @@
     }
 
     /**
-     * Counts own dispatches that the last report cannot contain.
+     * Estimates the attempts of other entries in the last report.
      *
-     * @return dispatches after the time of the report
+     * @return reported attempts less those that this entry had there at the time of the report
      */
-    public int dispatchesSinceReport() {
-        int count = 0;
-        for (long index = dispatched - 1; index >= Math.max(0, dispatched - REMEMBERED); index--) {
-            if (dispatches[(int) (index % REMEMBERED)] <= reportedAt) {
-                return count;
-            }
-            count++;
-        }
-        return count;
+    public int othersAtReport() {
+        return Math.max(0, report.running() + report.queued() - ownAtReport);
     }
 
     /**
