Expect a prefix hit also past lost events and weigh it higher

Cause: one lost cache event hid all later blocks of a prompt, and a hit counted only the time of its own request. Change: a known block implies those before it, unless one of them is known to be evicted; a new dispatch keeps confirmed confidence; a saved prefill counts 4 times, as it also frees the slot for those that wait; load near the slots counts half as much. The fake cache evicts the last block of a prompt first, as engines with a prefix tree do.

--- a/src/main/java/org/masticpaddle/bench/FakeUpstream.java
+++ b/src/main/java/org/masticpaddle/bench/FakeUpstream.java
@@ -61,7 +61,9 @@
         while (hits < job.prefixes.length && cache.get(job.prefixes[hits]) != null) {
             hits++;
         }
-        for (final long prefix : job.prefixes) {
+        // Stored from the last block to the first, so that a block is never evicted before those that follow it.
+        for (int index = job.prefixes.length - 1; index >= 0; index--) {
+            final long prefix = job.prefixes[index];
             if (cache.put(prefix, true) == null) {
                 journal(prefix, true);
             }
--- a/src/main/java/org/masticpaddle/routing/PrefixIndex.java
+++ b/src/main/java/org/masticpaddle/routing/PrefixIndex.java
@@ -22,6 +22,8 @@
     private static final int FEEDS = 1_024;
     /** Confidence in a block that this entry dispatched and no event has confirmed. */
     private static final double UNCONFIRMED = 0.8;
+    /** Stands for a block of which nothing is known; 0 is a block known to be evicted. */
+    private static final double UNKNOWN = -1;
     /** Age at which confidence in an entry is 1/e, as evictions may arrive late or never. */
     private static final double MEMORY_MILLIS = 600_000;
 
@@ -114,7 +116,7 @@
             if (holders != null && !holders.isEmpty()) {
                 final List<String> ids = new ArrayList<>(holders.size());
                 for (final Holder holder : holders) {
-                    if (feeds.get(holder.feed.upstream) == holder.feed) {
+                    if (holder.confidence > 0 && feeds.get(holder.feed.upstream) == holder.feed) {
                         ids.add(holder.feed.upstream);
                     }
                 }
@@ -139,14 +141,19 @@
         final Feed feed = feeds.get(upstream);
         final long versionHash = version.hashCode();
         double sum = 0;
-        double confidence = 1;
+        int unknown = 0;
+        // A cached block implies those before it whose events were lost, but not one known to be evicted.
         for (int index = 0; feed != null && index < prefixes.length; index++) {
             final List<Holder> holders = blocks.get(key(versionHash, prefixes[index]));
-            confidence = Math.min(confidence, holders == null ? 0 : confidence(holders, feed, now));
+            final double confidence = holders == null ? UNKNOWN : confidence(holders, feed, now);
             if (confidence == 0) {
                 break;
             }
-            sum += confidence;
+            unknown++;
+            if (confidence > 0) {
+                sum += unknown * confidence;
+                unknown = 0;
+            }
         }
         return prefixes.length == 0 ? 0 : sum / prefixes.length;
     }
@@ -158,23 +165,24 @@
                 return holder.confidence * Math.exp(feed.trust - holder.trust - age);
             }
         }
-        return 0;
+        return UNKNOWN;
     }
 
     private void store(Long key, Feed feed, double confidence, long now) {
         final List<Holder> holders = blocks.computeIfAbsent(key, absent -> new ArrayList<>(1));
+        final double known = Math.max(confidence, confidence(holders, feed, now));
         holders.removeIf(holder -> holder.feed == feed || feeds.get(holder.feed.upstream) != holder.feed);
-        if (holders.size() == HOLDERS) {
+        if (holders.size() == HOLDERS && !holders.removeIf(holder -> holder.confidence == 0)) {
             holders.remove(0);
         }
-        holders.add(new Holder(feed, confidence, feed.trust, now));
+        holders.add(new Holder(feed, known, feed.trust, now));
         feed.stored++;
     }
 
     private void evict(Long key, Feed feed) {
         final List<Holder> holders = blocks.get(key);
         if (holders != null) {
-            holders.removeIf(holder -> holder.feed == feed);
+            holders.replaceAll(holder -> holder.feed == feed ? new Holder(feed, 0, feed.trust, holder.at) : holder);
         }
         feed.stored = Math.max(0, feed.stored - 1);
     }
--- a/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
@@ -17,8 +17,10 @@
  */
 public final class UpstreamChoice {
     private static final double TYPICAL_SMOOTHING = 0.02;
+    /** A cached prefix saves its own request the prefill and also frees the slot for those that wait behind it. */
+    private static final double PREFILL_WEIGHT = 4;
     /** Requests that a just full upstream counts for in the expected wait. */
-    private static final double NEAR_FULL = 4;
+    private static final double NEAR_FULL = 2;
     /** Random draws for each sample before all upstreams are scanned. */
     private static final int DRAWS = 8;
 
@@ -162,7 +164,7 @@
                 ? 0
                 : prefixes.expectedHit(view.id(), request.version(), request.prefixes(), now);
         return wait
-                + (1 - hit) * request.prefillMillis()
+                + (1 - hit) * PREFILL_WEIGHT * request.prefillMillis()
                 + policy.tailWeight() * view.tailExcessMillis()
                 + (policy.region().equals(view.region()) ? 0 : policy.otherRegionMillis());
     }
--- a/src/test/java/org/masticpaddle/routing/PrefixIndexTest.java
+++ b/src/test/java/org/masticpaddle/routing/PrefixIndexTest.java
@@ -36,6 +36,14 @@
         assertThat(index.expectedHit("a", SMALL, PROMPT, 0)).isWithin(1e-9).of(1);
     }
 
+    /** Guards against one lost event hiding all later blocks of a prompt. */
+    @Test
+    void shouldTakeAnUnknownBlockBeforeAKnownOneForCached() {
+        index.onEvents("a", stored(0, 1, 2), 0);
+        index.onEvents("a", stored(3, 4), 0);
+        assertThat(index.expectedHit("a", SMALL, PROMPT, 0)).isGreaterThan(0.9);
+    }
+
     /** Guards against an evicted block, a repeated event or a restarted engine leaving a false hit. */
     @Test
     void shouldForgetWhatIsGone() {
