Lengthen the pause of an open circuit only after a failed trial

Cause: requests in flight when an upstream failed each doubled the pause, so that ten of them reached 30 s at once. Change: failures while the circuit is open count only if they are the trial's. Conclusion: a test with 50 failures at once keeps the first pause of 1 s; verify passes.

--- a/src/main/java/org/masticpaddle/routing/CircuitBreaker.java
+++ b/src/main/java/org/masticpaddle/routing/CircuitBreaker.java
@@ -13,6 +13,7 @@
     private int failures;
     private long openMillis;
     private long opensUntil;
+    private boolean trial;
 
     /** Creates a closed circuit. */
     public CircuitBreaker() {}
@@ -34,6 +35,7 @@
      */
     public void onSent(long now) {
         if (openMillis > 0) {
+            trial = true;
             opensUntil = now + openMillis;
         }
     }
@@ -42,6 +44,7 @@
     public void onSuccess() {
         failures = 0;
         openMillis = 0;
+        trial = false;
     }
 
     /**
@@ -51,7 +54,9 @@
      */
     public void onFailure(long now) {
         failures++;
-        if (failures >= FAILURES) {
+        // Requests sent before the circuit opened fail together; they are no trials and do not lengthen the pause.
+        if (failures >= FAILURES && (openMillis == 0 || trial)) {
+            trial = false;
             openMillis = openMillis == 0 ? FIRST_OPEN_MILLIS : Math.min(LONGEST_OPEN_MILLIS, openMillis * 2);
             opensUntil = now + openMillis;
         }
--- a/src/test/java/org/masticpaddle/routing/UpstreamChoiceTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamChoiceTest.java
@@ -151,6 +151,20 @@
         assertThat(breaker.allows(1_001)).isTrue();
     }
 
+    /** Guards against a pause that grows with the number of requests in flight when an upstream fails. */
+    @Test
+    void shouldLengthenThePauseOnlyAfterAFailedTrial() {
+        final CircuitBreaker breaker = new CircuitBreaker();
+        for (int failure = 0; failure < 50; failure++) {
+            breaker.onFailure(0);
+        }
+        assertThat(breaker.allows(1_000)).isTrue();
+        breaker.onSent(1_000);
+        breaker.onFailure(1_100);
+        assertThat(breaker.allows(3_099)).isFalse();
+        assertThat(breaker.allows(3_100)).isTrue();
+    }
+
     private Optional<UpstreamView> chosen(
             UpstreamSet set, Optional<UpstreamView> first, long now, UniformRandomProvider source) {
         return choice.choose(set, new UpstreamRequest(SMALL, NO_PREFIX, 100, first), prefixes, now, source);
