Keep serving and recover in an overload of real processes

Three causes, found by counting the refusals by reason: the concurrency bound took a step with each of many reports a second although a step shows only after a service time, and collapsed; late first tokens and deadlines reached in an overload counted against the version, whose health test then stopped it; refusals by full sidecars used up the retry budget. Change: one step for each half of a service time and sidecar; the bound keeps at least half of an equal part of the slots; latency counts against a version only in a roll-out, and deadlines never; a request that a sidecar refused goes back into the queue; if no healthy version is left, those in doubt are used; an answer that is not streamed is expected to take its whole time, not that of its first token.

--- a/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
+++ b/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
@@ -24,12 +24,16 @@
     static final double FLOOR_SLACK = 2;
 
     private static final long REPORT_LIFETIME_NANOS = 10_000_000_000L;
+    private static final long LEAST_STEP_NANOS = 100_000_000L;
+    private static final double STEP_SERVICES = 0.5;
+    private static final double LEAST_SHARE = 0.5;
     private static final double SMOOTHING = 0.1;
 
     private record Report(LoadReport load, long received) {}
 
     private final Map<String, Report> reports = new HashMap<>();
-    private final double least;
+    private int entries = 1;
+    private double least;
     private double bound;
     private double bestPerToken = Double.POSITIVE_INFINITY;
     private double perToken;
@@ -62,7 +66,14 @@
      */
     public void report(String sidecar, LoadReport load, int inFlight, long now) {
         Objects.requireNonNull(sidecar, "sidecar is null");
-        reports.put(sidecar, new Report(Objects.requireNonNull(load, "load is null"), now));
+        Objects.requireNonNull(load, "load is null");
+        final Report known = reports.get(sidecar);
+        // A step takes a service time to show at the sidecars; steps that come faster add up and overshoot.
+        final long interval = Math.max(LEAST_STEP_NANOS, (long) (load.meanServiceMillis() * 1e6 * STEP_SERVICES));
+        if (known != null && now - known.received() < interval && known.load().ready() == load.ready()) {
+            return;
+        }
+        reports.put(sidecar, new Report(load, now));
         reports.values().removeIf(report -> now - report.received() > REPORT_LIFETIME_NANOS);
         int slots = 0;
         int occupied = 0;
@@ -84,9 +95,20 @@
         } else if (inFlight >= bound * 0.8) {
             bound += step * Math.max(1, Math.min(bound * 0.5, (target - occupied) * 0.5));
         }
+        least = Math.max(1, slots * LEAST_SHARE / entries);
         bound = Math.max(least, Math.min(bound, slots * OCCUPANCY_TARGET));
     }
 
+    /**
+     * Sets the number of entries that share the pool. The bound never falls below half of an equal part of the slots, so
+     * that an entry that was pushed back by the others gets work done and finds its share again.
+     *
+     * @param count entries, this one included
+     */
+    public void entries(int count) {
+        entries = Math.max(1, count);
+    }
+
     /**
      * Learns from the end of a request.
      *
--- a/src/main/java/org/masticpaddle/entry/AnswerFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AnswerFlow.java
@@ -163,7 +163,9 @@
         final double firstMillis = (call.firstByteNanos() - call.startedNanos()) / NANOS_PER_MILLI;
         final long target =
                 run.document().document().policy(run.request().rank()).firstTokenMillis();
-        knowledge.ended(version.name(), false, firstMillis > target);
+        // Outside a roll-out a late token says more about the load than about the version.
+        final boolean slow = firstMillis > target && knowledge.inRollout(run.document().document(), version.name());
+        knowledge.ended(version.name(), false, slow);
         knowledge.latency(
                 version.name(),
                 Math.max(0, firstMillis),
--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 
@@ -29,9 +30,13 @@
  */
 final class AttemptFlow implements RequestFlow.Dispatcher {
     private static final int MAX_TRIES = 4;
+    // Sidecars that are full are found again within a round trip, so a request may meet several of them.
+    private static final int MAX_REFUSALS = 8;
+    private static final Set<String> VERSION_ERRORS = Set.of("engine_error", "answer_invalid");
     private static final int MAX_CONNECTIONS = 4;
     // A sidecar acknowledges a dispatch at once; without this the connection is taken for silent.
     private static final long ACCEPT_NANOS = 1_000_000_000L;
+    private static final long SCAN_NANOS = 100_000_000L;
 
     private final EntryContext context;
     private final RequestFlow requests;
@@ -40,6 +45,7 @@
     private final ClaimFlow claims;
     private final AnswerFlow answers;
     private final RetryBudget retries;
+    private long nextScanNanos;
 
     AttemptFlow(
             EntryContext context,
@@ -90,6 +96,10 @@
     /** Finds connections that went silent before the dispatch was acknowledged. */
     void tick() {
         final long now = context.nanos();
+        if (now < nextScanNanos) {
+            return;
+        }
+        nextScanNanos = now + SCAN_NANOS;
         for (final RequestRun run : requests.runs()) {
             run.attempt()
                     .filter(call -> !call.accepted() && call.last() == null)
@@ -221,7 +231,12 @@
             requests.fail(run, Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, failed.message(), RunState.UNKNOWN));
             return;
         }
-        run.version().filter(version -> !load).ifPresent(answers::versionFailed);
+        if (state == RunState.NOT_RUN && run.claim().isEmpty() && run.tries() < MAX_REFUSALS && inTime(run)) {
+            run.firstTry(call.upstream());
+            requests.requeue(run, 0);
+            return;
+        }
+        run.version().filter(version -> VERSION_ERRORS.contains(failed.reason())).ifPresent(answers::versionFailed);
         retryElsewhere(run, state, failed.message());
     }
 
@@ -229,9 +244,8 @@
     private void retryElsewhere(RequestRun run, RunState state, String message) {
         final boolean repeatable =
                 state == RunState.NOT_RUN || run.request().target().idempotent();
-        final boolean inTime = context.nanos() < run.request().deadlineNanos();
         if (repeatable
-                && inTime
+                && inTime(run)
                 && !run.responder().begun()
                 && run.tries() < MAX_TRIES
                 && retries.tryRetry(context.nanos())) {
@@ -243,6 +257,10 @@
         requests.fail(run, Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, message, state));
     }
 
+    private boolean inTime(RequestRun run) {
+        return context.nanos() < run.request().deadlineNanos();
+    }
+
     private void ended(RequestRun run, AttemptCall call, boolean success) {
         final double millis = (context.nanos() - call.startedNanos()) / 1e6;
         call.upstream().onEnd(success, millis, context.millis());
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -237,11 +237,11 @@
     }
 
     private void tick() {
-        upstreams.now(clock.millis());
+        final List<Instance> entries = membership.snapshot().entries();
+        upstreams.now(clock.millis(), entries.size());
         requests.tick();
         attempts.tick();
         charges.flush();
-        final List<Instance> entries = membership.snapshot().entries();
         exchange.tick(entries.size());
         demand.tick(entries);
         cacheEvents.tick();
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -20,6 +20,7 @@
 import org.masticpaddle.routing.ModelWish;
 import org.masticpaddle.routing.SessionBinding;
 import org.masticpaddle.routing.VersionChoice;
+import org.masticpaddle.routing.VersionConditions;
 import org.masticpaddle.routing.VersionPlan;
 import org.masticpaddle.routing.VersionRequest;
 
@@ -30,6 +31,9 @@
  * count in the limits are given back at that moment. All methods run on the entry's duty.
  */
 final class RequestFlow {
+    // Thousands of requests may wait in an overload; a look at each of them every tick would take the duty's time.
+    private static final long SCAN_NANOS = 50_000_000L;
+
     private final EntryContext context;
     private final AdmissionControl admission;
     private final Supplier<Optional<EffectiveConfiguration>> documents;
@@ -41,6 +45,7 @@
     private Dispatcher dispatcher;
     private CompletableFuture<Void> drained;
     private long lastNumber;
+    private long nextScanNanos;
 
     RequestFlow(
             EntryContext context,
@@ -137,9 +142,12 @@
                 .queue()
                 .expire(now)
                 .forEach(refusal -> fail(runs.get(refusal.request().id()), translate(refusal)));
-        for (final RequestRun run : new ArrayList<>(runs.values())) {
-            if (now >= run.request().deadlineNanos()) {
-                expire(run);
+        if (now >= nextScanNanos) {
+            nextScanNanos = now + SCAN_NANOS;
+            for (final RequestRun run : new ArrayList<>(runs.values())) {
+                if (now >= run.request().deadlineNanos()) {
+                    expire(run);
+                }
             }
         }
         pump();
@@ -221,6 +229,10 @@
         sessions.confirm(run, () -> enqueue(run));
     }
 
+    private VersionPlan choose(RequestRun run, VersionRequest wanted, VersionConditions conditions) {
+        return versions.choose(run.document().document(), wanted, conditions, context.random());
+    }
+
     private VersionRequest versionRequest(RequestRun run, CallerRequest.Chat chat) {
         final CallerRequest request = run.request();
         return new VersionRequest(
@@ -269,8 +281,9 @@
 
     private long expectedRunNanos(RequestRun run) {
         if (run.request().target() instanceof CallerRequest.Chat chat) {
-            // The first token is what has to come in time; a stream may go on after it.
-            return (long) (knowledge.expectedMillis(run.routedVersion(), chat.promptTokens(), 1) * 1_000_000);
+            // Of a stream, the first token has to come in time; any other answer has to be whole.
+            final int tokens = chat.stream() ? 1 : chat.maxTokens();
+            return (long) (knowledge.expectedMillis(run.routedVersion(), chat.promptTokens(), tokens) * 1_000_000);
         }
         return 0;
     }
--- a/src/main/java/org/masticpaddle/entry/Upstreams.java
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -98,8 +98,10 @@
         });
     }
 
-    void now(long millis) {
+    /** Sets the time and the number of entries that share the upstreams. */
+    void now(long millis, int entries) {
         nowMillis = millis;
+        pools.values().forEach(pool -> pool.bound.entries(entries));
     }
 
     UpstreamSet set(String service) {
--- a/src/main/java/org/masticpaddle/entry/VersionKnowledge.java
+++ b/src/main/java/org/masticpaddle/entry/VersionKnowledge.java
@@ -75,6 +75,49 @@
         return ratingAvailable;
     }
 
+    /** The same knowledge without the health test, for requests that no healthy version may answer. */
+    VersionConditions ignoringHealth() {
+        return new VersionConditions() {
+            @Override
+            public QualityEstimate quality(ModelVersion version, String kind) {
+                return VersionKnowledge.this.quality(version, kind);
+            }
+
+            @Override
+            public double acceptance(ModelVersion draft, String kind) {
+                return VersionKnowledge.this.acceptance(draft, kind);
+            }
+
+            @Override
+            public double expectedMillis(VersionName version, int promptTokens, int outputTokens) {
+                return VersionKnowledge.this.expectedMillis(version, promptTokens, outputTokens);
+            }
+
+            @Override
+            public boolean healthy(VersionName version, String stickyKey) {
+                return true;
+            }
+
+            @Override
+            public double rolloutShare(Rollout rollout) {
+                return 0;
+            }
+
+            @Override
+            public boolean ratingAvailable() {
+                return ratingAvailable;
+            }
+        };
+    }
+
+    /** Whether a roll-out from or to the version is declared, so that its latency is compared with another version's. */
+    boolean inRollout(RoutingDocument document, VersionName version) {
+        return document.rollouts().values().stream()
+                .filter(rollout -> rollout.model().equals(version.model()))
+                .anyMatch(rollout ->
+                        rollout.from().equals(version.version()) || rollout.to().equals(version.version()));
+    }
+
     void ratingAvailable(boolean available) {
         ratingAvailable = available;
     }
