--- a/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
+++ b/src/main/java/org/masticpaddle/admission/ConcurrencyBound.java
@@ -26,7 +26,9 @@
     private static final long REPORT_LIFETIME_NANOS = 10_000_000_000L;
     private static final long LEAST_STEP_NANOS = 100_000_000L;
     private static final double STEP_SERVICES = 0.5;
-    private static final double LEAST_SHARE = 0.5;
+    private static final double SHRINKING = 0.5;
+    private static final double GROWTH = 0.5;
+    private static final double USED = 0.8;
     private static final double SMOOTHING = 0.1;
 
     private record Report(LoadReport load, long received) {}
@@ -90,18 +92,23 @@
         // One report of many moves the bound by its part, so that a round of reports makes one full step.
         final double step = 1.0 / reports.size();
         final double target = slots * OCCUPANCY_TARGET * latencyFactor();
-        if (occupied > target) {
-            bound *= 1 - step * Math.min(0.3, 1 - target / occupied);
-        } else if (inFlight >= bound * 0.8) {
-            bound += step * Math.max(1, Math.min(bound * 0.5, (target - occupied) * 0.5));
+        final double equal = target / entries;
+        // What others hold is theirs, but nobody is kept below an equal part: in an overload all return to it.
+        final double others = Math.max(0, occupied - inFlight);
+        final double wanted = Math.max(equal, target - others);
+        if (wanted < bound) {
+            bound += step * SHRINKING * (wanted - bound);
+        } else if (inFlight >= bound * USED) {
+            // All entries see the same free places, so each takes only its part of them.
+            bound += step * Math.max(1, Math.min(bound, wanted - bound) * GROWTH / entries);
         }
-        least = Math.max(1, slots * LEAST_SHARE / entries);
+        least = Math.max(1, equal);
         bound = Math.max(least, Math.min(bound, slots * OCCUPANCY_TARGET));
     }
 
     /**
-     * Sets the number of entries that share the pool. The bound never falls below half of an equal part of the slots, so
-     * that an entry that was pushed back by the others gets work done and finds its share again.
+     * Sets the number of entries that share the pool. The bound never falls below an equal part of the places, so that an
+     * entry that was pushed back by the others gets work done and finds its share again.
      *
      * @param count entries, this one included
      */
--- a/src/main/java/org/masticpaddle/admission/RankQueue.java
+++ b/src/main/java/org/masticpaddle/admission/RankQueue.java
@@ -18,7 +18,8 @@
     private long queuedTokens;
 
     void add(WaitingRequest request, long now) {
-        flows.computeIfAbsent(request.organisation(), name -> new Flow()).add(request, virtualTime, now);
+        final double current = currentTime();
+        flows.computeIfAbsent(request.organisation(), name -> new Flow()).add(request, current, now);
         size++;
         queuedTokens += request.tokens();
     }
@@ -89,11 +90,26 @@
         return flow != null && flow.busy(now, nanos);
     }
 
+    /**
+     * Virtual time at which an idle organisation resumes. Requests that used fewer tokens than expected set their
+     * organisation back below the virtual time; one that resumed at the virtual time would wait for all of that.
+     */
+    private double currentTime() {
+        double least = virtualTime;
+        for (final Flow flow : flows.values()) {
+            if (flow.size() > 0) {
+                least = Math.min(least, flow.start());
+            }
+        }
+        return least;
+    }
+
     /** Tokens served before a new request of the organisation, if nobody else arrives. */
     double tokensAhead(String organisation, double weight, long tokens) {
         final Flow own = flows.get(organisation);
         final long ownQueued = own == null ? 0 : own.queuedTokens();
-        final double ownStart = own == null ? virtualTime : Math.max(own.start(), own.size() == 0 ? virtualTime : 0);
+        final double ownStart =
+                own == null ? currentTime() : Math.max(own.start(), own.size() == 0 ? currentTime() : 0);
         // The request starts when the organisation's virtual time has passed its own earlier work.
         final double reached = ownStart + ownQueued / weight;
         double ahead = ownQueued;
--- a/src/main/java/org/masticpaddle/entry/AnswerFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AnswerFlow.java
@@ -164,7 +164,8 @@
         final long target =
                 run.document().document().policy(run.request().rank()).firstTokenMillis();
         // Outside a roll-out a late token says more about the load than about the version.
-        final boolean slow = firstMillis > target && knowledge.inRollout(run.document().document(), version.name());
+        final boolean slow =
+                firstMillis > target && knowledge.inRollout(run.document().document(), version.name());
         knowledge.ended(version.name(), false, slow);
         knowledge.latency(
                 version.name(),
--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -236,7 +236,9 @@
             requests.requeue(run, 0);
             return;
         }
-        run.version().filter(version -> VERSION_ERRORS.contains(failed.reason())).ifPresent(answers::versionFailed);
+        run.version()
+                .filter(version -> VERSION_ERRORS.contains(failed.reason()))
+                .ifPresent(answers::versionFailed);
         retryElsewhere(run, state, failed.message());
     }
 
