Measure the cost laws and bring the exchange of an entry within its budget

Change: organisations without a limit stay out of the demand summaries; three relays take turns with the other failure domains; all entries together append 10 summaries a second instead of 40, and one that finds a version or roll-out bad appends at once; cache events are read from one sidecar a second, 32 at most.

--- a/src/main/java/org/masticpaddle/admission/LimitBook.java
+++ b/src/main/java/org/masticpaddle/admission/LimitBook.java
@@ -60,6 +60,10 @@
     public LimitDecision admit(String organisation, Limits limits, long tokens, long spendMicros, long now) {
         Objects.requireNonNull(organisation, "organisation is null");
         Objects.requireNonNull(limits, "limits is null");
+        if (limits.equals(Limits.NONE)) {
+            // Without a limit there is nothing to share, and the organisation stays out of the summaries.
+            return new LimitDecision.Admitted();
+        }
         final OrganisationUsage usage = usages.computeIfAbsent(organisation, name -> new OrganisationUsage());
         Demand total = Demand.NONE;
         int known = 0;
--- a/src/main/java/org/masticpaddle/bench/ScenarioKind.java
+++ b/src/main/java/org/masticpaddle/bench/ScenarioKind.java
@@ -1,11 +1,15 @@
 package org.masticpaddle.bench;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
+import org.masticpaddle.scale.ScaleBench;
+
 /** Kinds of bench scenarios. */
 public enum ScenarioKind {
     /** Admission decisions in virtual time. */
@@ -28,6 +32,37 @@
             return rows;
         }
     },
+    /** Roll-outs and bad versions in virtual time. */
+    ROLLOUT("rollout") {
+        @Override
+        List<BenchRow> run(ScenarioOptions options, PrintStream progress) {
+            options.refuseUnknown();
+            final List<BenchRow> rows = new ArrayList<>();
+            RolloutBench.run(rows::add);
+            return rows;
+        }
+    },
+    /** Cost laws of each mechanism, for the capacity page. */
+    SCALE("scale") {
+        @Override
+        List<BenchRow> run(ScenarioOptions options, PrintStream progress) {
+            final Path directory = Path.of(options.text("directory", "docs/capacity"));
+            options.refuseUnknown();
+            return new ScaleBench(directory, progress)
+                    .run().values().stream()
+                            .map(one -> new BenchRow(
+                                    "scale",
+                                    one.mechanism().name() + " in "
+                                            + one.mechanism().unit() + " for each of "
+                                            + one.mechanism().input(),
+                                    "none stated",
+                                    one.slope().perUnit(),
+                                    1 - one.slope().fit(),
+                                    Map.of(),
+                                    true))
+                            .toList();
+        }
+    },
     /** Cost of entry and sidecar through real processes' code. */
     OVERHEAD("overhead") {
         @Override
--- a/src/main/java/org/masticpaddle/entry/CacheEventExchange.java
+++ b/src/main/java/org/masticpaddle/entry/CacheEventExchange.java
@@ -17,7 +17,7 @@
  * methods run on the entry's duty.
  */
 final class CacheEventExchange {
-    private static final long INTERVAL_MILLIS = 500;
+    private static final long INTERVAL_MILLIS = 1_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
     private final EntryContext context;
--- a/src/main/java/org/masticpaddle/entry/DemandExchange.java
+++ b/src/main/java/org/masticpaddle/entry/DemandExchange.java
@@ -69,13 +69,28 @@
                 .forEach(relay -> send(relay.address(), own));
         final DemandSummary sum =
                 new DemandSummary(List.of(limits.summary(context.nanos()).fold(domain, context.millis())));
+        final int position = position(domainRelays);
         relays.forEach((other, members) -> {
-            if (!other.equals(domain)) {
+            if (!other.equals(domain) && sends(other, position, domainRelays.size())) {
                 turn(members).forEach(relay -> send(relay.address(), sum));
             }
         });
     }
 
+    private int position(List<Instance> domainRelays) {
+        for (int index = 0; index < domainRelays.size(); index++) {
+            if (domainRelays.get(index).id().equals(instance)) {
+                return index;
+            }
+        }
+        return 0;
+    }
+
+    /** The relays of a domain divide the other domains, and pass them on in turn in case one of them is lost. */
+    private boolean sends(String other, int position, int count) {
+        return Math.floorMod(Hashing.of(other) + round, count) == position;
+    }
+
     /** Takes in a message and returns the answer to it. */
     DemandSummary receive(DemandSummary summary) {
         limits.receive(summary, context.nanos());
--- a/src/main/java/org/masticpaddle/entry/KnowledgeExchange.java
+++ b/src/main/java/org/masticpaddle/entry/KnowledgeExchange.java
@@ -9,6 +9,8 @@
 import org.masticpaddle.platform.EventLog;
 import org.masticpaddle.platform.LogPage;
 import org.masticpaddle.platform.LogRecord;
+import org.masticpaddle.rollout.RolloutState;
+import org.masticpaddle.rollout.VersionHealth;
 import org.masticpaddle.wire.Json;
 import org.masticpaddle.wire.MalformedMessageException;
 
@@ -21,8 +23,8 @@
 final class KnowledgeExchange {
     private static final Logger LOGGER = LogManager.getLogger(KnowledgeExchange.class);
     private static final long MIN_INTERVAL_MILLIS = 2_000;
-    // All entries together append at most this often, a tenth of what the log takes.
-    private static final long APPENDS_PER_SECOND = 40;
+    // All entries together append at most this often, since every entry reads all of it within 17 KB a second.
+    private static final long APPENDS_PER_SECOND = 10;
     private static final int PAGE_RECORDS = 256;
     // A new entry reads this much of the past; older summaries have little weight.
     private static final long BACKLOG_RECORDS = 2_000;
@@ -36,6 +38,8 @@
     private long nextOffset = -1;
     private long nextAppendMillis;
     private long nextReadMillis;
+    private long lastAppendMillis;
+    private long lastVerdicts;
     private boolean appending;
     private boolean reading;
 
@@ -49,8 +53,11 @@
     /** Appends and reads what is due. */
     void tick(int entries) {
         final long now = context.millis();
-        if (!appending && now >= nextAppendMillis) {
+        final boolean verdict = verdicts() != lastVerdicts && now >= lastAppendMillis + MIN_INTERVAL_MILLIS;
+        if (!appending && (now >= nextAppendMillis || verdict)) {
             nextAppendMillis = now + Math.max(MIN_INTERVAL_MILLIS, 1000L * entries / APPENDS_PER_SECOND);
+            lastAppendMillis = now;
+            lastVerdicts = verdicts();
             append();
         }
         if (!reading && now >= nextReadMillis) {
@@ -58,6 +65,16 @@
         }
     }
 
+    /** Changes when a version or roll-out is stopped, which the other entries have to learn at once. */
+    private long verdicts() {
+        return knowledge.rolloutStates().values().stream()
+                        .filter(RolloutState::halted)
+                        .count()
+                + knowledge.healthStates().values().stream()
+                        .mapToLong(VersionHealth::stops)
+                        .sum();
+    }
+
     private void append() {
         appending = true;
         final EntrySummary summary = new EntrySummary(
--- a/src/main/java/org/masticpaddle/scale/Mechanisms.java
+++ b/src/main/java/org/masticpaddle/scale/Mechanisms.java
@@ -82,7 +82,7 @@
                         "us",
                         List.of(100, 1000, 10000),
                         size -> size * Timing.microsEach(size, index -> Json.encode(charge(index)))),
-                new Mechanism("demand-bytes", "organisations", "bytes", List.of(10, 100, 400), size ->
+                new Mechanism("demand-bytes", "organisations", "bytes", List.of(1, 10, 40), size ->
                         (double) Json.encode(new DemandSummary(List.of(demand("entry-1", size)))).length),
                 new Mechanism("demand-merge", "rows", "us", List.of(8, 32, 128), Mechanisms::demandMerge),
                 new Mechanism("cache-event-bytes", "events", "bytes", List.of(1, 16, 64), size ->
--- a/src/main/java/org/masticpaddle/sidecar/SidecarHandler.java
+++ b/src/main/java/org/masticpaddle/sidecar/SidecarHandler.java
@@ -22,8 +22,8 @@
 
 /** HTTP interface of a sidecar towards entries. Thread-safe: it only turns requests into events. */
 final class SidecarHandler implements HttpHandler {
-    // Bounds the answer to about 5 KB, since entries ask twice a second.
-    private static final int MAX_EVENTS = 64;
+    // Bounds the answer to about 3 KB, since entries ask once a second and have 17 KB a second for all control.
+    private static final int MAX_EVENTS = 32;
     private static final long MAX_PENDING_BYTES = 4 << 20;
 
     private final Predicate<SidecarEvent> events;
