Keep the claim of an attempt that may have run; restart whole answers

Two faults of the entry's retries, both shown by FaultMatrixTest.

Cause: when a request failed as unknown, the entry still appended a release of its claim, so the key could be claimed again. Ruled out: the sidecar repeating the call; the second run came from the other upstream under a new claim. The claim is now released only when the attempt is known not to have run.

Row "kill sidecar / first token": a whole answer whose sidecar was killed midway held the first attempt's text in front of the second's. Cause: the caller's responder collects the bytes and was not emptied for the next attempt.

--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -131,6 +131,7 @@
         final AttemptCall call =
                 new AttemptCall(order(run, upstream, attemptId), upstream, address.get(), target, context.nanos());
         run.attempt(call);
+        run.responder().restart();
         upstream.onDispatch(context.millis());
         upstreams.prefixes().onDispatch(upstream.id(), run.routedVersion(), PromptPrefixes.of(run), context.millis());
         run.responder().header("Masticpaddle-Model", run.routedVersion().model());
@@ -233,7 +234,9 @@
             claims.releaseUnsent(run, () -> attempt(run));
             return;
         }
-        claims.releaseUnsent(run, () -> {});
+        if (state == RunState.NOT_RUN) {
+            claims.releaseUnsent(run, () -> {});
+        }
         requests.fail(run, Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, message, state));
     }
 
--- a/src/main/java/org/masticpaddle/entry/CountingResponder.java
+++ b/src/main/java/org/masticpaddle/entry/CountingResponder.java
@@ -39,6 +39,11 @@
         return target.bytes(bytes);
     }
 
+    @Override
+    public void restart() {
+        target.restart();
+    }
+
     @Override
     public void complete(Frame.End end) {
         target.complete(end);
--- a/src/main/java/org/masticpaddle/entry/Responder.java
+++ b/src/main/java/org/masticpaddle/entry/Responder.java
@@ -18,6 +18,9 @@
     /** Delivers the next bytes. Returns {@code false} if the caller is gone. */
     boolean bytes(byte[] bytes);
 
+    /** Forgets what a failed attempt delivered, before another attempt answers from the start. */
+    default void restart() {}
+
     /** Ends a whole answer. */
     void complete(Frame.End end);
 
--- a/src/main/java/org/masticpaddle/entry/WholeResponder.java
+++ b/src/main/java/org/masticpaddle/entry/WholeResponder.java
@@ -45,6 +45,13 @@
         return exchange.getConnection().isOpen();
     }
 
+    @Override
+    public void restart() {
+        body.reset();
+        status = 200;
+        upstreamHeaders = Map.of();
+    }
+
     @Override
     public void complete(Frame.End end) {
         if (ended.compareAndSet(false, true)) {
