Resume engine streams at the engine's own offset; hide its error bodies

Both shown by FaultMatrixTest.

Row "answer cut / stream": text was repeated after an engine cut its stream (3 of 6 answers). Cause: the engine counts its offset over the bytes of its body, and the sidecar gave the length of the decoded text; it also dropped a partial event. The decoder is now kept over calls and counts what it took. A resume that is not answered with 200 fails the call, so that its body is not counted. Ruled out: the entry's resume by offset, which the row "lost answer / stream" shows.

Row "bad version / stream": the JSON body of an engine's error reached a streaming caller as text of the model, which also ruled out a try at another upstream. Such a body is now dropped.

--- a/src/main/java/org/masticpaddle/sidecar/EngineStream.java
+++ b/src/main/java/org/masticpaddle/sidecar/EngineStream.java
@@ -26,6 +26,7 @@
     private int promptTokens;
     private int outputTokens;
     private boolean done;
+    private long received;
 
     EngineStream(String expectedId, Consumer<byte[]> text) {
         this.expectedId = expectedId;
@@ -33,9 +34,15 @@
     }
 
     void accept(byte[] bytes) {
+        received += bytes.length;
         lines.accept(bytes);
     }
 
+    /** Bytes of the engine's body taken so far, from which a broken answer is resumed. */
+    long received() {
+        return received;
+    }
+
     /** Whether the engine has marked the end of the stream; without the mark the answer is cut off. */
     boolean done() {
         return done;
--- a/src/main/java/org/masticpaddle/sidecar/UpstreamRunner.java
+++ b/src/main/java/org/masticpaddle/sidecar/UpstreamRunner.java
@@ -10,6 +10,7 @@
 import org.masticpaddle.wire.Dispatch;
 import org.masticpaddle.wire.HttpCall;
 import org.masticpaddle.wire.HttpClient;
+import org.masticpaddle.wire.MalformedMessageException;
 import org.masticpaddle.wire.RunState;
 import org.masticpaddle.wire.StreamListener;
 
@@ -22,6 +23,7 @@
 final class UpstreamRunner {
     private static final int MAX_CALLS = 3;
     private static final int CLIENT_ERROR = 400;
+    private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
     private static final int REFUSED = 503;
 
@@ -41,10 +43,11 @@
     }
 
     void bytes(Attempt attempt, byte[] bytes) {
-        if (attempt.chat() && attempt.status() < CLIENT_ERROR) {
-            attempt.engineStream().accept(bytes);
-        } else {
+        if (!attempt.chat()) {
             attempt.answered(bytes);
+        } else if (attempt.status() < CLIENT_ERROR) {
+            // The body of an engine's error is no answer, and bytes that reach a caller rule out another upstream.
+            attempt.engineStream().accept(bytes);
         }
     }
 
@@ -71,14 +74,19 @@
         }
         if (attempt.chat() && attempt.status() != 0 && attempt.calls() < MAX_CALLS) {
             final long left = (attempt.deadlineNanos() - nowNanos) / 1_000_000;
-            call(attempt, calls.resume(attempt.dispatch(), attempt.length(), left), nowNanos);
+            call(
+                    attempt,
+                    calls.resume(attempt.dispatch(), attempt.engineStream().received(), left),
+                    nowNanos);
             return new Verdict.Continued();
         }
         return new Verdict.Broken("upstream_failed", message(error), RunState.UNKNOWN);
     }
 
     private void call(Attempt attempt, HttpCall call, long nowNanos) {
-        final EngineStream decoder = new EngineStream(attempt.id(), attempt::answered);
+        // A resumed body goes on in the middle of an event, so the decoder with its partial event is kept.
+        final EngineStream decoder =
+                attempt.calls() == 0 ? new EngineStream(attempt.id(), attempt::answered) : attempt.engineStream();
         final int number = attempt.beginCall(decoder, nowNanos);
         final boolean first = number == 1;
         final String id = attempt.id();
@@ -87,6 +95,8 @@
             public void onHead(int status, Map<String, String> headers) {
                 if (first) {
                     events.accept(new SidecarEvent.Head(id, number, status, headers));
+                } else if (status != OK) {
+                    throw new MalformedMessageException("the engine answered status " + status + " to a resume", null);
                 }
             }
 
