Give a session's binding back to a home that lost it

Row "kill sidecar / admit" of FaultMatrixTest: a session bound to model-a/v2 was answered by model-a/v1 after both of its homes had been restarted, one after the other. Cause: a binding that was found at one home was never written to the other, so the second loss was final. The entry now writes it to each home that does not have it. Callers that return the token were not concerned. If both homes are lost before the next request, a caller with only a session id still loses the binding.

--- a/src/main/java/org/masticpaddle/entry/SidecarSessionDirectory.java
+++ b/src/main/java/org/masticpaddle/entry/SidecarSessionDirectory.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -35,13 +37,28 @@
     @Override
     public CompletableFuture<Optional<SessionBinding>> find(String organisation, String session) {
         final String query = "/internal/session?organisation=" + encode(organisation) + "&session=" + encode(session);
-        CompletableFuture<Optional<SessionBinding>> all = CompletableFuture.completedFuture(Optional.empty());
+        final Map<Instance, CompletableFuture<Optional<SessionBinding>>> answers = new LinkedHashMap<>();
         for (final Instance home : homes(organisation, session)) {
-            final CompletableFuture<Optional<SessionBinding>> one =
-                    answer(HttpCall.get(home.address(), query, TIMEOUT));
+            answers.put(home, answer(HttpCall.get(home.address(), query, TIMEOUT)));
+        }
+        CompletableFuture<Optional<SessionBinding>> all = CompletableFuture.completedFuture(Optional.empty());
+        for (final CompletableFuture<Optional<SessionBinding>> one : answers.values()) {
             all = all.thenCombine(one, SidecarSessionDirectory::merge);
         }
-        return all;
+        return all.whenComplete((found, error) -> {
+            if (error == null) {
+                found.ifPresent(binding -> repair(binding, answers));
+            }
+        });
+    }
+
+    /** Gives the binding to a home that lacks it, so that the loss of the other home later loses nothing. */
+    private void repair(SessionBinding binding, Map<Instance, CompletableFuture<Optional<SessionBinding>>> answers) {
+        answers.forEach((home, answer) -> {
+            if (answer.join().isEmpty()) {
+                client.send(HttpCall.post(home.address(), "/internal/session", binding, TIMEOUT));
+            }
+        });
     }
 
     @Override
