Notice callers that leave before their answer begins

Row "client gone / first token" of FaultMatrixTest: the engine ran a whole answer of 400 tokens to its end for a caller that had closed its connection. Cause: the server reads a connection again only after the answer, and a whole answer is written at its end. The entry now reads the connection while the answer is prepared. A request that arrives early on the same connection is pushed back and ends the watch. A caller that closes only its sending side counts as gone.

--- a/src/main/java/org/masticpaddle/entry/EntryHandler.java
+++ b/src/main/java/org/masticpaddle/entry/EntryHandler.java
@@ -20,6 +20,7 @@
 import org.masticpaddle.document.Organisation;
 import org.masticpaddle.document.RoutingDocument;
 import org.masticpaddle.wire.Exchanges;
+import org.masticpaddle.wire.PeerWatch;
 import org.masticpaddle.wire.RunState;
 
 /** HTTP interface of an entry towards callers and other processes. Thread-safe: it only turns requests into actions. */
@@ -100,6 +101,7 @@
             final CallerRequest request = parse.apply(body, document);
             final Responder responder =
                     new CountingResponder(responder(exchange, request), request, counters, System::nanoTime);
+            PeerWatch.start(exchange);
             if (!loop.offer(() -> requests.accept(request, responder))) {
                 responder.fail(Refusal.notRun(Refusal.Kind.OVERLOADED, "the entry has too much work"));
             }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/wire/PeerWatch.java
@@ -0,0 +1,66 @@
+package org.masticpaddle.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Notices a peer that closes its connection while its answer is prepared. The server itself reads a connection again only
+ * after the answer, so that without this the loss of the peer shows at the first write at the earliest.
+ */
+public final class PeerWatch {
+    private PeerWatch() {}
+
+    /**
+     * Closes the connection, which runs its close listeners, once the peer has ended its side. A peer that sends the next
+     * request early is watched no longer.
+     *
+     * @param exchange exchange whose request has been read whole
+     */
+    public static void start(HttpServerExchange exchange) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
+            exchange.getIoThread().execute(() -> {
+                if (!exchange.isComplete()) {
+                    watch(exchange, connection);
+                }
+            });
+        }
+    }
+
+    private static void watch(HttpServerExchange exchange, HttpServerConnection connection) {
+        final StreamSourceConduit source = connection.getOriginalSourceConduit();
+        final ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
+        channel.setReadListener(ignored -> {
+            if (exchange.isComplete()) {
+                return;
+            }
+            final PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+            boolean kept = false;
+            try {
+                final ByteBuffer buffer = pooled.getBuffer();
+                final int count = source.read(buffer);
+                if (count < 0) {
+                    IoUtils.safeClose(connection);
+                } else if (count > 0) {
+                    source.suspendReads();
+                    buffer.flip();
+                    connection.ungetRequestBytes(pooled);
+                    kept = true;
+                }
+            } catch (IOException e) {
+                IoUtils.safeClose(connection);
+            } finally {
+                if (!kept) {
+                    pooled.close();
+                }
+            }
+        });
+        source.resumeReads();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/masticpaddle/wire/PeerWatchTest.java
@@ -0,0 +1,88 @@
+package org.masticpaddle.wire;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against work that goes on for a caller that left before the first byte of its answer. */
+class PeerWatchTest {
+    private static final String REQUEST = "POST /x HTTP/1.1\r\nHost: test\r\nContent-Length: 2\r\n\r\nhi";
+
+    @Test
+    void shouldNoticeAPeerThatClosesBeforeTheAnswer() throws Exception {
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final CompletableFuture<Void> closed = new CompletableFuture<>();
+        final HttpServer server = server(exchange -> {
+            exchange.getConnection().addCloseListener(connection -> closed.complete(null));
+            arrived.complete(null);
+        });
+        try (Socket socket = connect(server)) {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            arrived.get(30, TimeUnit.SECONDS);
+            socket.close();
+            closed.get(30, TimeUnit.SECONDS);
+        } finally {
+            server.stop();
+        }
+    }
+
+    @Test
+    void shouldAnswerRequestsThatArriveEarlyOnTheSameConnection() throws Exception {
+        final Queue<HttpServerExchange> waiting = new ConcurrentLinkedQueue<>();
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final HttpServer server = server(exchange -> {
+            if (arrived.isDone()) {
+                Exchanges.answer(exchange, 200, "second");
+            } else {
+                waiting.add(exchange);
+                arrived.complete(null);
+            }
+        });
+        try (Socket socket = connect(server)) {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            arrived.get(30, TimeUnit.SECONDS);
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            final HttpServerExchange first = waiting.remove();
+            first.getIoThread().execute(() -> Exchanges.answer(first, 200, "first"));
+            final StringBuilder answers = new StringBuilder();
+            socket.setSoTimeout(30_000);
+            while (!answers.toString().contains("second")) {
+                final int next = socket.getInputStream().read();
+                assertThat(next).isAtLeast(0);
+                answers.append((char) next);
+            }
+            assertThat(answers.indexOf("first")).isAtLeast(0);
+        } finally {
+            server.stop();
+        }
+    }
+
+    private static HttpServer server(java.util.function.Consumer<HttpServerExchange> handler) {
+        final HttpServer server = new HttpServer(
+                "127.0.0.1",
+                0,
+                1,
+                1_000,
+                exchange -> exchange.getRequestReceiver()
+                        .receiveFullBytes((ignored, body) -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                            PeerWatch.start(exchange);
+                            handler.accept(exchange);
+                        })));
+        server.start();
+        return server;
+    }
+
+    private static Socket connect(HttpServer server) throws IOException {
+        return new Socket("127.0.0.1", server.port());
+    }
+}
