--- a/src/main/java/org/masticpaddle/standin/FaultProxy.java
+++ b/src/main/java/org/masticpaddle/standin/FaultProxy.java
@@ -30,7 +30,7 @@
     private static final Logger LOGGER = LogManager.getLogger(FaultProxy.class);
     private static final long CALL_TIMEOUT_SECONDS = 10;
 
-    private final InetSocketAddress target;
+    private volatile InetSocketAddress target;
     private final List<ProxyLink> links = new ArrayList<>();
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final ProxyRules rules = new ProxyRules();
@@ -46,8 +46,17 @@
      * @param target host and port that it forwards to; the scheme is ignored
      */
     public FaultProxy(URI target) {
-        Objects.requireNonNull(target, "target is null");
-        this.target = new InetSocketAddress(target.getHost(), target.getPort());
+        retarget(target);
+    }
+
+    /**
+     * Sends later connections to another address, for a target that was restarted. Open ones keep theirs.
+     *
+     * @param address host and port; the scheme is ignored
+     */
+    public void retarget(URI address) {
+        Objects.requireNonNull(address, "address is null");
+        target = new InetSocketAddress(address.getHost(), address.getPort());
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/org/masticpaddle/bench/ClaimCells.java
@@ -0,0 +1,281 @@
+package org.masticpaddle.bench;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.masticpaddle.standin.Fault;
+import org.masticpaddle.standin.FaultProxy.Direction;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.masticpaddle.bench.ProcessDeployment.await;
+import static org.masticpaddle.bench.ProcessDeployment.join;
+
+/** Faults that meet a booking, which must run at most once. */
+final class ClaimCells {
+    private static final long DEADLINE = 20_000;
+    private static final long SHORT_DEADLINE = 1_500;
+    /** Longer than any cell, so that the answer of the upstream never arrives. */
+    private static final long NEVER = 600_000;
+
+    private ClaimCells() {}
+
+    static List<FaultCell> cells() {
+        return List.of(
+                new FaultCell("kill sidecar", "complete", "a booking that may have run is not repeated", d -> {
+                    killSidecar(d);
+                }),
+                new FaultCell("kill entry", "complete", "another entry settles the booking", ClaimCells::killEntry),
+                new FaultCell("pause sidecar", "complete", "the booking runs once", ClaimCells::pauseSidecar),
+                new FaultCell(
+                        "pause entry", "claim", "a late dispatch of a sealed attempt is refused", ClaimCells::late),
+                new FaultCell("restart entry", "claim", "the claim is read again", ClaimCells::restartEntry),
+                new FaultCell("lost answer", "complete", "the answer is unknown, and stays so", ClaimCells::lostAnswer),
+                new FaultCell(
+                        "silent connection", "complete", "the attempt goes on at a new connection", d -> silent(d)),
+                new FaultCell("lost request", "dispatch", "not run is true", ClaimCells::lostRequest),
+                new FaultCell("log out", "claim", "nothing runs without a claim", ClaimCells::logOut),
+                new FaultCell("log slow", "claim", "the booking runs once", d -> logFault(d, Fault.SLOW, 700, 6)),
+                new FaultCell("ack lost", "claim", "the booking runs once", d -> logFault(d, Fault.ANSWER_LOST, 0, 2)),
+                new FaultCell("ack lost, applied twice", "claim", "the booking runs once", d -> {
+                    logFault(d, Fault.APPLIED_TWICE, 0, 3);
+                }),
+                new FaultCell("lost answer of a log read", "claim", "the booking runs once", ClaimCells::logCut),
+                new FaultCell("duplicated request", "claim", "one of two entries runs the booking", ClaimCells::twice),
+                new FaultCell("client gone", "complete", "a retry gets the recorded answer", ClaimCells::clientGone));
+    }
+
+    private static void slow(ProcessDeployment deployment, long millis) {
+        deployment
+                .platform()
+                .plainServices()
+                .forEach(service -> service.faults().on(Fault.SLOW, millis));
+    }
+
+    private static void heal(ProcessDeployment deployment) {
+        deployment
+                .platform()
+                .plainServices()
+                .forEach(service -> service.faults().clear());
+    }
+
+    /** Repeats a booking until it is answered, and checks that it ran once and the answer is that of the run. */
+    private static void awaitAnswer(ProcessDeployment deployment, int entry, String key) {
+        await(() -> {
+            final LoadResult retry = join(deployment.book(entry, key, DEADLINE));
+            assertThat(deployment.runs(key)).isAtMost(1);
+            return retry.answered();
+        });
+        assertThat(deployment.runs(key)).isEqualTo(1);
+    }
+
+    private static void killSidecar(ProcessDeployment deployment) {
+        slow(deployment, NEVER);
+        final String key = deployment.newKey();
+        final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+        await(() -> deployment.runs(key) == 1);
+        final DaemonProcess sidecar = deployment.plainSidecar(deployment.bookedBy(key));
+        sidecar.kill();
+        assertThat(ProcessDeployment.run(join(first))).isEqualTo("unknown");
+        heal(deployment);
+        assertThat(ProcessDeployment.run(join(deployment.book(1, key, DEADLINE))))
+                .isEqualTo("unknown");
+        sidecar.restart();
+        deployment.awaitReady();
+        assertThat(ProcessDeployment.run(join(deployment.book(0, key, DEADLINE))))
+                .isEqualTo("unknown");
+        assertThat(deployment.runs(key)).isEqualTo(1);
+    }
+
+    private static void killEntry(ProcessDeployment deployment) {
+        slow(deployment, 1_000);
+        final String key = deployment.newKey();
+        final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+        await(() -> deployment.runs(key) == 1);
+        deployment.entry(0).kill();
+        assertThat(join(first).status()).isEqualTo(0);
+        awaitAnswer(deployment, 1, key);
+        heal(deployment);
+        deployment.entry(0).restart();
+        deployment.awaitReady();
+        awaitAnswer(deployment, 0, key);
+    }
+
+    private static void pauseSidecar(ProcessDeployment deployment) {
+        slow(deployment, 1_000);
+        final String key = deployment.newKey();
+        final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+        await(() -> deployment.runs(key) == 1);
+        final DaemonProcess sidecar = deployment.plainSidecar(deployment.bookedBy(key));
+        sidecar.pause();
+        heal(deployment);
+        final LoadResult retry = join(deployment.book(1, key, 4_000));
+        assertThat(ProcessDeployment.run(retry)).isEqualTo("unknown");
+        assertThat(deployment.runs(key)).isEqualTo(1);
+        sidecar.resume();
+        join(first);
+        awaitAnswer(deployment, 1, key);
+    }
+
+    /** Pauses an entry after its claim is on the log and before it has read it back. */
+    private static void late(ProcessDeployment deployment) {
+        deployment.logProxy().delay(Direction.TO_CLIENT, 2_000);
+        final int before = claims(deployment);
+        final String key = deployment.newKey();
+        final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+        await(() -> claims(deployment) > before);
+        deployment.entry(0).pause();
+        deployment.logProxy().heal();
+        awaitAnswer(deployment, 1, key);
+        deployment.entry(0).resume();
+        join(first);
+        deployment.awaitReady();
+        assertThat(deployment.runs(key)).isEqualTo(1);
+    }
+
+    private static int claims(ProcessDeployment deployment) {
+        int records = 0;
+        for (int partition = 0; partition < 4; partition++) {
+            records +=
+                    deployment.platform().log().journal("claims-" + partition).size();
+        }
+        return records;
+    }
+
+    private static void restartEntry(ProcessDeployment deployment) {
+        final String key = deployment.newKey();
+        awaitAnswer(deployment, 0, key);
+        deployment.entry(0).kill();
+        deployment.entry(0).restart();
+        deployment.awaitReady();
+        awaitAnswer(deployment, 0, key);
+    }
+
+    private static void lostAnswer(ProcessDeployment deployment) {
+        deployment
+                .platform()
+                .plainServices()
+                .forEach(service -> service.faults().on(Fault.ANSWER_LOST, 0));
+        final String key = deployment.newKey();
+        assertThat(ProcessDeployment.run(join(deployment.book(0, key, DEADLINE))))
+                .isEqualTo("unknown");
+        heal(deployment);
+        assertThat(ProcessDeployment.run(join(deployment.book(0, key, DEADLINE))))
+                .isEqualTo("unknown");
+        assertThat(ProcessDeployment.run(join(deployment.book(1, key, DEADLINE))))
+                .isEqualTo("unknown");
+        assertThat(deployment.runs(key)).isEqualTo(1);
+    }
+
+    private static void silent(ProcessDeployment deployment) {
+        slow(deployment, 1_000);
+        final String key = deployment.newKey();
+        final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+        await(() -> deployment.runs(key) == 1);
+        deployment.plainSidecar(deployment.bookedBy(key)).proxy().silence(Direction.TO_CLIENT);
+        assertThat(join(first).answered()).isTrue();
+        assertThat(deployment.runs(key)).isEqualTo(1);
+        heal(deployment);
+    }
+
+    private static void lostRequest(ProcessDeployment deployment) {
+        for (int index = 0; index < 2; index++) {
+            deployment.plainSidecar(index).proxy().refuse(true);
+            deployment.plainSidecar(index).proxy().cut();
+        }
+        final String key = deployment.newKey();
+        final LoadResult refused = join(deployment.book(0, key, DEADLINE));
+        assertWithMessage(new String(refused.body()))
+                .that(ProcessDeployment.run(refused))
+                .isEqualTo("not_run");
+        assertThat(deployment.runs(key)).isEqualTo(0);
+        for (int index = 0; index < 2; index++) {
+            deployment.plainSidecar(index).proxy().heal();
+        }
+        awaitAnswer(deployment, 1, key);
+    }
+
+    private static void logOut(ProcessDeployment deployment) {
+        deployment.platform().log().faults().on(Fault.OUTAGE, 0);
+        deployment.logProxy().cut();
+        final String key = deployment.newKey();
+        final LoadResult refused = join(deployment.book(0, key, SHORT_DEADLINE));
+        assertThat(refused.answered()).isFalse();
+        assertThat(ProcessDeployment.run(refused)).isEqualTo("unknown");
+        assertThat(deployment.runs(key)).isEqualTo(0);
+        deployment.platform().log().faults().clear();
+        awaitAnswer(deployment, 1, key);
+    }
+
+    private static void logFault(ProcessDeployment deployment, Fault fault, long value, long count) {
+        deployment.platform().log().faults().next(fault, value, count);
+        final String key = deployment.newKey();
+        join(deployment.book(0, key, DEADLINE));
+        deployment.platform().log().faults().clear();
+        awaitAnswer(deployment, 1, key);
+    }
+
+    private static void logCut(ProcessDeployment deployment) {
+        final int before = claims(deployment);
+        deployment.logProxy().delay(Direction.TO_CLIENT, 500);
+        final String key = deployment.newKey();
+        final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+        await(() -> claims(deployment) > before);
+        deployment.logProxy().cut();
+        deployment.logProxy().heal();
+        join(first);
+        awaitAnswer(deployment, 1, key);
+    }
+
+    private static void twice(ProcessDeployment deployment) {
+        for (int round = 0; round < 20; round++) {
+            final String key = deployment.newKey();
+            final CompletableFuture<LoadResult> first = deployment.book(0, key, DEADLINE);
+            final CompletableFuture<LoadResult> second = deployment.book(1, key, DEADLINE);
+            assertThat(join(first).answered() || join(second).answered()).isTrue();
+            assertThat(deployment.runs(key)).isEqualTo(1);
+        }
+    }
+
+    private static void clientGone(ProcessDeployment deployment) {
+        slow(deployment, 1_000);
+        final String key = deployment.newKey();
+        final LoadRequest request = deployment.booking(key, DEADLINE);
+        final Socket caller = open(deployment, 0, request);
+        await(() -> deployment.runs(key) == 1);
+        close(caller);
+        awaitAnswer(deployment, 1, key);
+        heal(deployment);
+    }
+
+    /** Sends a request from a socket, which the caller may close before its answer. */
+    static Socket open(ProcessDeployment deployment, int entry, LoadRequest request) {
+        try {
+            final Socket caller = new Socket(
+                    "127.0.0.1", deployment.entry(entry).proxy().origin().getPort());
+            final StringBuilder head = new StringBuilder();
+            head.append(request.method()).append(' ').append(request.path()).append(" HTTP/1.1\r\nHost: entry\r\n");
+            request.headers()
+                    .forEach((name, value) ->
+                            head.append(name).append(": ").append(value).append("\r\n"));
+            head.append("Content-Length: ").append(request.body().length).append("\r\n\r\n");
+            caller.getOutputStream().write(head.toString().getBytes(StandardCharsets.US_ASCII));
+            caller.getOutputStream().write(request.body());
+            return caller;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static void close(Socket caller) {
+        try {
+            caller.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
