--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -144,6 +144,7 @@
         final AttemptCall call =
                 new AttemptCall(order(run, upstream, attemptId), upstream, address.get(), target, context.nanos());
         run.attempt(call);
+        run.responder().restart();
         upstream.onDispatch(context.millis());
         upstreams
                 .prefixes()
@@ -255,7 +256,9 @@
             claims.releaseUnsent(run, () -> attempt(run));
             return;
         }
-        claims.releaseUnsent(run, () -> {});
+        if (state == RunState.NOT_RUN) {
+            claims.releaseUnsent(run, () -> {});
+        }
         requests.fail(run, Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, message, state));
     }
 
