Add the commands status, explain, report and standin

Cause: operators could not see which process lags, why a request goes where it goes, or how fast an organisation's error budget burns.

Change: sidecars answer GET /internal/process with the same message as entries. Entries answer POST /internal/explain by the decisions that requests take, without side effects: VersionChoice.assess, and UpstreamChoice.scores, for which the learning of the typical load is apart from the score.

--- a/src/main/java/org/masticpaddle/command/Commands.java
+++ b/src/main/java/org/masticpaddle/command/Commands.java
@@ -13,6 +13,10 @@
                 new ShowCommand(),
                 new DiffCommand(),
                 new HistoryCommand(),
-                new DemoCommand());
+                new StatusCommand(),
+                new ExplainCommand(),
+                new ReportCommand(),
+                new DemoCommand(),
+                new StandInCommand());
     }
 }
--- a/src/main/java/org/masticpaddle/command/LogOptions.java
+++ b/src/main/java/org/masticpaddle/command/LogOptions.java
@@ -2,11 +2,13 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
 import com.beust.jcommander.Parameter;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticpaddle.document.Publisher;
+import org.masticpaddle.platform.EventLog;
 import org.masticpaddle.platform.HttpEventLog;
 import org.masticpaddle.platform.PlatformException;
 import org.masticpaddle.wire.HttpClient;
@@ -37,6 +39,19 @@
         });
     }
 
+    /** Runs an action with the log itself. Throws {@link CommandException} if the log gives no answer. */
+    <T> T withLog(Function<EventLog, T> action) {
+        final URI origin = origin("--log", log);
+        return withClient(client -> {
+            try {
+                return action.apply(new HttpEventLog(client, origin, Duration.ofSeconds(timeoutSeconds)));
+            } catch (CompletionException e) {
+                throw new CommandException(
+                        ExitCode.UNAVAILABLE, "log unavailable: " + e.getCause().getMessage());
+            }
+        });
+    }
+
     static <T> T withClient(Function<HttpClient, T> action) {
         final HttpClient client = new HttpClient(1);
         client.start();
--- /dev/null
+++ b/src/main/java/org/masticpaddle/command/ProcessPoll.java
@@ -0,0 +1,71 @@
+package org.masticpaddle.command;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import org.masticpaddle.wire.HttpAnswer;
+import org.masticpaddle.wire.HttpCall;
+import org.masticpaddle.wire.HttpClient;
+import org.masticpaddle.wire.Json;
+import org.masticpaddle.wire.MalformedMessageException;
+import org.masticpaddle.wire.ProcessStatus;
+
+/** Asks processes for their status, a bounded number at a time, each for a bounded time. Used by one thread. */
+final class ProcessPoll {
+    private final HttpClient client;
+    private final int parallel;
+    private final Duration timeout;
+
+    ProcessPoll(HttpClient client, int parallel, Duration timeout) {
+        this.client = Objects.requireNonNull(client, "client is null");
+        this.parallel = parallel;
+        this.timeout = Objects.requireNonNull(timeout, "timeout is null");
+    }
+
+    /** Asks all; the result has their order. */
+    List<Reply> ask(List<Asked> processes) {
+        final ExecutorService workers = Executors.newFixedThreadPool(Math.max(1, Math.min(parallel, processes.size())));
+        try {
+            final List<CompletableFuture<Reply>> replies = new ArrayList<>();
+            processes.forEach(process -> replies.add(CompletableFuture.supplyAsync(() -> ask(process), workers)));
+            return replies.stream().map(CompletableFuture::join).toList();
+        } finally {
+            workers.shutdownNow();
+        }
+    }
+
+    private Reply ask(Asked process) {
+        try {
+            final HttpAnswer answer = client.send(HttpCall.get(process.origin(), "/internal/process", timeout))
+                    .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                    .join();
+            if (answer.status() != 200) {
+                return new Reply(process, Optional.empty(), "status " + answer.status());
+            }
+            return new Reply(process, Optional.of(Json.decode(answer.body(), ProcessStatus.class)), "");
+        } catch (CompletionException e) {
+            final String reason = e.getCause().getMessage();
+            return new Reply(
+                    process,
+                    Optional.empty(),
+                    reason == null ? "no answer within " + timeout.toMillis() + " ms" : reason);
+        } catch (MalformedMessageException e) {
+            return new Reply(process, Optional.empty(), e.getMessage());
+        }
+    }
+
+    /** A process to ask. */
+    record Asked(String id, String service, URI origin) {}
+
+    /** What a process answered, or why there is no answer. */
+    record Reply(Asked process, Optional<ProcessStatus> status, String problem) {}
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/command/StatusCommand.java
@@ -0,0 +1,164 @@
+package org.masticpaddle.command;
+
+import java.io.PrintStream;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+
+import com.beust.jcommander.Parameter;
+import org.masticpaddle.platform.HttpInstanceList;
+import org.masticpaddle.platform.Instance;
+import org.masticpaddle.wire.HttpClient;
+import org.masticpaddle.wire.ProcessStatus;
+
+/** Tells what each process has in effect and since when. Used by one thread. */
+final class StatusCommand implements Command {
+    // A read of the log waits at most 5 s, so a later end of the log was read several times within this.
+    private static final long STALE_TAIL_MILLIS = 30_000;
+
+    @Parameter(
+            names = "--instances",
+            description =
+                    "Origin of the instance list, for example http://10.0.0.1:8081; default: MASTICPADDLE_INSTANCES")
+    private String instances = System.getenv().getOrDefault("MASTICPADDLE_INSTANCES", "");
+
+    @Parameter(names = "--origin", description = "Origin of a process to ask in place of the list; may be repeated")
+    private List<String> origins = new ArrayList<>();
+
+    @Parameter(names = "--service", description = "Ask only the processes of this service in the instance list")
+    private String service = "";
+
+    @Parameter(names = "--parallel", description = "Processes asked at the same time, 1 to 256")
+    private int parallel = 32;
+
+    @Parameter(names = "--timeout-ms", description = "Longest time to wait for one process")
+    private int timeoutMillis = 2_000;
+
+    @Parameter(names = "--output", description = "text or json")
+    private OutputFormat output = OutputFormat.TEXT;
+
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String description() {
+        return "Tell what each process has in effect; exit code 1 if one lags, is not ready or does not answer";
+    }
+
+    @Override
+    public int run(PrintStream out, PrintStream err) {
+        if (parallel < 1 || parallel > 256 || timeoutMillis < 1) {
+            throw new CommandException(ExitCode.USAGE, "--parallel is 1 to 256, --timeout-ms at least 1");
+        }
+        final Duration timeout = Duration.ofMillis(timeoutMillis);
+        final List<ProcessPoll.Reply> replies = LogOptions.withClient(
+                client -> new ProcessPoll(client, parallel, timeout).ask(processes(client, timeout)));
+        final long newest = replies.stream()
+                .flatMap(reply -> reply.status().stream())
+                .mapToLong(ProcessStatus::revision)
+                .max()
+                .orElse(0);
+        final List<Row> rows = replies.stream()
+                .map(reply -> new Row(reply, mark(reply, newest)))
+                .sorted(Comparator.comparing((Row row) -> row.reply.process().service())
+                        .thenComparing(row -> row.reply.process().id()))
+                .toList();
+        final long marked = rows.stream().filter(row -> !row.mark.isEmpty()).count();
+        if (output == OutputFormat.JSON) {
+            Printing.json(
+                    out,
+                    Map.of(
+                            "newestRevision",
+                            newest,
+                            "marked",
+                            marked,
+                            "processes",
+                            rows.stream().map(Row::message).toList()));
+        } else {
+            rows.forEach(row -> out.println(row.line()));
+            out.println(rows.size() + " processes, newest revision " + newest + ", " + marked + " marked");
+        }
+        if (rows.isEmpty()) {
+            err.println("the instance list names no process");
+        }
+        return marked > 0 || rows.isEmpty() ? ExitCode.NEGATIVE : ExitCode.SUCCESS;
+    }
+
+    private List<ProcessPoll.Asked> processes(HttpClient client, Duration timeout) {
+        if (!origins.isEmpty()) {
+            return origins.stream()
+                    .map(origin -> new ProcessPoll.Asked(origin, "", LogOptions.origin("--origin", origin)))
+                    .toList();
+        }
+        final URI list = LogOptions.origin("--instances", instances);
+        try {
+            return new HttpInstanceList(client, list, timeout)
+                    .changes(0).join().instances().stream()
+                            .filter(instance -> instance.state() != Instance.State.GONE)
+                            .filter(instance -> service.isEmpty() || service.equals(instance.service()))
+                            .map(instance ->
+                                    new ProcessPoll.Asked(instance.id(), instance.service(), instance.address()))
+                            .toList();
+        } catch (CompletionException e) {
+            throw new CommandException(
+                    ExitCode.UNAVAILABLE,
+                    "instance list unavailable: " + e.getCause().getMessage());
+        }
+    }
+
+    private static String mark(ProcessPoll.Reply reply, long newest) {
+        if (reply.status().isEmpty()) {
+            return "NO ANSWER";
+        }
+        final ProcessStatus status = reply.status().get();
+        if (status.revision() < newest) {
+            return "BEHIND";
+        }
+        if (!status.ready()) {
+            return "NOT READY";
+        }
+        return status.tailAgeMillis() < 0 || status.tailAgeMillis() > STALE_TAIL_MILLIS ? "LOG NOT READ" : "";
+    }
+
+    private record Row(ProcessPoll.Reply reply, String mark) {
+        String line() {
+            final String effect = reply.status()
+                    .map(status -> String.format(
+                            Locale.ROOT,
+                            "revision %d since %s, log read %s ago",
+                            status.revision(),
+                            status.sinceMillis() == 0 ? "-" : Instant.ofEpochMilli(status.sinceMillis()),
+                            status.tailAgeMillis() < 0 ? "never" : status.tailAgeMillis() + " ms"))
+                    .orElse(reply.problem());
+            return String.format(
+                            Locale.ROOT,
+                            "%-20s %-16s %-12s %s",
+                            reply.process().service(),
+                            reply.process().id(),
+                            mark,
+                            effect)
+                    .stripTrailing();
+        }
+
+        Map<String, Object> message() {
+            final Map<String, Object> message = new LinkedHashMap<>();
+            message.put("id", reply.process().id());
+            message.put("service", reply.process().service());
+            message.put("origin", reply.process().origin());
+            message.put("mark", mark);
+            reply.status()
+                    .ifPresentOrElse(
+                            status -> message.put("status", status), () -> message.put("problem", reply.problem()));
+            return message;
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -59,6 +59,7 @@
 import org.masticpaddle.wire.HttpClient;
 import org.masticpaddle.wire.HttpServer;
 import org.masticpaddle.wire.OperationsHandler;
+import org.masticpaddle.wire.ProcessStatus;
 
 /** All parts of an entry, wired together. Start and stop are called by one thread, once each. */
 public final class EntryProcess implements Service {
@@ -81,6 +82,7 @@
     private final KnowledgeExchange exchange;
     private final DemandExchange demand;
     private final CacheEventExchange cacheEvents;
+    private final ServiceLevelExchange serviceLevels;
     private final MembershipService membership;
     private long nextStepNanos;
     private long revision;
@@ -141,14 +143,9 @@
                 AdmissionQueue.of(settings.number(Setting.QUEUE), RoutingDocument.EMPTY.ranks()),
                 LimitBook.of(source, settings.text(Setting.FAILURE_DOMAIN)),
                 RetryBudget.create());
-        requests = new RequestFlow(
-                context,
-                configuration::effective,
-                admission,
-                new VersionChoice(CascadePolicy.DEFAULT),
-                knowledge,
-                upstreams,
-                sessions);
+        final VersionChoice versions = new VersionChoice(CascadePolicy.DEFAULT);
+        requests =
+                new RequestFlow(context, configuration::effective, admission, versions, knowledge, upstreams, sessions);
         final AnswerFlow answers = new AnswerFlow(
                 context,
                 requests,
@@ -171,6 +168,15 @@
         cacheEvents = new CacheEventExchange(context, client, upstreams);
         demand = new DemandExchange(
                 context, client, instance, settings.text(Setting.FAILURE_DOMAIN), admission.limits());
+        final ServiceLevelCounts counts = new ServiceLevelCounts(
+                counters,
+                rank -> configuration
+                        .effective()
+                        .map(EffectiveConfiguration::document)
+                        .orElse(RoutingDocument.EMPTY)
+                        .policy(rank)
+                        .firstTokenMillis());
+        serviceLevels = new ServiceLevelExchange(context, log, source, counts);
         loop.onTick(this::tick);
         membership.subscribe(snapshot -> loop.complete(() -> membersChanged(snapshot)));
         server = new HttpServer(
@@ -183,10 +189,21 @@
                         new RequestReader(System::nanoTime, new AttemptId(clock::millis, random()::nextLong)),
                         configuration::effective,
                         requests::begin,
-                        counters,
+                        counts,
                         Map.of(
                                 "/internal/configuration", new ConfigurationHandler(configuration::answer),
-                                "/internal/demand", new DemandHandler(loop, demand)),
+                                "/internal/demand", new DemandHandler(loop, demand),
+                                "/internal/explain",
+                                        new ExplainHandler(
+                                                loop,
+                                                sessions,
+                                                new RequestExplainer(
+                                                        context,
+                                                        instance,
+                                                        configuration::effective,
+                                                        versions,
+                                                        knowledge,
+                                                        upstreams))),
                         new OperationsHandler(this::ready, metrics, this::status)));
         kernel.register("http.client", client)
                 .register("membership", membership)
@@ -211,6 +228,7 @@
         drained.completeOnTimeout(null, settings.seconds(Setting.DRAIN_SECONDS).toMillis(), TimeUnit.MILLISECONDS)
                 .join();
         charges.flush();
+        loop.complete(serviceLevels::flush);
         kernel.stop();
     }
 
@@ -245,6 +263,7 @@
         exchange.tick(entries.size());
         demand.tick(entries);
         cacheEvents.tick();
+        serviceLevels.tick(entries.size());
         final long now = System.nanoTime();
         if (now >= nextStepNanos) {
             nextStepNanos = now + STEP_NANOS;
@@ -272,9 +291,10 @@
         requests.pump();
     }
 
-    private EntryStatus status() {
+    private ProcessStatus status() {
         final Optional<EffectiveConfiguration> current = configuration.effective();
-        return new EntryStatus(
+        return new ProcessStatus(
+                "entry",
                 settings.text(Setting.INSTANCE),
                 ready(),
                 current.map(EffectiveConfiguration::offset).orElse(-1L),
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/ExplainHandler.java
@@ -0,0 +1,72 @@
+package org.masticpaddle.entry;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticpaddle.routing.SessionBinding;
+import org.masticpaddle.wire.Exchanges;
+import org.masticpaddle.wire.Json;
+import org.masticpaddle.wire.MalformedMessageException;
+import org.masticpaddle.wire.RunState;
+
+/** Answers {@code POST /internal/explain}. Thread-safe: the explainer is called on the entry's duty. */
+final class ExplainHandler implements HttpHandler {
+    private static final Logger LOGGER = LogManager.getLogger(ExplainHandler.class);
+
+    private final EntryLoop loop;
+    private final SessionFlow sessions;
+    private final RequestExplainer explainer;
+
+    ExplainHandler(EntryLoop loop, SessionFlow sessions, RequestExplainer explainer) {
+        this.loop = Objects.requireNonNull(loop, "loop is null");
+        this.sessions = Objects.requireNonNull(sessions, "sessions is null");
+        this.explainer = Objects.requireNonNull(explainer, "explainer is null");
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        Exchanges.readBody(exchange, body -> {
+            try {
+                final ExplainQuery query = Json.decode(body, ExplainQuery.class);
+                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                    if (!loop.offer(() -> answer(exchange, () -> find(exchange, query)))) {
+                        Refusals.send(exchange, Refusal.notRun(Refusal.Kind.OVERLOADED, "the entry has too much work"));
+                    }
+                });
+            } catch (MalformedMessageException e) {
+                Refusals.send(
+                        exchange,
+                        Refusal.notRun(Refusal.Kind.INVALID_REQUEST, "the body is not a question: " + e.getMessage()));
+            }
+        });
+    }
+
+    private void find(HttpServerExchange exchange, ExplainQuery query) {
+        final CompletableFuture<Optional<SessionBinding>> binding = query.session() == null
+                ? CompletableFuture.completedFuture(Optional.empty())
+                : sessions.find(query.organisation(), query.session());
+        binding.whenComplete((found, error) -> loop.complete(() -> answer(
+                exchange,
+                () -> Exchanges.answer(
+                        exchange, 200, explainer.explain(query, error == null ? found : Optional.empty())))));
+    }
+
+    private static void answer(HttpServerExchange exchange, Runnable action) {
+        try {
+            action.run();
+        } catch (RefusalException e) {
+            Refusals.send(exchange, e.refusal());
+        } catch (RuntimeException e) {
+            LOGGER.error("the explanation failed", e);
+            Refusals.send(
+                    exchange,
+                    Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, "the entry failed internally", RunState.NOT_RUN));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/ExplainQuery.java
@@ -0,0 +1,39 @@
+package org.masticpaddle.entry;
+
+import java.util.Objects;
+
+import org.masticpaddle.wire.Rank;
+
+/**
+ * Body of {@code POST /internal/explain}: the request whose way is asked for. Immutable.
+ *
+ * @param organisation name of the organisation
+ * @param kind request kind
+ * @param rank rank
+ * @param model model wish: {@code auto}, a model, or {@code model/version}
+ * @param quality quality asked for, {@code null} for that of the organisation
+ * @param session session identifier or token, {@code null} for none
+ * @param deadlineMillis time left, {@code null} for the rank's timeout
+ * @param promptTokens tokens of the prompt
+ * @param outputTokens most generated tokens
+ * @param idempotent whether the request may run more than once
+ */
+public record ExplainQuery(
+        String organisation,
+        String kind,
+        Rank rank,
+        String model,
+        Double quality,
+        String session,
+        Long deadlineMillis,
+        int promptTokens,
+        int outputTokens,
+        boolean idempotent) {
+    /** Checks the arguments. */
+    public ExplainQuery {
+        Objects.requireNonNull(organisation, "organisation is null");
+        Objects.requireNonNull(kind, "kind is null");
+        Objects.requireNonNull(rank, "rank is null");
+        Objects.requireNonNull(model, "model is null");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/RequestExplainer.java
@@ -0,0 +1,193 @@
+package org.masticpaddle.entry;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.Supplier;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.document.EffectiveConfiguration;
+import org.masticpaddle.document.ModelVersion;
+import org.masticpaddle.document.Organisation;
+import org.masticpaddle.document.RoutingDocument;
+import org.masticpaddle.document.VersionName;
+import org.masticpaddle.rollout.VersionHealth;
+import org.masticpaddle.routing.ModelWish;
+import org.masticpaddle.routing.SessionBinding;
+import org.masticpaddle.routing.UpstreamRequest;
+import org.masticpaddle.routing.VersionAssessment;
+import org.masticpaddle.routing.VersionChoice;
+import org.masticpaddle.routing.VersionPlan;
+import org.masticpaddle.routing.VersionRequest;
+
+/**
+ * Tells where a request would go now, by the same decisions that requests take. It changes nothing: no queue, no limit,
+ * no session and no random source. All methods run on the entry's duty.
+ */
+final class RequestExplainer {
+    // Draws the highest number, so that nothing is explored; the answer tells the share of exploration in words.
+    private static final UniformRandomProvider NO_EXPLORATION = () -> -1L;
+    private static final String ANY_REQUEST = "explained-request";
+
+    private final EntryContext context;
+    private final String instance;
+    private final Supplier<Optional<EffectiveConfiguration>> documents;
+    private final VersionChoice versions;
+    private final VersionKnowledge knowledge;
+    private final Upstreams upstreams;
+
+    RequestExplainer(
+            EntryContext context,
+            String instance,
+            Supplier<Optional<EffectiveConfiguration>> documents,
+            VersionChoice versions,
+            VersionKnowledge knowledge,
+            Upstreams upstreams) {
+        this.context = Objects.requireNonNull(context, "context is null");
+        this.instance = Objects.requireNonNull(instance, "instance is null");
+        this.documents = Objects.requireNonNull(documents, "documents is null");
+        this.versions = Objects.requireNonNull(versions, "versions is null");
+        this.knowledge = Objects.requireNonNull(knowledge, "knowledge is null");
+        this.upstreams = Objects.requireNonNull(upstreams, "upstreams is null");
+    }
+
+    /**
+     * Explains a request.
+     *
+     * @throws RefusalException if no document is in effect or the organisation is unknown
+     */
+    Explanation explain(ExplainQuery query, Optional<SessionBinding> binding) {
+        final EffectiveConfiguration current = documents
+                .get()
+                .orElseThrow(() -> new RefusalException(
+                        Refusal.notRun(Refusal.Kind.NOT_READY, "no routing document is in effect yet")));
+        final RoutingDocument document = current.document();
+        final Organisation organisation = Optional.ofNullable(
+                        document.organisations().get(query.organisation()))
+                .orElseThrow(() -> new RefusalException(Refusal.notRun(
+                        Refusal.Kind.NOT_FOUND, "there is no organisation \"" + query.organisation() + "\"")));
+        final VersionRequest request = request(query, organisation, document, binding);
+        final VersionPlan plan = versions.choose(document, request, knowledge, NO_EXPLORATION);
+        final Optional<ModelVersion> first = first(plan);
+        final String service = first.map(ModelVersion::service).orElse("");
+        return new Explanation(
+                instance,
+                current.revision(),
+                request.need(),
+                request.timeLeftMillis(),
+                binding.map(bound -> bound.version().toString()).orElse(""),
+                versions.assess(document, request, knowledge).stream()
+                        .map(assessment -> candidate(document, request, assessment))
+                        .toList(),
+                plan.getClass().getSimpleName().toLowerCase(Locale.ROOT),
+                words(plan, request),
+                service,
+                upstreams.inFlight(service),
+                upstreams.bound(service).limit(),
+                first.map(version -> upstreams.scores(
+                                service,
+                                new UpstreamRequest(version.name(), new long[0], 0, Optional.empty()),
+                                context.millis()))
+                        .orElse(List.of()));
+    }
+
+    private static VersionRequest request(
+            ExplainQuery query, Organisation organisation, RoutingDocument document, Optional<SessionBinding> binding) {
+        final long timeout = document.policy(query.rank()).timeoutMillis();
+        return new VersionRequest(
+                organisation,
+                query.kind(),
+                ModelWish.parse(query.model()),
+                query.quality() == null ? OptionalDouble.empty() : OptionalDouble.of(query.quality()),
+                query.idempotent(),
+                query.promptTokens(),
+                query.outputTokens(),
+                query.deadlineMillis() == null ? timeout : Math.min(query.deadlineMillis(), timeout),
+                binding.map(SessionBinding::session)
+                        .or(() -> Optional.ofNullable(query.session()))
+                        .orElse(ANY_REQUEST),
+                query.session() != null,
+                binding.map(SessionBinding::version));
+    }
+
+    private Explanation.Candidate candidate(
+            RoutingDocument document, VersionRequest request, VersionAssessment assessment) {
+        final VersionName name = assessment.version().name();
+        final double share = document.rollouts().values().stream()
+                .filter(rollout ->
+                        rollout.model().equals(name.model()) && rollout.to().equals(name.version()))
+                .mapToDouble(knowledge::rolloutShare)
+                .max()
+                .orElse(-1);
+        return new Explanation.Candidate(
+                name.toString(),
+                verdict(request, assessment),
+                assessment.priceMicros(),
+                assessment.quality().mean(),
+                assessment.quality().lowerBound(),
+                assessment.millis(),
+                Optional.ofNullable(knowledge.healthStates().get(name))
+                        .map(VersionHealth::phase)
+                        .orElse(VersionHealth.Phase.HEALTHY)
+                        .name()
+                        .toLowerCase(Locale.ROOT),
+                share);
+    }
+
+    private static String verdict(VersionRequest request, VersionAssessment assessment) {
+        if (assessment.obstacle().isPresent()) {
+            return switch (assessment.obstacle().get()) {
+                case NOTHING_ALLOWED -> "not allowed, or not asked for";
+                case NOTHING_ACTIVE -> "withdrawn";
+                case NOTHING_HEALTHY -> "stopped by the health test, or on probation without this request";
+                default -> assessment.obstacle().get().name().toLowerCase(Locale.ROOT);
+            };
+        }
+        if (assessment.millis() > request.timeLeftMillis()) {
+            return "too slow for the deadline";
+        }
+        if (assessment.staged()) {
+            return "only by the stages of its roll-out";
+        }
+        return assessment.quality().lowerBound() >= request.need() ? "meets the need" : "below the quality needed";
+    }
+
+    private static Optional<ModelVersion> first(VersionPlan plan) {
+        if (plan instanceof VersionPlan.Single single) {
+            return Optional.of(single.version());
+        }
+        return plan instanceof VersionPlan.Cascade cascade ? Optional.of(cascade.draft()) : Optional.empty();
+    }
+
+    private static String words(VersionPlan plan, VersionRequest request) {
+        if (plan instanceof VersionPlan.Refused refused) {
+            return "refused: " + RequestFlow.translate(refused.reason()).message();
+        }
+        final double exploration = request.session() || request.binding().isPresent()
+                ? 0
+                : request.organisation().explorationShare();
+        final String explored = exploration > 0
+                ? "; a share of at most " + exploration + " goes to other allowed versions to learn about them"
+                : "";
+        if (plan instanceof VersionPlan.Cascade cascade) {
+            return "draft on " + cascade.draft().name() + ", deliver it if its rating is at least "
+                    + cascade.threshold() + ", else continue on "
+                    + cascade.better().name() + explored;
+        }
+        final VersionPlan.Single single = (VersionPlan.Single) plan;
+        final String reason =
+                switch (single.basis()) {
+                    case CHOSEN ->
+                        single.meetsNeed()
+                                ? "the cheapest that meets the quality needed"
+                                : "no version meets the quality needed; it has the highest quality bound";
+                    case SESSION -> "the session is bound to it";
+                    case SESSION_MOVED -> "the session's version takes no more work and the session may move";
+                    case EXPLORATION -> "explored";
+                    case ROLLOUT -> "the stage of a roll-out includes this request";
+                };
+        return "run on " + single.version().name() + ": " + reason + explored;
+    }
+}
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -329,7 +329,7 @@
                 kind, "the request was not admitted: " + refusal.reason().label(), refusal.retryAfterSeconds() * 1000);
     }
 
-    private static Refusal translate(VersionPlan.Reason reason) {
+    static Refusal translate(VersionPlan.Reason reason) {
         return switch (reason) {
             case NOTHING_ALLOWED ->
                 Refusal.notRun(Refusal.Kind.NOT_ALLOWED, "the organisation may not use this model or version");
--- a/src/main/java/org/masticpaddle/entry/SessionFlow.java
+++ b/src/main/java/org/masticpaddle/entry/SessionFlow.java
@@ -2,6 +2,8 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
 import org.masticpaddle.document.ModelVersion;
@@ -42,16 +44,9 @@
         final String session = request.session().get();
         final String organisation = request.organisation().name();
         if (session.indexOf('.') >= 0) {
-            final SessionToken.Check check = tokens.check(session, organisation, clock.getAsLong());
-            if (check instanceof SessionToken.Valid valid) {
-                run.session(valid.binding());
-                next.run();
-                return;
-            }
-            throw new RefusalException(Refusal.notRun(
-                    Refusal.Kind.INVALID_REQUEST,
-                    "the session token is not valid: "
-                            + ((SessionToken.Refused) check).reason().name().toLowerCase(Locale.ROOT)));
+            run.session(checked(organisation, session));
+            next.run();
+            return;
         }
         directory
                 .find(organisation, session)
@@ -63,6 +58,28 @@
                 }));
     }
 
+    /**
+     * Finds the binding of a session without changing it. The result may come on any thread.
+     *
+     * @throws RefusalException if the session token is not valid
+     */
+    CompletableFuture<Optional<SessionBinding>> find(String organisation, String session) {
+        return session.indexOf('.') >= 0
+                ? CompletableFuture.completedFuture(Optional.of(checked(organisation, session)))
+                : directory.find(organisation, session);
+    }
+
+    private SessionBinding checked(String organisation, String token) {
+        final SessionToken.Check check = tokens.check(token, organisation, clock.getAsLong());
+        if (check instanceof SessionToken.Valid valid) {
+            return valid.binding();
+        }
+        throw new RefusalException(Refusal.notRun(
+                Refusal.Kind.INVALID_REQUEST,
+                "the session token is not valid: "
+                        + ((SessionToken.Refused) check).reason().name().toLowerCase(Locale.ROOT)));
+    }
+
     /** Binds the session of a request whose version is chosen, tells the caller its token, and goes on. */
     void confirm(RequestRun run, Runnable next) {
         final CallerRequest request = run.request();
--- a/src/main/java/org/masticpaddle/entry/Upstreams.java
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -20,6 +20,7 @@
 import org.masticpaddle.routing.PrefixIndex;
 import org.masticpaddle.routing.UpstreamChoice;
 import org.masticpaddle.routing.UpstreamRequest;
+import org.masticpaddle.routing.UpstreamScore;
 import org.masticpaddle.routing.UpstreamSet;
 import org.masticpaddle.routing.UpstreamView;
 import org.masticpaddle.wire.LoadReport;
@@ -51,6 +52,11 @@
         return choice.choose(pool(service).set, wanted, prefixes, atMillis, random);
     }
 
+    /** Scores all upstreams of a service for one request, without side effects. */
+    List<UpstreamScore> scores(String service, UpstreamRequest wanted, long atMillis) {
+        return choice.scores(pool(service).set, wanted, prefixes, atMillis);
+    }
+
     /** Name that the sidecars of a plain service report in place of a loaded version. */
     static VersionName plainVersion(String service) {
         return new VersionName(PLAIN_MODEL, service);
--- /dev/null
+++ b/src/main/java/org/masticpaddle/report/BurnTotals.java
@@ -0,0 +1,130 @@
+package org.masticpaddle.report;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.masticpaddle.wire.Rank;
+
+/**
+ * Adds up interval records to a burn report. A record that is added twice counts once, if the records of a source come
+ * in the order of the log. Not thread-safe.
+ */
+public final class BurnTotals {
+    private static final long STEP_MILLIS = 300_000;
+
+    private final long now;
+    private final double objective;
+    private final Map<String, Long> sequences = new HashMap<>();
+    private final Map<Key, Sum> sums = new HashMap<>();
+    private final Map<Rank, TreeMap<Long, long[]>> steps = new EnumMap<>(Rank.class);
+    private long earliest = Long.MAX_VALUE;
+
+    /**
+     * Creates totals without records.
+     *
+     * @param nowMillis end of all windows in milliseconds since 1970
+     * @param objective target share, above 0 and below 1
+     */
+    public BurnTotals(long nowMillis, double objective) {
+        if (!(objective > 0 && objective < 1)) {
+            throw new IllegalArgumentException("objective is " + objective + ", expected above 0 and below 1");
+        }
+        this.now = nowMillis;
+        this.objective = objective;
+    }
+
+    /**
+     * Adds a record. One that ends after now or before the longest window is left out.
+     *
+     * @param interval the record
+     */
+    public void add(IntervalRecord interval) {
+        final long last = sequences.getOrDefault(interval.source(), Long.MIN_VALUE);
+        if (interval.sequence() <= last) {
+            return;
+        }
+        sequences.put(interval.source(), interval.sequence());
+        final long age = now - interval.toMillis();
+        if (age < 0 || age >= BurnWindow.DAYS_3.length().toMillis()) {
+            return;
+        }
+        earliest = Math.min(earliest, interval.fromMillis());
+        for (final IntervalRecord.Row row : interval.rows()) {
+            sums.computeIfAbsent(new Key(row.organisation(), row.rank()), key -> new Sum())
+                    .add(row, age, interval.toMillis());
+            if (age < BurnWindow.HOURS_6.length().toMillis()) {
+                final long[] step = steps.computeIfAbsent(row.rank(), rank -> new TreeMap<>())
+                        .computeIfAbsent(now - age / STEP_MILLIS * STEP_MILLIS, time -> new long[2]);
+                step[0] += row.eligible();
+                step[1] += row.bad();
+            }
+        }
+    }
+
+    /**
+     * Returns the report on all records added so far.
+     *
+     * @return the report
+     */
+    public BurnReport report() {
+        final List<BurnReport.Group> groups = new ArrayList<>();
+        sums.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey(
+                        Comparator.comparing(Key::organisation).thenComparing(Key::rank)))
+                .forEach(entry -> groups.add(group(entry.getKey(), entry.getValue())));
+        final List<BurnReport.Series> series = new ArrayList<>();
+        steps.forEach((rank, points) -> series.add(new BurnReport.Series(
+                rank,
+                List.copyOf(points.keySet()),
+                points.values().stream().map(step -> rate(step[0], step[1])).toList())));
+        return new BurnReport(now, objective, earliest == Long.MAX_VALUE ? 0 : earliest, groups, series);
+    }
+
+    private BurnReport.Group group(Key key, Sum sum) {
+        final Map<BurnWindow, BurnReport.Burn> windows = new EnumMap<>(BurnWindow.class);
+        final Map<BurnWindow, Double> rates = new EnumMap<>(BurnWindow.class);
+        for (final BurnWindow window : BurnWindow.values()) {
+            final long requests = sum.requests[window.ordinal()];
+            final long bad = sum.bad[window.ordinal()];
+            if (requests > 0) {
+                rates.put(window, rate(requests, bad));
+                windows.put(window, new BurnReport.Burn(requests, bad, rate(requests, bad)));
+            }
+        }
+        return new BurnReport.Group(
+                key.organisation(), key.rank(), sum.target, windows, sum.refused, BurnAlert.of(rates, objective));
+    }
+
+    private double rate(long requests, long bad) {
+        return requests == 0 ? 0 : (double) bad / requests / (1 - objective);
+    }
+
+    private record Key(String organisation, Rank rank) {}
+
+    private static final class Sum {
+        private final long[] requests = new long[BurnWindow.values().length];
+        private final long[] bad = new long[BurnWindow.values().length];
+        private final Map<String, Long> refused = new TreeMap<>();
+        private long target;
+        private long targetAt;
+
+        void add(IntervalRecord.Row row, long age, long at) {
+            for (final BurnWindow window : BurnWindow.values()) {
+                if (age < window.length().toMillis()) {
+                    requests[window.ordinal()] += row.eligible();
+                    bad[window.ordinal()] += row.bad();
+                }
+            }
+            row.refused().forEach((kind, count) -> refused.merge(kind, count, Long::sum));
+            if (at >= targetAt) {
+                targetAt = at;
+                target = row.targetMillis();
+            }
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
@@ -1,6 +1,8 @@
 package org.masticpaddle.routing;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -61,6 +63,7 @@
         UpstreamView best = null;
         double lowest = Double.POSITIVE_INFINITY;
         for (int index = 0; index < count; index++) {
+            learn(sampled[index].report());
             final double score = score(sampled[index], request, prefixes, now);
             if (score < lowest) {
                 lowest = score;
@@ -70,6 +73,7 @@
         for (final String holder : holders(request, prefixes)) {
             final Optional<UpstreamView> view = upstreams.find(holder);
             if (view.isPresent() && eligible(view.get(), request, otherDomain, now)) {
+                learn(view.get().report());
                 final double score = score(view.get(), request, prefixes, now);
                 if (score < lowest) {
                     lowest = score;
@@ -81,6 +85,35 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Scores all upstreams for a request as {@link #choose} would, without learning from it.
+     *
+     * @param upstreams upstreams of the version's service
+     * @param request what to run
+     * @param prefixes what is known of the caches
+     * @param now current time in milliseconds
+     * @return scores, the best first
+     */
+    public List<UpstreamScore> scores(UpstreamSet upstreams, UpstreamRequest request, PrefixIndex prefixes, long now) {
+        final List<UpstreamScore> scores = new ArrayList<>();
+        for (int index = 0; index < upstreams.size(); index++) {
+            final UpstreamView view = upstreams.get(index);
+            scores.add(new UpstreamScore(
+                    view.id(), eligible(view, request, false, now), score(view, request, prefixes, now)));
+        }
+        scores.sort(Comparator.comparing((UpstreamScore score) -> !score.eligible())
+                .thenComparingDouble(UpstreamScore::millis));
+        return scores;
+    }
+
+    private void learn(LoadReport report) {
+        typicalLoad += TYPICAL_SMOOTHING * (load(report) - typicalLoad);
+    }
+
+    private static double load(LoadReport report) {
+        return (report.running() + report.queued()) / Math.max(1.0, report.slots());
+    }
+
     private static List<String> holders(UpstreamRequest request, PrefixIndex prefixes) {
         return request.prefixes().length == 0 ? List.of() : prefixes.holders(request.version(), request.prefixes());
     }
@@ -147,9 +180,8 @@
     private double score(UpstreamView view, UpstreamRequest request, PrefixIndex prefixes, long now) {
         final LoadReport report = view.report();
         final double slots = Math.max(1, report.slots());
-        final double reported = (report.running() + report.queued()) / slots;
+        final double reported = load(report);
         final double trust = Math.exp(-view.reportAge(now) / policy.reportMemoryMillis());
-        typicalLoad += TYPICAL_SMOOTHING * (reported - typicalLoad);
         final double load = (trust * reported + (1 - trust) * typicalLoad) * slots + view.dispatchesSinceReport();
         final double ahead = Math.max(load, view.outstanding());
         // Work below the slots still slows a batch; beyond them a request waits for whole services.
--- a/src/main/java/org/masticpaddle/routing/VersionChoice.java
+++ b/src/main/java/org/masticpaddle/routing/VersionChoice.java
@@ -59,6 +59,30 @@
         return ofNewWork(document, request, conditions, random, Optional.empty());
     }
 
+    /**
+     * Tells how each version fares for a request, without a choice and without side effects.
+     *
+     * @param document routing document in effect
+     * @param request the request
+     * @param conditions what is known about the versions
+     * @return all declared versions, in the document's order
+     */
+    public List<VersionAssessment> assess(
+            RoutingDocument document, VersionRequest request, VersionConditions conditions) {
+        return document.versions().values().stream()
+                .map(version -> {
+                    final Candidate candidate = candidate(version, request, conditions);
+                    return new VersionAssessment(
+                            version,
+                            obstacle(version, request, conditions),
+                            staged(document, request, conditions, version),
+                            candidate.quality,
+                            candidate.micros,
+                            candidate.millis);
+                })
+                .toList();
+    }
+
     private VersionPlan ofSession(
             RoutingDocument document,
             VersionRequest request,
--- a/src/main/java/org/masticpaddle/sidecar/SidecarProcess.java
+++ b/src/main/java/org/masticpaddle/sidecar/SidecarProcess.java
@@ -34,6 +34,7 @@
 import org.masticpaddle.wire.HttpClient;
 import org.masticpaddle.wire.HttpServer;
 import org.masticpaddle.wire.OperationsHandler;
+import org.masticpaddle.wire.ProcessStatus;
 
 /** All parts of a sidecar, wired together. Start and stop are called by one thread, once each. */
 public final class SidecarProcess implements Service {
@@ -106,7 +107,7 @@
                         MAX_SESSIONS, settings.seconds(Setting.SESSION_SECONDS).toMillis()),
                 clock::millis);
         final OperationsHandler operations = new OperationsHandler(
-                () -> load.report().ready() && !load.report().draining(), metrics, load::report);
+                () -> load.report().ready() && !load.report().draining(), metrics, () -> status(configuration, load));
         server = new HttpServer(
                 settings.text(Setting.HOST),
                 settings.number(Setting.PORT),
@@ -153,6 +154,18 @@
         return duty;
     }
 
+    private ProcessStatus status(ConfigurationService configuration, LoadBook load) {
+        final Optional<EffectiveConfiguration> current = configuration.effective();
+        return new ProcessStatus(
+                "sidecar",
+                settings.text(Setting.INSTANCE),
+                load.report().ready() && !load.report().draining(),
+                current.map(EffectiveConfiguration::offset).orElse(-1L),
+                current.map(EffectiveConfiguration::revision).orElse(0L),
+                current.map(EffectiveConfiguration::sinceMillis).orElse(0L),
+                configuration.tailAgeMillis().orElse(-1));
+    }
+
     private void post(SidecarEvent event) {
         attempts.put(event);
     }
