Refuse bad input of callers with typed errors

Cause: a table of bad requests against a running entry showed faults. Messages that are no objects were sent to the engine (502 with Retry-After, or 200), a fractional max_tokens was cut off, one of overflowed the token estimate and ended in 504 unknown, a deadline of NaN counted as expired and an infinite one as valid, a model that is a number was taken as a name, the refusal of a reused key said not_run although the earlier call's claim is on the log, a chunked body above the limit closed the connection without an answer and had Undertow print a stack trace, and a body that never ends held its connection for ever.

--- a/src/main/java/org/masticpaddle/entry/ClaimFlow.java
+++ b/src/main/java/org/masticpaddle/entry/ClaimFlow.java
@@ -130,8 +130,13 @@
                 settle(run, upstream, stands.claim(), won);
             }
         } else if (decision instanceof ClaimDecision.BodyDiffers) {
+            // "run" covers the earlier call with the key, whose claim is on the log, so it cannot be "not run".
             requests.fail(
-                    run, Refusal.notRun(Refusal.Kind.KEY_REUSED, "the idempotency key was used with another request"));
+                    run,
+                    Refusal.failed(
+                            Refusal.Kind.KEY_REUSED,
+                            "the idempotency key was used with another request; this one has not run",
+                            RunState.UNKNOWN));
         } else if (decision instanceof ClaimDecision.KeyRefused refused) {
             requests.fail(
                     run,
--- a/src/main/java/org/masticpaddle/entry/EntryHandler.java
+++ b/src/main/java/org/masticpaddle/entry/EntryHandler.java
@@ -12,7 +12,6 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.SameThreadExecutor;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticpaddle.document.EffectiveConfiguration;
@@ -26,7 +25,10 @@
 final class EntryHandler implements HttpHandler {
     private static final Logger LOGGER = LogManager.getLogger(EntryHandler.class);
     private static final String SERVICES = "/services/";
+    // A body of the largest size takes this long at 1.1 Mbit/s; slower senders hold a connection for nothing.
+    private static final long BODY_TIMEOUT_MILLIS = 30_000;
 
+    private final BodyReader bodies = new BodyReader(BODY_TIMEOUT_MILLIS);
     private final EntryLoop loop;
     private final RequestReader reader;
     private final Supplier<Optional<EffectiveConfiguration>> documents;
@@ -81,16 +83,7 @@
     }
 
     private void read(HttpServerExchange exchange, BiFunction<byte[], RoutingDocument, CallerRequest> parse) {
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (ignored, body) ->
-                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange, body, parse)),
-                        (ignored, error) -> {
-                            exchange.setPersistent(false);
-                            Refusals.send(
-                                    exchange,
-                                    Refusal.notRun(Refusal.Kind.BODY_TOO_LARGE, "the body is too large or broke off"));
-                        });
+        bodies.read(exchange, body -> accept(exchange, body, parse));
     }
 
     private void accept(
--- a/src/main/java/org/masticpaddle/entry/Refusal.java
+++ b/src/main/java/org/masticpaddle/entry/Refusal.java
@@ -69,6 +69,8 @@
         NOT_FOUND(404, 0),
         /** The method is not supported here. */
         METHOD_NOT_ALLOWED(405, 0),
+        /** The body did not arrive in time. */
+        REQUEST_TIMEOUT(408, 0),
         /** A request with the same key is running. */
         IN_PROGRESS(409, 1_000),
         /** The session's version is withdrawn and the session ends with it. */
@@ -109,6 +111,16 @@
             return status;
         }
 
+        /**
+         * Tells whether a request that ends with this error counts as missed by the service. Errors of the caller, its
+         * own limits and documented ends of sessions do not.
+         *
+         * @return {@code true} if the service did not do its part
+         */
+        public boolean missesTarget() {
+            return status >= 500;
+        }
+
         /**
          * Returns the name in messages.
          *
--- a/src/main/java/org/masticpaddle/entry/RequestReader.java
+++ b/src/main/java/org/masticpaddle/entry/RequestReader.java
@@ -1,14 +1,12 @@
 package org.masticpaddle.entry;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import org.masticpaddle.document.Organisation;
@@ -17,17 +15,15 @@
 import org.masticpaddle.document.RoutingDocument;
 import org.masticpaddle.wire.Exchanges;
 import org.masticpaddle.wire.Hashing;
-import org.masticpaddle.wire.Json;
-import org.masticpaddle.wire.MalformedMessageException;
 import org.masticpaddle.wire.Rank;
 
 /** Checks a caller's request and turns it into a {@link CallerRequest}. Thread-safe, having no mutable state. */
 final class RequestReader {
     private static final String BEARER = "Bearer ";
     private static final String DEFAULT_KIND = "chat";
-    private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int MAX_FIELD_LENGTH = 256;
-    private static final int CHARACTERS_PER_TOKEN = 4;
+    // Excludes NaN, infinities and exponents, which Double.valueOf accepts.
+    private static final Pattern NUMBER = Pattern.compile("[+-]?\\d{1,15}(\\.\\d{1,15})?");
 
     private final LongSupplier nanoClock;
     private final Supplier<String> identifiers;
@@ -49,14 +45,13 @@
 
     CallerRequest chat(HttpServerExchange exchange, byte[] body, RoutingDocument document) {
         final Organisation organisation = authenticate(exchange, document);
-        final ObjectNode json = json(body);
-        final int promptTokens = promptTokens(json);
+        final ObjectNode json = ChatFields.read(body);
         final CallerRequest.Chat chat = new CallerRequest.Chat(
-                json.path("model").asText("auto"),
+                ChatFields.model(json),
                 json,
-                promptTokens,
-                maxTokens(json),
-                json.path("stream").asBoolean(false),
+                ChatFields.promptTokens(json),
+                ChatFields.maxTokens(json),
+                ChatFields.stream(json),
                 !header(exchange, "Masticpaddle-Idempotent")
                         .map("false"::equalsIgnoreCase)
                         .orElse(false));
@@ -110,43 +105,6 @@
                 target);
     }
 
-    private static ObjectNode json(byte[] body) {
-        try {
-            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body));
-        } catch (CharacterCodingException e) {
-            throw refusal(Refusal.Kind.INVALID_REQUEST, "the body is not valid UTF-8");
-        }
-        try {
-            final JsonNode tree = Json.tree(body);
-            if (tree instanceof ObjectNode object && object.path("messages").isArray()) {
-                return object;
-            }
-        } catch (MalformedMessageException e) {
-            throw refusal(Refusal.Kind.INVALID_REQUEST, "the body is not valid JSON");
-        }
-        throw refusal(Refusal.Kind.INVALID_REQUEST, "the body is not a JSON object with an array \"messages\"");
-    }
-
-    private static int promptTokens(ObjectNode json) {
-        int characters = 0;
-        for (final JsonNode message : json.path("messages")) {
-            characters += message.path("content").asText("").length();
-        }
-        return characters / CHARACTERS_PER_TOKEN + 1;
-    }
-
-    private static int maxTokens(ObjectNode json) {
-        final JsonNode limit =
-                json.has("max_completion_tokens") ? json.path("max_completion_tokens") : json.path("max_tokens");
-        if (limit.isMissingNode() || limit.isNull()) {
-            return DEFAULT_MAX_TOKENS;
-        }
-        if (!limit.canConvertToInt() || limit.asInt() <= 0) {
-            throw refusal(Refusal.Kind.INVALID_REQUEST, "max_tokens is not a positive whole number");
-        }
-        return limit.asInt();
-    }
-
     private static Rank rank(HttpServerExchange exchange) {
         return header(exchange, "Masticpaddle-Rank")
                 .map(text -> Rank.of(text)
@@ -181,11 +139,10 @@
     }
 
     private static Double number(String text, String name) {
-        try {
-            return Double.valueOf(text);
-        } catch (NumberFormatException e) {
+        if (!NUMBER.matcher(text).matches()) {
             throw refusal(Refusal.Kind.INVALID_REQUEST, name + " is not a number");
         }
+        return Double.valueOf(text);
     }
 
     private static Optional<String> header(HttpServerExchange exchange, String name) {
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -14,6 +14,10 @@
     private static final int MAX_HEADERS = 100;
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
 
+    // Undertow ends a connection above its own limit without an answer and prints a stack trace, so the receiver of the
+    // body has the lower limit. Undertow's one bounds what is skipped of a body that nobody reads.
+    private static final long DRAINED_SIZES = 4;
+
     private final String host;
     private final int port;
     private final int ioThreads;
@@ -44,11 +48,14 @@
                 .addHttpListener(port, host)
                 .setIoThreads(ioThreads)
                 .setWorkerThreads(Math.max(2, ioThreads))
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, DRAINED_SIZES * maxBodyBytes)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
-                .setHandler(handler)
+                .setHandler(exchange -> {
+                    exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(Integer.MAX_VALUE, maxBodyBytes));
+                    handler.handleRequest(exchange);
+                })
                 .build();
         undertow.start();
     }
