Show queue, bound, document, log and charges as gauges

Cause: the scrape page had counters and latencies of requests only, so a growing queue, a stale document or waiting charges could not be seen.

Change: ProcessMetrics takes gauges that processes register as callbacks and knows no service.

--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -72,9 +72,14 @@
                 .value();
         final ProcessMetrics metrics = ProcessMetrics.create(
                 settings.text(Setting.INSTANCE), settings.text(Setting.ROLE), settings.origin(Setting.OTLP));
-        return "entry".equals(settings.text(Setting.ROLE))
-                ? new EntryProcess(settings, incarnation, metrics, metrics::page)
-                : new SidecarProcess(settings, incarnation, metrics::page);
+        if ("entry".equals(settings.text(Setting.ROLE))) {
+            final EntryProcess entry = new EntryProcess(settings, incarnation, metrics, metrics::page);
+            metrics.register(entry.gauges());
+            return entry;
+        }
+        final SidecarProcess sidecar = new SidecarProcess(settings, incarnation, metrics::page);
+        metrics.register(sidecar.gauges());
+        return sidecar;
     }
 
     private static void shutDown(Service process) {
--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/EntryGauges.java
@@ -0,0 +1,65 @@
+package org.masticpaddle.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import org.masticpaddle.admission.AdmissionQueue;
+import org.masticpaddle.billing.ChargeWriter;
+import org.masticpaddle.document.ConfigurationService;
+import org.masticpaddle.document.EffectiveConfiguration;
+import org.masticpaddle.metrics.Gauge;
+import org.masticpaddle.wire.Rank;
+
+/** Gauges of an entry. The duty that owns the queue takes the readings, any thread collects them. Thread-safe. */
+final class EntryGauges {
+    private volatile List<Gauge.Reading> queued = List.of();
+    private volatile List<Gauge.Reading> inFlight = List.of();
+    private volatile List<Gauge.Reading> bounds = List.of();
+
+    /** Takes the readings; called on the entry's duty. */
+    void update(AdmissionQueue queue, Upstreams upstreams) {
+        final List<Gauge.Reading> waiting = new ArrayList<>();
+        final List<Gauge.Reading> running = new ArrayList<>();
+        final List<Gauge.Reading> limits = new ArrayList<>();
+        for (final String service : upstreams.services()) {
+            for (final Rank rank : Rank.values()) {
+                waiting.add(new Gauge.Reading(
+                        queue.waiting(service, rank), Map.of("service", service, "rank", rank.label())));
+            }
+            running.add(new Gauge.Reading(upstreams.inFlight(service), Map.of("service", service)));
+            limits.add(new Gauge.Reading(upstreams.bound(service).limit(), Map.of("service", service)));
+        }
+        queued = waiting;
+        inFlight = running;
+        bounds = limits;
+    }
+
+    List<Gauge> all(ConfigurationService configuration, ChargeWriter charges, LongSupplier clock) {
+        return List.of(
+                new Gauge("queue.length", "requests that wait, by service and rank", () -> queued),
+                new Gauge("requests.in_flight", "requests dispatched and not ended, by service", () -> inFlight),
+                new Gauge("requests.bound", "requests in flight above which others wait, by service", () -> bounds),
+                Gauge.of(
+                        "document.revision",
+                        "revision of the document in effect",
+                        () -> configuration
+                                .effective()
+                                .map(EffectiveConfiguration::revision)
+                                .orElse(0L)),
+                Gauge.of(
+                        "document.age",
+                        "seconds since the document took effect",
+                        () -> configuration
+                                .effective()
+                                .map(current -> (clock.getAsLong() - current.sinceMillis()) / 1000.0)
+                                .orElse(-1.0)),
+                Gauge.of(
+                        "log.read_age",
+                        "seconds since the log was last read to its end",
+                        () -> configuration.tailAgeMillis().orElse(-1) / 1000.0),
+                Gauge.of("charges.waiting", "charges that wait for an append", charges::waiting),
+                Gauge.of("charges.dropped", "charges dropped since the start", charges::dropped));
+    }
+}
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -40,6 +40,7 @@
 import org.masticpaddle.membership.MembershipService;
 import org.masticpaddle.membership.MembershipSettings;
 import org.masticpaddle.membership.MembershipSnapshot;
+import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.platform.HttpEventLog;
 import org.masticpaddle.platform.HttpInstanceList;
 import org.masticpaddle.platform.HttpRatingService;
@@ -83,6 +84,8 @@
     private final DemandExchange demand;
     private final CacheEventExchange cacheEvents;
     private final ServiceLevelExchange serviceLevels;
+    private final EntryGauges entryGauges = new EntryGauges();
+    private final List<Gauge> gauges;
     private final MembershipService membership;
     private long nextStepNanos;
     private long revision;
@@ -177,6 +180,7 @@
                         .policy(rank)
                         .firstTokenMillis());
         serviceLevels = new ServiceLevelExchange(context, log, source, counts);
+        gauges = entryGauges.all(configuration, chargeWriter, clock::millis);
         loop.onTick(this::tick);
         membership.subscribe(snapshot -> loop.complete(() -> membersChanged(snapshot)));
         server = new HttpServer(
@@ -250,6 +254,15 @@
         return !draining && configuration.effective().isPresent();
     }
 
+    /**
+     * Returns the gauges of the process.
+     *
+     * @return gauges that any thread may read
+     */
+    public List<Gauge> gauges() {
+        return gauges;
+    }
+
     private String origin() {
         return "http://" + settings.text(Setting.HOST) + ":" + server.port();
     }
@@ -267,6 +280,7 @@
         final long now = System.nanoTime();
         if (now >= nextStepNanos) {
             nextStepNanos = now + STEP_NANOS;
+            entryGauges.update(admission.queue(), upstreams);
             configuration.effective().ifPresent(this::step);
         }
     }
--- a/src/main/java/org/masticpaddle/entry/Upstreams.java
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -108,6 +108,11 @@
         nowMillis = millis;
     }
 
+    /** Names of the services with known upstreams. */
+    Set<String> services() {
+        return pools.keySet();
+    }
+
     UpstreamSet set(String service) {
         return pool(service).set;
     }
--- a/src/main/java/org/masticpaddle/metrics/ProcessMetrics.java
+++ b/src/main/java/org/masticpaddle/metrics/ProcessMetrics.java
@@ -9,6 +9,7 @@
 
 import io.opentelemetry.api.common.AttributeKey;
 import io.opentelemetry.api.common.Attributes;
+import io.opentelemetry.api.common.AttributesBuilder;
 import io.opentelemetry.api.metrics.DoubleHistogram;
 import io.opentelemetry.api.metrics.LongCounter;
 import io.opentelemetry.api.metrics.Meter;
@@ -41,6 +42,7 @@
             List.of(0.01, 0.025, 0.05, 0.1, 0.2, 0.41, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6);
 
     private final PageReader pageReader;
+    private final Meter meter;
     private final LongCounter requests;
     private final LongCounter billed;
     private final DoubleHistogram firstByte;
@@ -48,7 +50,7 @@
 
     private ProcessMetrics(SdkMeterProvider provider, PageReader pageReader) {
         this.pageReader = pageReader;
-        final Meter meter = provider.get("masticpaddle");
+        meter = provider.get("masticpaddle");
         requests = meter.counterBuilder("masticpaddle.requests")
                 .setDescription("requests that ended, by outcome")
                 .build();
@@ -91,6 +93,21 @@
         return new ProcessMetrics(builder.build(), page);
     }
 
+    /**
+     * Adds gauges of the process. Called once, before or after the start of the process.
+     *
+     * @param gauges the gauges
+     */
+    public void register(List<Gauge> gauges) {
+        gauges.forEach(gauge -> meter.gaugeBuilder("masticpaddle." + gauge.name())
+                .setDescription(gauge.description())
+                .buildWithCallback(measurement -> gauge.readings().get().forEach(reading -> {
+                    final AttributesBuilder labels = Attributes.builder();
+                    reading.labels().forEach(labels::put);
+                    measurement.record(reading.value(), labels.build());
+                })));
+    }
+
     /**
      * Renders the scrape page.
      *
--- a/src/main/java/org/masticpaddle/sidecar/SidecarProcess.java
+++ b/src/main/java/org/masticpaddle/sidecar/SidecarProcess.java
@@ -24,6 +24,7 @@
 import org.masticpaddle.kernel.Duty;
 import org.masticpaddle.kernel.Kernel;
 import org.masticpaddle.kernel.Service;
+import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.platform.HttpEngineControl;
 import org.masticpaddle.platform.HttpEventLog;
 import org.masticpaddle.platform.HttpWeightStore;
@@ -52,6 +53,7 @@
     private final Kernel kernel = new Kernel();
     private final HttpServer server;
     private final Duty<SidecarEvent> attempts;
+    private final List<Gauge> gauges;
 
     /**
      * Wires a sidecar.
@@ -87,6 +89,7 @@
         final Supplier<RoutingDocument> document = () ->
                 configuration.effective().map(EffectiveConfiguration::document).orElse(RoutingDocument.EMPTY);
         final ChargeWriter charges = new ChargeWriter(log, ChargeSettings.standard(), clock::millis);
+        gauges = SidecarGauges.of(configuration, charges, load, clock::millis);
         final URI upstream = settings.origin(Setting.UPSTREAM).orElseThrow();
         final AttemptRunner runner = new AttemptRunner(
                 new SidecarLimits(incarnation, settings.number(Setting.SLOTS), settings.number(Setting.MAX_QUEUED)),
@@ -154,6 +157,15 @@
         return duty;
     }
 
+    /**
+     * Returns the gauges of the process.
+     *
+     * @return gauges that any thread may read
+     */
+    public List<Gauge> gauges() {
+        return gauges;
+    }
+
     private ProcessStatus status(ConfigurationService configuration, LoadBook load) {
         final Optional<EffectiveConfiguration> current = configuration.effective();
         return new ProcessStatus(
