Tell callers that are gone from answers that are late

Cause: a caller that closed its connection ended as deadline_exceeded, which would count against the service level and log a warning for each. status could not see that all processes lag behind the log, and would keep a connection to each of thousands of processes.

Change: the kind caller_gone (499) does not count and is logged at DEBUG. status compares with the log if one is named, and closes each connection.

--- a/src/main/java/org/masticpaddle/command/LogOptions.java
+++ b/src/main/java/org/masticpaddle/command/LogOptions.java
@@ -25,6 +25,11 @@
     @Parameter(names = "--timeout-seconds", description = "Longest time to wait for the log")
     private int timeoutSeconds = 15;
 
+    /** Whether a log is named on the command line or in the environment. */
+    boolean given() {
+        return !log.isEmpty();
+    }
+
     /** Runs an action with a publisher. Throws {@link CommandException} if the log gives no answer. */
     <T> T withPublisher(Function<Publisher, T> action) {
         final URI origin = origin("--log", log);
--- a/src/main/java/org/masticpaddle/command/ProcessPoll.java
+++ b/src/main/java/org/masticpaddle/command/ProcessPoll.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +22,9 @@
 
 /** Asks processes for their status, a bounded number at a time, each for a bounded time. Used by one thread. */
 final class ProcessPoll {
+    // An idle connection to each of thousands of processes would exhaust the file descriptors.
+    private static final Map<String, String> ONE_REQUEST = Map.of("Connection", "close");
+
     private final HttpClient client;
     private final int parallel;
     private final Duration timeout;
@@ -45,7 +49,9 @@
 
     private Reply ask(Asked process) {
         try {
-            final HttpAnswer answer = client.send(HttpCall.get(process.origin(), "/internal/process", timeout))
+            final HttpCall call =
+                    HttpCall.get(process.origin(), "/internal/process", timeout).withHeaders(ONE_REQUEST);
+            final HttpAnswer answer = client.send(call)
                     .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                     .join();
             if (answer.status() != 200) {
--- a/src/main/java/org/masticpaddle/command/StatusCommand.java
+++ b/src/main/java/org/masticpaddle/command/StatusCommand.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CompletionException;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParametersDelegate;
+import org.masticpaddle.document.Publisher;
 import org.masticpaddle.platform.HttpInstanceList;
 import org.masticpaddle.platform.Instance;
 import org.masticpaddle.wire.HttpClient;
@@ -23,6 +25,9 @@
     // A read of the log waits at most 5 s, so a later end of the log was read several times within this.
     private static final long STALE_TAIL_MILLIS = 30_000;
 
+    @ParametersDelegate
+    private LogOptions logOptions = new LogOptions();
+
     @Parameter(
             names = "--instances",
             description =
@@ -62,11 +67,13 @@
         final Duration timeout = Duration.ofMillis(timeoutMillis);
         final List<ProcessPoll.Reply> replies = LogOptions.withClient(
                 client -> new ProcessPoll(client, parallel, timeout).ask(processes(client, timeout)));
-        final long newest = replies.stream()
-                .flatMap(reply -> reply.status().stream())
-                .mapToLong(ProcessStatus::revision)
-                .max()
-                .orElse(0);
+        final long newest = Math.max(
+                logRevision(err),
+                replies.stream()
+                        .flatMap(reply -> reply.status().stream())
+                        .mapToLong(ProcessStatus::revision)
+                        .max()
+                        .orElse(0));
         final List<Row> rows = replies.stream()
                 .map(reply -> new Row(reply, mark(reply, newest)))
                 .sorted(Comparator.comparing((Row row) -> row.reply.process().service())
@@ -93,6 +100,22 @@
         return marked > 0 || rows.isEmpty() ? ExitCode.NEGATIVE : ExitCode.SUCCESS;
     }
 
+    /** Revision on the log, so that processes which all lag are marked; 0 without a log. */
+    private long logRevision(PrintStream err) {
+        if (!logOptions.given()) {
+            return 0;
+        }
+        try {
+            return logOptions.withPublisher(Publisher::read).snapshot().revision();
+        } catch (CommandException e) {
+            if (e.exitCode() == ExitCode.USAGE) {
+                throw e;
+            }
+            err.println(e.getMessage() + "; processes are compared with each other only");
+            return 0;
+        }
+    }
+
     private List<ProcessPoll.Asked> processes(HttpClient client, Duration timeout) {
         if (!origins.isEmpty()) {
             return origins.stream()
--- a/src/main/java/org/masticpaddle/entry/AccessLog.java
+++ b/src/main/java/org/masticpaddle/entry/AccessLog.java
@@ -10,7 +10,8 @@
 import org.masticpaddle.wire.RunState;
 
 /**
- * Writes one line for each request that ended: at DEBUG, or at WARN if its caller was told {@code unknown}. The
+ * Writes one line for each request that ended: at DEBUG, or at WARN if its caller was told {@code unknown}. A caller
+ * that is gone was told nothing. The
  * identifiers are fields of the line's context. A level that is off costs one check. Thread-safe, having no state.
  */
 final class AccessLog {
@@ -56,7 +57,9 @@
     }
 
     private static Level level(Refusal refusal) {
-        return refusal.run() == RunState.UNKNOWN ? Level.WARN : Level.DEBUG;
+        return refusal.run() == RunState.UNKNOWN && refusal.kind() != Refusal.Kind.CALLER_GONE
+                ? Level.WARN
+                : Level.DEBUG;
     }
 
     private static void log(Level level, Refusal refusal) {
--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -79,7 +79,10 @@
         }
         requests.fail(
                 run,
-                Refusal.failed(Refusal.Kind.DEADLINE_EXCEEDED, "the answer did not come in time", RunState.UNKNOWN));
+                run.callerGone() || call.get().callerGone()
+                        ? Refusal.failed(Refusal.Kind.CALLER_GONE, "the caller is gone", RunState.UNKNOWN)
+                        : Refusal.failed(
+                                Refusal.Kind.DEADLINE_EXCEEDED, "the answer did not come in time", RunState.UNKNOWN));
     }
 
     @Override
--- a/src/main/java/org/masticpaddle/entry/Refusal.java
+++ b/src/main/java/org/masticpaddle/entry/Refusal.java
@@ -91,6 +91,8 @@
         NOT_READY(503, 1_000),
         /** The platform's log cannot be used now. */
         LOG_UNAVAILABLE(503, 2_000),
+        /** The caller closed its connection; nobody gets this answer. */
+        CALLER_GONE(499, 0),
         /** The upstream failed. */
         UPSTREAM_FAILED(502, 1_000),
         /** The answer did not come in time. */
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -287,10 +287,11 @@
         if (run.ended()) {
             return;
         }
+        run.markCallerGone();
         if (run.attempt().isPresent()) {
             dispatcher.abandon(run);
         } else {
-            fail(run, Refusal.notRun(Refusal.Kind.INVALID_REQUEST, "the caller is gone"));
+            fail(run, Refusal.notRun(Refusal.Kind.CALLER_GONE, "the caller is gone"));
         }
     }
 
--- a/src/main/java/org/masticpaddle/entry/RequestRun.java
+++ b/src/main/java/org/masticpaddle/entry/RequestRun.java
@@ -36,6 +36,7 @@
     private int claims;
     private boolean claiming;
     private boolean limited;
+    private boolean callerGone;
     private boolean ended;
 
     RequestRun(long number, CallerRequest request, Responder responder, EffectiveConfiguration document) {
@@ -181,6 +182,14 @@
         limited = true;
     }
 
+    boolean callerGone() {
+        return callerGone;
+    }
+
+    void markCallerGone() {
+        callerGone = true;
+    }
+
     boolean ended() {
         return ended;
     }
--- a/src/test/java/org/masticpaddle/command/OperationsCommandsTest.java
+++ b/src/test/java/org/masticpaddle/command/OperationsCommandsTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,6 +21,7 @@
 import org.masticpaddle.bench.Deployment;
 import org.masticpaddle.bench.LocalDeployment;
 import org.masticpaddle.bench.LocalPlatform;
+import org.masticpaddle.document.StandInLogServer;
 import org.masticpaddle.document.TeamText;
 import org.masticpaddle.platform.Instance;
 import org.masticpaddle.standin.Conditions;
@@ -31,6 +33,8 @@
 
 /** Guards against commands that show a deployment other than it is, or that change it. */
 class OperationsCommandsTest {
+    private static final String SAMPLE = Path.of("samples", "routing.ini").toString();
+
     private static LocalDeployment deployment;
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -47,8 +51,7 @@
                 shape,
                 versions,
                 versions.stream().map(EngineSettings.Version::name).toList());
-        deployment = new LocalDeployment(
-                shape, platform, TeamText.split(Files.readString(Path.of("samples", "routing.ini"))));
+        deployment = new LocalDeployment(shape, platform, TeamText.split(Files.readString(Path.of(SAMPLE))));
         deployment.start();
         Conditions.await(deployment::ready);
     }
@@ -59,7 +62,7 @@
     }
 
     @Test
-    void shouldMarkProcessesThatLagOrDoNotAnswer() {
+    void shouldMarkProcessesThatLagOrDoNotAnswer() throws IOException {
         final String list = deployment.platform().instances().origin().toString();
         Conditions.await(() -> run("status", "--instances", list) == ExitCode.SUCCESS);
         assertThat(text()).contains("4 processes, newest revision 2, 0 marked");
@@ -83,6 +86,21 @@
         assertThat(run("status", "--origin", entry())).isEqualTo(ExitCode.SUCCESS);
         assertThat(run("status", "--instances", "http://127.0.0.1:1")).isEqualTo(ExitCode.UNAVAILABLE);
         assertThat(run("status")).isEqualTo(ExitCode.USAGE);
+        final String log = deployment.platform().log().origin().toString();
+        assertThat(run("status", "--origin", entry(), "--log", log)).isEqualTo(ExitCode.SUCCESS);
+        try (StandInLogServer other = new StandInLogServer()) {
+            for (final String team : List.of("platform", "products")) {
+                assertThat(run("publish", "--team", team, "--select", SAMPLE, "--log", other.origin()))
+                        .isEqualTo(ExitCode.SUCCESS);
+            }
+            final String[] once = {"publish", "--team", "products", "--select", "--base", "1", SAMPLE, "--log"};
+            final String[] again = Arrays.copyOf(once, once.length + 1);
+            again[once.length] = other.origin();
+            assertThat(run(again)).isEqualTo(ExitCode.SUCCESS);
+            assertThat(run("status", "--origin", entry(), "--log", other.origin()))
+                    .isEqualTo(ExitCode.NEGATIVE);
+            assertThat(text()).contains("BEHIND");
+        }
     }
 
     @Test
--- a/src/test/java/org/masticpaddle/entry/AccessLogTest.java
+++ b/src/test/java/org/masticpaddle/entry/AccessLogTest.java
@@ -61,6 +61,7 @@
         Configurator.setLevel(logger, Level.INFO);
         AccessLog.answered(REQUEST, "a1", CHARGE, 1, 2);
         AccessLog.failed(REQUEST, "", Refusal.notRun(Refusal.Kind.OVERLOADED, "full"));
+        AccessLog.failed(REQUEST, "a1", Refusal.failed(Refusal.Kind.CALLER_GONE, "gone", RunState.UNKNOWN));
         AccessLog.failed(REQUEST, "a1", Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, "gone", RunState.UNKNOWN));
         assertThat(capture.events).hasSize(1);
         assertThat(capture.events.get(0).getLevel()).isEqualTo(Level.WARN);
--- a/src/test/java/org/masticpaddle/entry/CallerInterfaceTest.java
+++ b/src/test/java/org/masticpaddle/entry/CallerInterfaceTest.java
@@ -157,6 +157,10 @@
         assertThat(other.status()).isEqualTo(422);
         assertThat(other.error().path("type").asText()).isEqualTo("key_reused");
         assertThat(other.error().path("run").asText()).isAnyOf("ran", "unknown");
+        final String foreign = key.replace("demo-key-north", "demo-key-south");
+        assertThat(exchange(RawCaller.request(BOOK, foreign, bytes("{\"day\":1}")))
+                        .body())
+                .isNotEqualTo(first.body());
         assertGoesOn();
     }
 
--- a/src/test/java/org/masticpaddle/entry/ServiceLevelExchangeTest.java
+++ b/src/test/java/org/masticpaddle/entry/ServiceLevelExchangeTest.java
@@ -21,6 +21,7 @@
 import org.masticpaddle.wire.Charge;
 import org.masticpaddle.wire.Json;
 import org.masticpaddle.wire.Rank;
+import org.masticpaddle.wire.RunState;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -98,13 +99,14 @@
         counts.answered(REQUEST, null, 410_000_001, 1_000_000_000);
         counts.failed(REQUEST, Refusal.notRun(Refusal.Kind.OVERLOADED, ""));
         counts.failed(REQUEST, Refusal.notRun(Refusal.Kind.LIMIT_REACHED, ""));
+        counts.failed(REQUEST, Refusal.failed(Refusal.Kind.CALLER_GONE, "", RunState.UNKNOWN));
         tick();
         assertThat(records).hasSize(1);
         final IntervalRecord.Row row = records.get(0).rows().get(0);
         assertThat(row.answered()).isEqualTo(2);
         assertThat(row.late()).isEqualTo(1);
         assertThat(row.missed()).isEqualTo(1);
-        assertThat(row.refused()).containsExactly("overloaded", 1L, "limit_reached", 1L);
+        assertThat(row.refused()).containsExactly("overloaded", 1L, "limit_reached", 1L, "caller_gone", 1L);
     }
 
     @Test
