--- a/src/main/java/org/masticpaddle/command/Commands.java
+++ b/src/main/java/org/masticpaddle/command/Commands.java
@@ -13,7 +13,11 @@
                 new ShowCommand(),
                 new DiffCommand(),
                 new HistoryCommand(),
+                new StatusCommand(),
+                new ExplainCommand(),
+                new ReportCommand(),
                 new DemoCommand(),
-                new BenchCommand());
+                new BenchCommand(),
+                new StandInCommand());
     }
 }
--- a/src/main/java/org/masticpaddle/entry/EntryHandler.java
+++ b/src/main/java/org/masticpaddle/entry/EntryHandler.java
@@ -12,7 +12,6 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.SameThreadExecutor;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticpaddle.document.EffectiveConfiguration;
@@ -27,7 +26,12 @@
 final class EntryHandler implements HttpHandler {
     private static final Logger LOGGER = LogManager.getLogger(EntryHandler.class);
     private static final String SERVICES = "/services/";
+    // A body of the largest size takes this long at 1.1 Mbit/s; slower senders hold a connection for nothing.
+    private static final long BODY_TIMEOUT_MILLIS = 30_000;
 
+    private static final int MAX_HEADER_SIZE = 32 * 1024;
+
+    private final BodyReader bodies = new BodyReader(BODY_TIMEOUT_MILLIS);
     private final EntryLoop loop;
     private final RequestReader reader;
     private final Supplier<Optional<EffectiveConfiguration>> documents;
@@ -56,7 +60,9 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) throws Exception {
         final String path = exchange.getRequestPath();
-        if (path.equals("/v1/chat/completions")) {
+        if (Exchanges.headerSize(exchange) > MAX_HEADER_SIZE) {
+            refuse(exchange, Refusal.notRun(Refusal.Kind.HEADERS_TOO_LARGE, "the headers are too large"));
+        } else if (path.equals("/v1/chat/completions")) {
             if (method(exchange, "POST")) {
                 read(exchange, (body, document) -> reader.chat(exchange, body, document));
             }
@@ -77,21 +83,12 @@
         if (wanted.equals(exchange.getRequestMethod().toString())) {
             return true;
         }
-        Refusals.send(exchange, Refusal.notRun(Refusal.Kind.METHOD_NOT_ALLOWED, "only " + wanted + " is supported"));
+        refuse(exchange, Refusal.notRun(Refusal.Kind.METHOD_NOT_ALLOWED, "only " + wanted + " is supported"));
         return false;
     }
 
     private void read(HttpServerExchange exchange, BiFunction<byte[], RoutingDocument, CallerRequest> parse) {
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (ignored, body) ->
-                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange, body, parse)),
-                        (ignored, error) -> {
-                            exchange.setPersistent(false);
-                            Refusals.send(
-                                    exchange,
-                                    Refusal.notRun(Refusal.Kind.BODY_TOO_LARGE, "the body is too large or broke off"));
-                        });
+        bodies.read(exchange, body -> accept(exchange, body, parse));
     }
 
     private void accept(
@@ -106,15 +103,21 @@
                 responder.fail(Refusal.notRun(Refusal.Kind.OVERLOADED, "the entry has too much work"));
             }
         } catch (RefusalException e) {
-            Refusals.send(exchange, e.refusal());
+            refuse(exchange, e.refusal());
         } catch (RuntimeException e) {
             LOGGER.error("request failed", e);
-            Refusals.send(
+            refuse(
                     exchange,
                     Refusal.failed(Refusal.Kind.UPSTREAM_FAILED, "the entry failed internally", RunState.NOT_RUN));
         }
     }
 
+    /** Refuses a request that has no identifier yet. */
+    private static void refuse(HttpServerExchange exchange, Refusal refusal) {
+        AccessLog.refused(exchange.getRequestMethod().toString(), exchange.getRequestPath(), refusal);
+        Refusals.send(exchange, refusal);
+    }
+
     private RoutingDocument document() {
         return documents
                 .get()
@@ -138,7 +141,7 @@
             final Organisation organisation = reader.authenticate(exchange, document);
             Exchanges.answer(exchange, 200, ModelList.of(document.activeVersions(organisation)));
         } catch (RefusalException e) {
-            Refusals.send(exchange, e.refusal());
+            refuse(exchange, e.refusal());
         }
     }
 
--- a/src/main/java/org/masticpaddle/entry/Refusal.java
+++ b/src/main/java/org/masticpaddle/entry/Refusal.java
@@ -69,6 +69,8 @@
         NOT_FOUND(404, 0),
         /** The method is not supported here. */
         METHOD_NOT_ALLOWED(405, 0),
+        /** The body did not arrive in time. */
+        REQUEST_TIMEOUT(408, 0),
         /** A request with the same key is running. */
         IN_PROGRESS(409, 1_000),
         /** The session's version is withdrawn and the session ends with it. */
@@ -77,6 +79,8 @@
         BODY_TOO_LARGE(413, 0),
         /** The key was used with another body. */
         KEY_REUSED(422, 0),
+        /** The headers are too large. */
+        HEADERS_TOO_LARGE(431, 0),
         /** A limit of the organisation is reached. */
         LIMIT_REACHED(429, 1_000),
         /** There is more work than the upstreams can do in time. */
@@ -87,6 +91,8 @@
         NOT_READY(503, 1_000),
         /** The platform's log cannot be used now. */
         LOG_UNAVAILABLE(503, 2_000),
+        /** The caller closed its connection; nobody gets this answer. */
+        CALLER_GONE(499, 0),
         /** The upstream failed. */
         UPSTREAM_FAILED(502, 1_000),
         /** The answer did not come in time. */
@@ -109,6 +115,16 @@
             return status;
         }
 
+        /**
+         * Tells whether a request that ends with this error counts as missed by the service. Errors of the caller, its
+         * own limits and documented ends of sessions do not.
+         *
+         * @return {@code true} if the service did not do its part
+         */
+        public boolean missesTarget() {
+            return status >= 500;
+        }
+
         /**
          * Returns the name in messages.
          *
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -300,10 +300,11 @@
         if (run.ended()) {
             return;
         }
+        run.markCallerGone();
         if (run.attempt().isPresent()) {
             dispatcher.abandon(run);
         } else {
-            fail(run, Refusal.notRun(Refusal.Kind.INVALID_REQUEST, "the caller is gone"));
+            fail(run, Refusal.notRun(Refusal.Kind.CALLER_GONE, "the caller is gone"));
         }
     }
 
@@ -342,7 +343,7 @@
                 kind, "the request was not admitted: " + refusal.reason().label(), refusal.retryAfterSeconds() * 1000);
     }
 
-    private static Refusal translate(VersionPlan.Reason reason) {
+    static Refusal translate(VersionPlan.Reason reason) {
         return switch (reason) {
             case NOTHING_ALLOWED ->
                 Refusal.notRun(Refusal.Kind.NOT_ALLOWED, "the organisation may not use this model or version");
--- a/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamChoice.java
@@ -1,6 +1,8 @@
 package org.masticpaddle.routing;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -65,6 +67,7 @@
         UpstreamView best = null;
         double lowest = Double.POSITIVE_INFINITY;
         for (int index = 0; index < count; index++) {
+            learn(sampled[index]);
             final double score = score(sampled[index], request, prefixes, now);
             if (score < lowest) {
                 lowest = score;
@@ -74,6 +77,7 @@
         for (final String holder : holders(request, prefixes)) {
             final Optional<UpstreamView> view = upstreams.find(holder);
             if (view.isPresent() && eligible(view.get(), request, otherDomain, now)) {
+                learn(view.get());
                 final double score = score(view.get(), request, prefixes, now);
                 if (score < lowest) {
                     lowest = score;
@@ -85,6 +89,36 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Scores all upstreams for a request as {@link #choose} would, without learning from it.
+     *
+     * @param upstreams upstreams of the version's service
+     * @param request what to run
+     * @param prefixes what is known of the caches
+     * @param now current time in milliseconds
+     * @return scores, the best first
+     */
+    public List<UpstreamScore> scores(UpstreamSet upstreams, UpstreamRequest request, PrefixIndex prefixes, long now) {
+        final List<UpstreamScore> scores = new ArrayList<>();
+        for (int index = 0; index < upstreams.size(); index++) {
+            final UpstreamView view = upstreams.get(index);
+            scores.add(new UpstreamScore(
+                    view.id(), eligible(view, request, false, now), score(view, request, prefixes, now)));
+        }
+        scores.sort(Comparator.comparing((UpstreamScore score) -> !score.eligible())
+                .thenComparingDouble(UpstreamScore::millis));
+        return scores;
+    }
+
+    private void learn(UpstreamView view) {
+        typicalLoad += TYPICAL_SMOOTHING * (load(view) - typicalLoad);
+    }
+
+    /** Load by other entries at the time of the report, as a part of the slots. */
+    private static double load(UpstreamView view) {
+        return view.othersAtReport() / Math.max(1.0, view.report().slots());
+    }
+
     private static List<String> holders(UpstreamRequest request, PrefixIndex prefixes) {
         return request.prefixes().length == 0 ? List.of() : prefixes.holders(request.version(), request.prefixes());
     }
@@ -151,9 +185,8 @@
     private double score(UpstreamView view, UpstreamRequest request, PrefixIndex prefixes, long now) {
         final LoadReport report = view.report();
         final double slots = Math.max(1, report.slots());
-        final double others = view.othersAtReport() / slots;
+        final double others = load(view);
         final double trust = Math.exp(-view.reportAge(now) / policy.reportMemoryMillis());
-        typicalLoad += TYPICAL_SMOOTHING * (others - typicalLoad);
         // Own attempts are known exactly, so that dispatches since a stale report count and finished ones do not.
         final double ahead = (trust * others + (1 - trust) * typicalLoad) * slots + view.outstanding();
         // Beyond its slots an upstream makes a request wait for whole services; near them the chance of a wait grows.
--- a/src/main/java/org/masticpaddle/sidecar/SidecarProcess.java
+++ b/src/main/java/org/masticpaddle/sidecar/SidecarProcess.java
@@ -24,6 +24,7 @@
 import org.masticpaddle.kernel.Duty;
 import org.masticpaddle.kernel.Kernel;
 import org.masticpaddle.kernel.Service;
+import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.platform.HttpEngineControl;
 import org.masticpaddle.platform.HttpEventLog;
 import org.masticpaddle.platform.HttpWeightStore;
@@ -34,6 +35,7 @@
 import org.masticpaddle.wire.HttpClient;
 import org.masticpaddle.wire.HttpServer;
 import org.masticpaddle.wire.OperationsHandler;
+import org.masticpaddle.wire.ProcessStatus;
 
 /** All parts of a sidecar, wired together. Start and stop are called by one thread, once each. */
 public final class SidecarProcess implements Service {
@@ -51,6 +53,7 @@
     private final Kernel kernel = new Kernel();
     private final HttpServer server;
     private final Duty<SidecarEvent> attempts;
+    private final List<Gauge> gauges;
 
     /**
      * Wires a sidecar.
@@ -86,6 +89,7 @@
         final Supplier<RoutingDocument> document = () ->
                 configuration.effective().map(EffectiveConfiguration::document).orElse(RoutingDocument.EMPTY);
         final ChargeWriter charges = new ChargeWriter(log, ChargeSettings.standard(), clock::millis);
+        gauges = SidecarGauges.of(configuration, charges, load, clock::millis);
         final URI upstream = settings.origin(Setting.UPSTREAM).orElseThrow();
         final AttemptRunner runner = new AttemptRunner(
                 new SidecarLimits(incarnation, settings.number(Setting.SLOTS), settings.number(Setting.MAX_QUEUED)),
@@ -106,7 +110,7 @@
                         MAX_SESSIONS, settings.seconds(Setting.SESSION_SECONDS).toMillis()),
                 clock::millis);
         final OperationsHandler operations = new OperationsHandler(
-                () -> load.report().ready() && !load.report().draining(), metrics, load::report);
+                () -> load.report().ready() && !load.report().draining(), metrics, () -> status(configuration, load));
         server = new HttpServer(
                 settings.text(Setting.HOST),
                 settings.number(Setting.PORT),
@@ -153,6 +157,27 @@
         return duty;
     }
 
+    /**
+     * Returns the gauges of the process.
+     *
+     * @return gauges that any thread may read
+     */
+    public List<Gauge> gauges() {
+        return gauges;
+    }
+
+    private ProcessStatus status(ConfigurationService configuration, LoadBook load) {
+        final Optional<EffectiveConfiguration> current = configuration.effective();
+        return new ProcessStatus(
+                "sidecar",
+                settings.text(Setting.INSTANCE),
+                load.report().ready() && !load.report().draining(),
+                current.map(EffectiveConfiguration::offset).orElse(-1L),
+                current.map(EffectiveConfiguration::revision).orElse(0L),
+                current.map(EffectiveConfiguration::sinceMillis).orElse(0L),
+                configuration.tailAgeMillis().orElse(-1));
+    }
+
     private void post(SidecarEvent event) {
         attempts.put(event);
     }
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -15,13 +15,18 @@
 
 /** Undertow server on one address. Start and stop are called by one thread; the handler is called by several. */
 public final class HttpServer implements Service {
-    private static final int MAX_HEADER_BYTES = 32 * 1024;
+    // Undertow answers without a body above this; handlers that want typed answers have a lower limit.
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final int MAX_HEADERS = 100;
     // Bounds a stop whose peers do not read; requests themselves have ended before.
     private static final long STOP_NANOS = 2_000_000_000L;
     private static final long POLL_NANOS = 5_000_000L;
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
 
+    // Undertow ends a connection above its own limit without an answer and prints a stack trace, so the receiver of the
+    // body has the lower limit. Undertow's one bounds what is skipped of a body that nobody reads.
+    private static final long DRAINED_SIZES = 4;
+
     private final String host;
     private final int port;
     private final int ioThreads;
@@ -55,7 +60,7 @@
                 .addHttpListener(port, host)
                 .setIoThreads(ioThreads)
                 .setWorkerThreads(Math.max(2, ioThreads))
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, DRAINED_SIZES * maxBodyBytes)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
@@ -80,6 +85,7 @@
             active.remove(ended);
             next.proceed();
         });
+        exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(Integer.MAX_VALUE, maxBodyBytes));
         handler.handleRequest(exchange);
     }
 
