Tell a caller that left from one that closed only its sending side

Change: at the end of the input the watch sends an interim response (102), which a peer that has left answers with a reset, and every HTTP/1.1 client that still reads skips. All answers are now written by the connection's own thread, so that nothing comes between their bytes. Reports that come with traffic count as heard, so that busy sidecars need no probe.

--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -183,7 +183,7 @@
         final LoadReport load = frame instanceof Frame.Accepted accepted
                 ? accepted.load()
                 : frame instanceof Frame.End end ? end.load() : ((Frame.Failed) frame).load();
-        upstreams.report(run.pool(), call.upstream().id(), load, context.millis(), context.nanos());
+        upstreams.heard(run.pool(), call.upstream().id(), load, context.millis(), context.nanos());
     }
 
     private void disconnected(RequestRun run, AttemptCall call, Throwable error) {
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -40,6 +40,7 @@
 import org.masticpaddle.membership.MembershipService;
 import org.masticpaddle.membership.MembershipSettings;
 import org.masticpaddle.membership.MembershipSnapshot;
+import org.masticpaddle.membership.Observation;
 import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.platform.HttpEventLog;
 import org.masticpaddle.platform.HttpInstanceList;
@@ -104,9 +105,6 @@
         final UniformRandomProvider random = random();
         final EntryContext context = new EntryContext(
                 loop, clock::millis, System::nanoTime, random, new AttemptId(clock::millis, random::nextLong));
-        upstreams = new Upstreams(
-                new PrefixIndex(PrefixIndex.DEFAULT_BLOCKS),
-                new UpstreamChoice(UpstreamPolicy.of(settings.text(Setting.REGION))));
         final String source = instance + "#" + incarnation;
         final Duration timeout = settings.millis(Setting.CALL_TIMEOUT_MS);
         final HttpClient client = new HttpClient(settings.number(Setting.IO_THREADS));
@@ -118,6 +116,10 @@
                 client,
                 random(),
                 clock::millis);
+        upstreams = new Upstreams(
+                new PrefixIndex(PrefixIndex.DEFAULT_BLOCKS),
+                new UpstreamChoice(UpstreamPolicy.of(settings.text(Setting.REGION))),
+                (id, load) -> membership.observe(id, new Observation.Reported(load)));
         final List<URI> peers =
                 settings.list(Setting.PEERS).stream().map(URI::create).toList();
         configuration = ConfigurationService.reading(
--- a/src/main/java/org/masticpaddle/entry/Upstreams.java
+++ b/src/main/java/org/masticpaddle/entry/Upstreams.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.admission.Availability;
@@ -32,6 +33,8 @@
  */
 final class Upstreams implements Availability {
     private static final String PLAIN_MODEL = "plain";
+    // Below the time after which a silent sidecar is probed.
+    private static final long HEARD_INTERVAL_NANOS = 500_000_000L;
     private static final int INITIAL_IN_FLIGHT = 16;
     private static final Pool EMPTY = new Pool();
 
@@ -39,12 +42,20 @@
     private final Map<String, URI> addresses = new HashMap<>();
     private final PrefixIndex prefixes;
     private final UpstreamChoice choice;
+    private final BiConsumer<String, LoadReport> heard;
+    private final Map<String, Long> heardNanos = new HashMap<>();
     private Map<Rank, RankPolicy> policies = Map.of();
     private long nowMillis;
 
-    Upstreams(PrefixIndex prefixes, UpstreamChoice choice) {
+    /**
+     * Creates an empty set.
+     *
+     * @param heard receives reports that came with traffic, so that these sidecars need no probe
+     */
+    Upstreams(PrefixIndex prefixes, UpstreamChoice choice, BiConsumer<String, LoadReport> heard) {
         this.prefixes = Objects.requireNonNull(prefixes, "prefixes is null");
         this.choice = Objects.requireNonNull(choice, "choice is null");
+        this.heard = Objects.requireNonNull(heard, "heard is null");
     }
 
     /** Chooses the upstream of a service for one attempt. */
@@ -90,6 +101,17 @@
             }
         }
         addresses.keySet().retainAll(present);
+        heardNanos.keySet().retainAll(present);
+    }
+
+    /** Takes over a load report that came with traffic. */
+    void heard(String service, String id, LoadReport report, long atMillis, long nowNanos) {
+        report(service, id, report, atMillis, nowNanos);
+        final Long last = heardNanos.get(id);
+        if (last == null || nowNanos - last >= HEARD_INTERVAL_NANOS) {
+            heardNanos.put(id, nowNanos);
+            heard.accept(id, report);
+        }
     }
 
     /** Takes over a load report; its figures were true at {@code atMillis} at the latest. */
--- a/src/main/java/org/masticpaddle/wire/Exchanges.java
+++ b/src/main/java/org/masticpaddle/wire/Exchanges.java
@@ -49,6 +49,15 @@
      * @param body body
      */
     public static void answer(HttpServerExchange exchange, int status, String contentType, byte[] body) {
+        if (exchange.isInIoThread()) {
+            send(exchange, status, contentType, body);
+        } else {
+            // One thread writes to a connection, so that nothing else comes between the bytes of an answer.
+            exchange.getIoThread().execute(() -> send(exchange, status, contentType, body));
+        }
+    }
+
+    private static void send(HttpServerExchange exchange, int status, String contentType, byte[] body) {
         if (exchange.isResponseStarted()) {
             return;
         }
--- a/src/main/java/org/masticpaddle/wire/PeerWatch.java
+++ b/src/main/java/org/masticpaddle/wire/PeerWatch.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
@@ -15,10 +17,14 @@
  * after the answer, so that without this the loss of the peer shows at the first write at the earliest.
  */
 public final class PeerWatch {
+    private static final byte[] INTERIM = "HTTP/1.1 102 Processing\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final long PROBE_MILLIS = 200;
+
     private PeerWatch() {}
 
     /**
-     * Closes the connection, which runs its close listeners, once the peer has ended its side. A peer that sends the next
+     * Closes the connection, which runs its close listeners, once the peer has left. A peer that only closed its sending
+     * side still gets its answer. A peer that sends the next
      * request early is watched no longer.
      *
      * @param exchange exchange whose request has been read whole
@@ -46,7 +52,8 @@
                 final ByteBuffer buffer = pooled.getBuffer();
                 final int count = source.read(buffer);
                 if (count < 0) {
-                    IoUtils.safeClose(connection);
+                    source.suspendReads();
+                    probe(exchange, connection);
                 } else if (count > 0) {
                     source.suspendReads();
                     buffer.flip();
@@ -63,4 +70,21 @@
         });
         source.resumeReads();
     }
+
+    /**
+     * Finds out whether the peer has left or only closed its sending side: a peer that has left answers an interim
+     * response with a reset, which the next write reports. One that still reads skips interim responses.
+     */
+    private static void probe(HttpServerExchange exchange, HttpServerConnection connection) {
+        if (exchange.isComplete() || exchange.isResponseStarted() || !exchange.isHttp11()) {
+            return;
+        }
+        try {
+            connection.getOriginalSinkConduit().write(ByteBuffer.wrap(INTERIM));
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        exchange.getIoThread().executeAfter(() -> probe(exchange, connection), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
 }
