--- /dev/null
+++ b/src/main/java/org/masticpaddle/entry/EntryOptions.java
@@ -0,0 +1,69 @@
+package org.masticpaddle.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+
+import org.masticpaddle.billing.ChargeSettings;
+import org.masticpaddle.claim.ClaimSettings;
+import org.masticpaddle.platform.HttpRatingService;
+import org.masticpaddle.platform.PlatformException;
+import org.masticpaddle.platform.RatingService;
+import org.masticpaddle.routing.SessionToken;
+import org.masticpaddle.settings.ProcessSettings;
+import org.masticpaddle.settings.Setting;
+import org.masticpaddle.wire.HttpClient;
+
+/** Turns the settings of an entry into those of its parts. Immutable and thread-safe. */
+final class EntryOptions {
+    private final ProcessSettings settings;
+
+    EntryOptions(ProcessSettings settings) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+    }
+
+    ClaimSettings claimSettings() {
+        final ClaimSettings standard = ClaimSettings.standard();
+        return new ClaimSettings(
+                settings.number(Setting.CLAIM_PARTITIONS),
+                settings.seconds(Setting.KEY_LIFETIME_SECONDS).toMillis(),
+                standard.maxKeys(),
+                standard.maxAnswerBytes(),
+                standard.maxWaiting(),
+                standard.batchMillis(),
+                standard.maxBatch(),
+                standard.pageRecords(),
+                standard.pollMillis(),
+                standard.idleMillis(),
+                standard.backoffMillis(),
+                standard.callMillis(),
+                standard.confirmMillis());
+    }
+
+    ChargeSettings chargeSettings() {
+        final ChargeSettings standard = ChargeSettings.standard();
+        return new ChargeSettings(
+                settings.number(Setting.CHARGE_BATCH_MS),
+                standard.maxBatch(),
+                standard.maxCharges(),
+                standard.holdMillis(),
+                standard.backoffMillis(),
+                standard.callMillis());
+    }
+
+    SessionToken sessionToken() {
+        final List<byte[]> keys = settings.list(Setting.SESSION_KEYS).stream()
+                .map(key -> key.getBytes(StandardCharsets.UTF_8))
+                .toList();
+        return new SessionToken(keys, settings.seconds(Setting.SESSION_SECONDS).toMillis());
+    }
+
+    RatingService ratings(HttpClient client, Duration timeout) {
+        return settings.origin(Setting.RATINGS)
+                .<RatingService>map(origin -> new HttpRatingService(client, origin, timeout))
+                .orElse(request -> CompletableFuture.failedFuture(
+                        new PlatformException(PlatformException.Effect.NONE, "no rating service is set", null)));
+    }
+}
--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -1,7 +1,6 @@
 package org.masticpaddle.entry;
 
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,11 +22,9 @@
 import org.masticpaddle.admission.AdmissionQueue;
 import org.masticpaddle.admission.LimitBook;
 import org.masticpaddle.admission.RetryBudget;
-import org.masticpaddle.billing.ChargeSettings;
 import org.masticpaddle.billing.ChargeWriter;
 import org.masticpaddle.claim.AttemptId;
 import org.masticpaddle.claim.ClaimService;
-import org.masticpaddle.claim.ClaimSettings;
 import org.masticpaddle.document.ConfigurationHandler;
 import org.masticpaddle.document.ConfigurationService;
 import org.masticpaddle.document.ConfigurationSettings;
@@ -44,15 +41,11 @@
 import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.platform.HttpEventLog;
 import org.masticpaddle.platform.HttpInstanceList;
-import org.masticpaddle.platform.HttpRatingService;
 import org.masticpaddle.platform.Instance;
-import org.masticpaddle.platform.PlatformException;
-import org.masticpaddle.platform.RatingService;
 import org.masticpaddle.rollout.Observations;
 import org.masticpaddle.routing.CascadePolicy;
 import org.masticpaddle.routing.PrefixIndex;
 import org.masticpaddle.routing.QualityEstimates;
-import org.masticpaddle.routing.SessionToken;
 import org.masticpaddle.routing.UpstreamChoice;
 import org.masticpaddle.routing.UpstreamPolicy;
 import org.masticpaddle.routing.VersionChoice;
@@ -101,6 +94,7 @@
      */
     public EntryProcess(ProcessSettings settings, long incarnation, EntryCounters counters, Supplier<String> metrics) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
+        final EntryOptions options = new EntryOptions(settings);
         final String instance = settings.text(Setting.INSTANCE);
         final UniformRandomProvider random = random();
         final EntryContext context = new EntryContext(
@@ -135,12 +129,12 @@
                 new Observations(source),
                 clock::millis);
         final ClaimService claimService =
-                new ClaimService(log, claimSettings(), clock::millis, new AttemptId(clock::millis, random()::nextLong));
-        final ChargeWriter chargeWriter = new ChargeWriter(log, chargeSettings(), clock::millis);
+                new ClaimService(log, options.claimSettings(), clock::millis, new AttemptId(clock::millis, random()::nextLong));
+        final ChargeWriter chargeWriter = new ChargeWriter(log, options.chargeSettings(), clock::millis);
         final SidecarClient sidecars = new SidecarClient(client, this::origin);
         charges = new ChargeFlow(chargeWriter, sidecars);
         final SessionFlow sessions = new SessionFlow(
-                sessionToken(),
+                options.sessionToken(),
                 new SidecarSessionDirectory(client, () -> engines(membership.snapshot())),
                 loop,
                 clock::millis);
@@ -156,7 +150,7 @@
                 requests,
                 charges,
                 claimService,
-                new AnswerRatings(ratings(client, timeout), settings.share(Setting.RATED_SHARE)),
+                new AnswerRatings(options.ratings(client, timeout), settings.share(Setting.RATED_SHARE)),
                 knowledge,
                 upstreams);
         final ClaimFlow claims = new ClaimFlow(
@@ -319,49 +313,6 @@
                 configuration.tailAgeMillis().orElse(-1));
     }
 
-    private ClaimSettings claimSettings() {
-        final ClaimSettings standard = ClaimSettings.standard();
-        return new ClaimSettings(
-                settings.number(Setting.CLAIM_PARTITIONS),
-                settings.seconds(Setting.KEY_LIFETIME_SECONDS).toMillis(),
-                standard.maxKeys(),
-                standard.maxAnswerBytes(),
-                standard.maxWaiting(),
-                standard.batchMillis(),
-                standard.maxBatch(),
-                standard.pageRecords(),
-                standard.pollMillis(),
-                standard.idleMillis(),
-                standard.backoffMillis(),
-                standard.callMillis(),
-                standard.confirmMillis());
-    }
-
-    private ChargeSettings chargeSettings() {
-        final ChargeSettings standard = ChargeSettings.standard();
-        return new ChargeSettings(
-                settings.number(Setting.CHARGE_BATCH_MS),
-                standard.maxBatch(),
-                standard.maxCharges(),
-                standard.holdMillis(),
-                standard.backoffMillis(),
-                standard.callMillis());
-    }
-
-    private SessionToken sessionToken() {
-        final List<byte[]> keys = settings.list(Setting.SESSION_KEYS).stream()
-                .map(key -> key.getBytes(StandardCharsets.UTF_8))
-                .toList();
-        return new SessionToken(keys, settings.seconds(Setting.SESSION_SECONDS).toMillis());
-    }
-
-    private RatingService ratings(HttpClient client, Duration timeout) {
-        return settings.origin(Setting.RATINGS)
-                .<RatingService>map(origin -> new HttpRatingService(client, origin, timeout))
-                .orElse(request -> CompletableFuture.failedFuture(
-                        new PlatformException(PlatformException.Effect.NONE, "no rating service is set", null)));
-    }
-
     /** Each source of random numbers is used by one thread only. */
     private static UniformRandomProvider random() {
         return RandomSource.XO_RO_SHI_RO_128_PP.create();
