Forget the close actions of ended exchanges, and remove doubled code

Cause: found by reading: each request on a kept-alive connection added a close listener that Undertow never removes, so that memory grew with the requests of a balancer's connection. Six stand-ins repeated the same start, stop, origin and faults; RequestFlow held the texts of refusals. Change: one listener for each connection and actions that end with their exchange; ServedStandIn; RefusalReasons.

--- a/src/main/java/org/masticpaddle/entry/EntryProcess.java
+++ b/src/main/java/org/masticpaddle/entry/EntryProcess.java
@@ -128,8 +128,8 @@
                 new QualityEstimates(source, QualityEstimates.HALF_LIFE_MILLIS),
                 new Observations(source),
                 clock::millis);
-        final ClaimService claimService =
-                new ClaimService(log, options.claimSettings(), clock::millis, new AttemptId(clock::millis, random()::nextLong));
+        final ClaimService claimService = new ClaimService(
+                log, options.claimSettings(), clock::millis, new AttemptId(clock::millis, random()::nextLong));
         final ChargeWriter chargeWriter = new ChargeWriter(log, options.chargeSettings(), clock::millis);
         final SidecarClient sidecars = new SidecarClient(client, this::origin);
         charges = new ChargeFlow(chargeWriter, sidecars);
--- a/src/main/java/org/masticpaddle/entry/RequestExplainer.java
+++ b/src/main/java/org/masticpaddle/entry/RequestExplainer.java
@@ -163,7 +163,7 @@
 
     private static String words(VersionPlan plan, VersionRequest request) {
         if (plan instanceof VersionPlan.Refused refused) {
-            return "refused: " + RequestFlow.translate(refused.reason()).message();
+            return "refused: " + RefusalReasons.of(refused.reason()).message();
         }
         final double exploration = request.session() || request.binding().isPresent()
                 ? 0
--- a/src/main/java/org/masticpaddle/entry/RequestFlow.java
+++ b/src/main/java/org/masticpaddle/entry/RequestFlow.java
@@ -141,7 +141,7 @@
         admission
                 .queue()
                 .expire(now)
-                .forEach(refusal -> fail(runs.get(refusal.request().id()), translate(refusal)));
+                .forEach(refusal -> fail(runs.get(refusal.request().id()), RefusalReasons.of(refusal)));
         if (now >= nextScanNanos) {
             nextScanNanos = now + SCAN_NANOS;
             for (final RequestRun run : new ArrayList<>(runs.values())) {
@@ -218,7 +218,7 @@
         final VersionPlan plan =
                 versions.choose(run.document().document(), versionRequest(run, chat), knowledge, context.random());
         if (plan instanceof VersionPlan.Refused refused) {
-            fail(run, translate(refused.reason()));
+            fail(run, RefusalReasons.of(refused.reason()));
             return;
         }
         if (plan instanceof VersionPlan.Cascade cascade) {
@@ -269,13 +269,13 @@
                 false);
         final Offer offer = admission.queue().offer(place, now);
         if (offer instanceof Offer.Refused refused) {
-            fail(run, translate(refused.refusal()));
+            fail(run, RefusalReasons.of(refused.refusal()));
             return;
         }
         run.waiting(place);
         ((Offer.Queued) offer)
                 .displaced()
-                .ifPresent(refusal -> fail(runs.get(refusal.request().id()), translate(refusal)));
+                .ifPresent(refusal -> fail(runs.get(refusal.request().id()), RefusalReasons.of(refusal)));
         pump();
     }
 
@@ -335,26 +335,4 @@
             drained.complete(null);
         }
     }
-
-    private static Refusal translate(org.masticpaddle.admission.Refusal refusal) {
-        final Refusal.Kind kind =
-                refusal.reason().status() == 504 ? Refusal.Kind.DEADLINE_EXCEEDED : Refusal.Kind.OVERLOADED;
-        return Refusal.notRun(
-                kind, "the request was not admitted: " + refusal.reason().label(), refusal.retryAfterSeconds() * 1000);
-    }
-
-    static Refusal translate(VersionPlan.Reason reason) {
-        return switch (reason) {
-            case NOTHING_ALLOWED ->
-                Refusal.notRun(Refusal.Kind.NOT_ALLOWED, "the organisation may not use this model or version");
-            case NOTHING_ACTIVE, NOTHING_HEALTHY ->
-                Refusal.notRun(Refusal.Kind.NO_UPSTREAM, "no version that may answer takes new work");
-            case NOTHING_IN_TIME ->
-                Refusal.notRun(Refusal.Kind.DEADLINE_EXCEEDED, "no version is expected to answer in time");
-            case SESSION_ENDED ->
-                Refusal.notRun(Refusal.Kind.SESSION_ENDED, "the version of this session is withdrawn");
-            case SESSION_HAS_OTHER_VERSION ->
-                Refusal.notRun(Refusal.Kind.INVALID_REQUEST, "the session is bound to another version");
-        };
-    }
 }
--- a/src/main/java/org/masticpaddle/entry/WholeResponder.java
+++ b/src/main/java/org/masticpaddle/entry/WholeResponder.java
@@ -7,6 +7,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
+import org.masticpaddle.wire.CloseActions;
 import org.masticpaddle.wire.Exchanges;
 import org.masticpaddle.wire.Frame;
 
@@ -75,7 +76,7 @@
 
     @Override
     public void onCallerGone(Runnable action) {
-        exchange.getConnection().addCloseListener(connection -> {
+        CloseActions.add(exchange, () -> {
             if (!ended.get()) {
                 action.run();
             }
--- a/src/main/java/org/masticpaddle/standin/EngineStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/EngineStandIn.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.standin;
 
-import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -24,11 +23,10 @@
  * <p>A broken connection does not end a run: it goes on until it finishes or is cancelled, and can be resumed. An
  * engine does not recognise repeated requests: the journal counts each as one more run. Thread-safe.
  */
-public final class EngineStandIn implements StandIn {
+public final class EngineStandIn extends ServedStandIn {
     private static final String KV = "/engine/kv/";
 
     private final EngineSettings settings;
-    private final Faults faults = new Faults();
     private final EngineJournal journal = new EngineJournal();
     private final EngineOrders orders;
     private final StandInServer server;
@@ -46,7 +44,7 @@
         this.orders = new EngineOrders(settings);
         this.server = new StandInServer(
                 "engine",
-                faults,
+                faults(),
                 exchange -> Map.of("requests", journal.entries(), "orders", orders.journal()),
                 this::handle);
         this.batch = new EngineBatch(settings, server, journal);
@@ -59,21 +57,6 @@
         sampleLoad();
     }
 
-    @Override
-    public void stop() {
-        server.stop();
-    }
-
-    @Override
-    public URI origin() {
-        return server.origin();
-    }
-
-    @Override
-    public Faults faults() {
-        return faults;
-    }
-
     /**
      * Lists what became of each request.
      *
@@ -111,7 +94,7 @@
     }
 
     /**
-     * Builds the answer that this engine gives when it has no faults.
+     * Builds the answer that this engine gives when it has no faults().
      *
      * @param version version, {@code model/version}
      * @param prompt for each message its role, a colon, a space, its content and a line feed
@@ -152,7 +135,7 @@
     private void complete(HttpServerExchange exchange, byte[] body) {
         final EngineRequest request = EngineRequest.read(exchange, body, "run-" + unnamed.incrementAndGet());
         final String version = request.version();
-        if (faults.occurs(Fault.REFUSE, version)) {
+        if (faults().occurs(Fault.REFUSE, version)) {
             server.answer(exchange, 503, StandInServer.error("refused", "the engine takes no work"));
         } else if (!orders.serves(version)) {
             server.answer(exchange, 404, StandInServer.error("model_not_found", version + " is not loaded"));
@@ -169,12 +152,12 @@
             server.answer(exchange, 500, StandInServer.error("engine_error", "the version failed"));
             return;
         }
-        if (faults.occurs(Fault.ANSWER_LOST, request.version())) {
+        if (faults().occurs(Fault.ANSWER_LOST, request.version())) {
             StandInServer.disconnect(exchange);
         } else {
             new AnswerWriter(exchange, run.buffer(), 0).start(run.contentType());
         }
-        if (faults.occurs(Fault.HANG, request.version())) {
+        if (faults().occurs(Fault.HANG, request.version())) {
             batch.remember(run);
         } else {
             batch.add(run);
@@ -182,21 +165,21 @@
     }
 
     private boolean fails(EngineRequest request) {
-        final long percent = faults.value(Fault.VERSION_ERRORS, request.version());
+        final long percent = faults().value(Fault.VERSION_ERRORS, request.version());
         return percent == 0 || percent > 0 && Math.floorMod(Hashing.of(request.id()), 100) < percent;
     }
 
     private EngineRun.Behaviour behaviour(String version) {
         final EngineSettings.Version known = settings.version(version);
-        final long low = faults.value(Fault.VERSION_LOW_QUALITY, version);
-        final long slow = faults.value(Fault.VERSION_SLOW, version);
+        final long low = faults().value(Fault.VERSION_LOW_QUALITY, version);
+        final long slow = faults().value(Fault.VERSION_SLOW, version);
         return new EngineRun.Behaviour(
                 low >= 0 ? low / 100.0 : known.quality(),
                 known.slowness() * Math.max(1, slow),
-                faults.occurs(Fault.ANSWER_OF_ANOTHER, version),
-                faults.occurs(Fault.ANSWER_CUT, version),
-                faults.occurs(Fault.ANSWER_DUPLICATED, version),
-                TimeUnit.MILLISECONDS.toNanos(Math.max(0, faults.value(Fault.ANSWER_LATE, version))));
+                faults().occurs(Fault.ANSWER_OF_ANOTHER, version),
+                faults().occurs(Fault.ANSWER_CUT, version),
+                faults().occurs(Fault.ANSWER_DUPLICATED, version),
+                TimeUnit.MILLISECONDS.toNanos(Math.max(0, faults().value(Fault.ANSWER_LATE, version))));
     }
 
     private void resume(HttpServerExchange exchange, JsonNode message) {
@@ -282,4 +265,9 @@
 
     /** Export of a run's KV cache. Immutable. */
     record ExportedRun(EngineRequest request, int emitted, double quality) {}
+
+    @Override
+    StandInServer server() {
+        return server;
+    }
 }
--- a/src/main/java/org/masticpaddle/standin/InstanceListStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/InstanceListStandIn.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.standin;
 
-import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -23,18 +22,17 @@
  * <p>Besides {@code GET /instances?after=N} it takes {@code POST /instances} with an {@link Instance}, {@code POST
  * /instances/ID/leaving} and {@code DELETE /instances/ID}. Thread-safe.
  */
-public final class InstanceListStandIn implements StandIn {
+public final class InstanceListStandIn extends ServedStandIn {
     private static final int MAX_HISTORY = 4096;
     private static final String PREFIX = "/instances/";
 
     private final long lagNanos;
-    private final Faults faults = new Faults();
     private final Deque<Change> history = new ArrayDeque<>();
     private final Map<String, Instance> visible = new LinkedHashMap<>();
     private final Map<String, Instance> latest = new LinkedHashMap<>();
     private final Deque<Change> pending = new ArrayDeque<>();
     private final Map<String, Long> omittedUntil = new HashMap<>();
-    private final StandInServer server = new StandInServer("instances", faults, x -> instances(), this::handle);
+    private final StandInServer server = new StandInServer("instances", faults(), x -> instances(), this::handle);
     private long version;
     private long visibleVersion;
     private long forgottenVersion;
@@ -53,26 +51,6 @@
         this.lagNanos = lag.toNanos();
     }
 
-    @Override
-    public void start() {
-        server.start();
-    }
-
-    @Override
-    public void stop() {
-        server.stop();
-    }
-
-    @Override
-    public URI origin() {
-        return server.origin();
-    }
-
-    @Override
-    public Faults faults() {
-        return faults;
-    }
-
     /**
      * Adds an instance or replaces the one of the same identifier.
      *
@@ -204,4 +182,9 @@
     }
 
     private record Change(long version, Instance instance, long visibleAt) {}
+
+    @Override
+    StandInServer server() {
+        return server;
+    }
 }
--- a/src/main/java/org/masticpaddle/standin/LogStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/LogStandIn.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.standin;
 
-import java.net.URI;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -21,7 +20,7 @@
  * <p>Invariants: offsets of a stream ascend from 0 without gaps; waiting readers hold no thread; a restart keeps the
  * records. Thread-safe.
  */
-public final class LogStandIn implements StandIn {
+public final class LogStandIn extends ServedStandIn {
     /** Appends a second that the log takes unless told otherwise. */
     public static final int DEFAULT_APPENDS_A_SECOND = 400;
 
@@ -32,9 +31,8 @@
     private final int appendsASecond;
     private final int retainedRecords;
     private final long retentionMillis;
-    private final Faults faults = new Faults();
     private final Map<String, LogStream> streams = new ConcurrentHashMap<>();
-    private final StandInServer server = new StandInServer("log", faults, this::journal, this::handle);
+    private final StandInServer server = new StandInServer("log", faults(), this::journal, this::handle);
     private long windowStart = System.nanoTime();
     private int windowAppends;
 
@@ -56,26 +54,6 @@
         this.retentionMillis = retention.toMillis();
     }
 
-    @Override
-    public void start() {
-        server.start();
-    }
-
-    @Override
-    public void stop() {
-        server.stop();
-    }
-
-    @Override
-    public URI origin() {
-        return server.origin();
-    }
-
-    @Override
-    public Faults faults() {
-        return faults;
-    }
-
     /**
      * Lists what was ever appended to a stream, also what it no longer keeps.
      *
@@ -128,7 +106,7 @@
         }
         final long now = System.currentTimeMillis();
         final long offset = stream.append(append.records(), now);
-        if (faults.occurs(Fault.APPLIED_TWICE)) {
+        if (faults().occurs(Fault.APPLIED_TWICE)) {
             stream.append(append.records(), now);
         }
         server.answer(exchange, 200, new HttpEventLog.Appended(offset));
@@ -163,4 +141,9 @@
                 },
                 TimeUnit.MILLISECONDS.toNanos(wait));
     }
+
+    @Override
+    StandInServer server() {
+        return server;
+    }
 }
--- a/src/main/java/org/masticpaddle/standin/PlainServiceStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/PlainServiceStandIn.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.standin;
 
-import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,11 +13,10 @@
  * Stand-in for a plain service: {@code POST /bookings} books each time it is called, whatever the key, and {@code GET
  * /availability} only reads. Thread-safe.
  */
-public final class PlainServiceStandIn implements StandIn {
+public final class PlainServiceStandIn extends ServedStandIn {
     private final long serviceNanos;
-    private final Faults faults = new Faults();
     private final List<Booking> bookings = new ArrayList<>();
-    private final StandInServer server = new StandInServer("plain", faults, exchange -> journal(), this::handle);
+    private final StandInServer server = new StandInServer("plain", faults(), exchange -> journal(), this::handle);
     private long lookups;
 
     /**
@@ -30,26 +28,6 @@
         this.serviceNanos = serviceTime.toNanos();
     }
 
-    @Override
-    public void start() {
-        server.start();
-    }
-
-    @Override
-    public void stop() {
-        server.stop();
-    }
-
-    @Override
-    public URI origin() {
-        return server.origin();
-    }
-
-    @Override
-    public Faults faults() {
-        return faults;
-    }
-
     /**
      * Lists the bookings made.
      *
@@ -80,9 +58,9 @@
     }
 
     private void handle(HttpServerExchange exchange, byte[] body) {
-        if (faults.occurs(Fault.REFUSE)) {
+        if (faults().occurs(Fault.REFUSE)) {
             server.answer(exchange, 503, StandInServer.error("refused", "the service takes no work"));
-        } else if (!faults.occurs(Fault.HANG)) {
+        } else if (!faults().occurs(Fault.HANG)) {
             server.schedule(() -> run(exchange, body), serviceNanos);
         }
     }
@@ -118,4 +96,9 @@
      * @param timeMillis time at which it took effect, in milliseconds since 1970
      */
     public record Booking(int number, String key, String bodyHash, long timeMillis) {}
+
+    @Override
+    StandInServer server() {
+        return server;
+    }
 }
--- a/src/main/java/org/masticpaddle/standin/RatingStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/RatingStandIn.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.standin;
 
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -17,15 +16,14 @@
  * what the kind makes harder, with noise that depends on the request alone. An answer without a quality, for example a
  * broken one, is rated 0. Thread-safe.
  */
-public final class RatingStandIn implements StandIn {
+public final class RatingStandIn extends ServedStandIn {
     private static final int MAX_JOURNAL = 200_000;
     private static final int NOISE_STEPS = 1 << 20;
 
     private final double noise;
     private final Map<String, Double> kindOffsets;
-    private final Faults faults = new Faults();
     private final Deque<Entry> journal = new ArrayDeque<>();
-    private final StandInServer server = new StandInServer("rating", faults, exchange -> journal(), this::handle);
+    private final StandInServer server = new StandInServer("rating", faults(), exchange -> journal(), this::handle);
 
     /**
      * Creates a rating service.
@@ -38,26 +36,6 @@
         this.kindOffsets = Map.copyOf(kindOffsets);
     }
 
-    @Override
-    public void start() {
-        server.start();
-    }
-
-    @Override
-    public void stop() {
-        server.stop();
-    }
-
-    @Override
-    public URI origin() {
-        return server.origin();
-    }
-
-    @Override
-    public Faults faults() {
-        return faults;
-    }
-
     /**
      * Lists the ratings given.
      *
@@ -106,4 +84,9 @@
      * @param quality quality between 0 and 1
      */
     public record Entry(String requestId, String version, String kind, double quality) {}
+
+    @Override
+    StandInServer server() {
+        return server;
+    }
 }
--- a/src/main/java/org/masticpaddle/standin/WeightStoreStandIn.java
+++ b/src/main/java/org/masticpaddle/standin/WeightStoreStandIn.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.standin;
 
-import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,12 +15,11 @@
  * Stand-in for the rate-limited weight store: places in its queue are a fixed interval apart. A repeated request of the
  * same requester for the same version gets the place it has, until that place has passed. Thread-safe.
  */
-public final class WeightStoreStandIn implements StandIn {
+public final class WeightStoreStandIn extends ServedStandIn {
     private final long intervalNanos;
-    private final Faults faults = new Faults();
     private final List<Entry> journal = new ArrayList<>();
     private final Map<HttpWeightStore.Reservation, Long> places = new HashMap<>();
-    private final StandInServer server = new StandInServer("weights", faults, exchange -> journal(), this::handle);
+    private final StandInServer server = new StandInServer("weights", faults(), exchange -> journal(), this::handle);
     private long freeNanos = System.nanoTime();
 
     /**
@@ -33,26 +31,6 @@
         this.intervalNanos = interval.toNanos();
     }
 
-    @Override
-    public void start() {
-        server.start();
-    }
-
-    @Override
-    public void stop() {
-        server.stop();
-    }
-
-    @Override
-    public URI origin() {
-        return server.origin();
-    }
-
-    @Override
-    public Faults faults() {
-        return faults;
-    }
-
     /**
      * Lists the places given.
      *
@@ -96,4 +74,9 @@
      * @param waitMillis milliseconds it was told to wait
      */
     public record Entry(String version, String requester, long waitMillis) {}
+
+    @Override
+    StandInServer server() {
+        return server;
+    }
 }
--- a/src/main/java/org/masticpaddle/wire/ResponseStream.java
+++ b/src/main/java/org/masticpaddle/wire/ResponseStream.java
@@ -125,7 +125,7 @@
             if (closed) {
                 return;
             }
-            exchange.getConnection().addCloseListener(connection -> {
+            CloseActions.add(exchange, () -> {
                 if (!exchange.isComplete()) {
                     markClosed();
                 }
--- /dev/null
+++ b/src/test/java/org/masticpaddle/wire/CloseActionsTest.java
@@ -0,0 +1,87 @@
+package org.masticpaddle.wire;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against memory that grows with each request of a connection, and against cancelled calls that stay open. */
+class CloseActionsTest {
+    private static final Duration IDLE = Duration.ofSeconds(30);
+
+    private final HttpClient client = new HttpClient(1);
+
+    @BeforeEach
+    void start() {
+        client.start();
+    }
+
+    @AfterEach
+    void stop() {
+        client.stop();
+    }
+
+    @Test
+    void shouldForgetTheActionsOfEarlierExchanges() {
+        final List<Integer> waiting = Collections.synchronizedList(new ArrayList<>());
+        final HttpServer server = new HttpServer("127.0.0.1", 0, 1, 1_000, exchange -> {
+            CloseActions.add(exchange, () -> {});
+            waiting.add(CloseActions.waiting(exchange));
+            Exchanges.answer(exchange, 200, "done");
+        });
+        server.start();
+        try {
+            for (int request = 0; request < 20; request++) {
+                client.send(HttpCall.get(origin(server), "/x", IDLE)).join();
+            }
+        } finally {
+            server.stop();
+        }
+        assertThat(Collections.max(waiting)).isEqualTo(1);
+    }
+
+    @Test
+    void shouldCloseTheConnectionOfACancelledCall() throws Exception {
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final CompletableFuture<Void> closed = new CompletableFuture<>();
+        final HttpServer server = new HttpServer(
+                "127.0.0.1",
+                0,
+                1,
+                1_000,
+                exchange -> exchange.dispatch(() -> {
+                    CloseActions.add(exchange, () -> closed.complete(null));
+                    PeerWatch.start(exchange);
+                    arrived.complete(null);
+                }));
+        server.start();
+        try {
+            final StreamHandle handle = client.stream(HttpCall.get(origin(server), "/x", IDLE), new StreamListener() {
+                @Override
+                public void onHead(int status, Map<String, String> headers) {}
+
+                @Override
+                public void onBytes(byte[] bytes) {}
+            });
+            arrived.get(30, TimeUnit.SECONDS);
+            handle.cancel();
+            closed.get(30, TimeUnit.SECONDS);
+        } finally {
+            server.stop();
+        }
+    }
+
+    private static URI origin(HttpServer server) {
+        return URI.create("http://127.0.0.1:" + server.port());
+    }
+}
