Let a leaving process refuse work for a while before its server closes

The sidecar closed its server as soon as nothing ran, so that a dispatch under way met a reset. Change: linger_ms (3 s) after SIGTERM, in which a process refuses new work as draining; probes and frames tell the others within a second.

--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -23,6 +23,13 @@
     MAX_BODY_BYTES("process", "max_body_bytes", SettingType.POSITIVE, "4194304", "largest request body in bytes"),
     /** Longest graceful shutdown. */
     DRAIN_SECONDS("process", "drain_seconds", SettingType.POSITIVE, "60", "longest time to finish work after SIGTERM"),
+    /** Time for which a leaving process still answers. */
+    LINGER_MS(
+            "process",
+            "linger_ms",
+            SettingType.WHOLE,
+            "3000",
+            "time for which a leaving process still refuses new work, so that others learn that it leaves"),
     /** Log of the platform. */
     LOG("platform", "log", SettingType.ORIGIN, null, "origin of the append-only log"),
     /** Retention of the log. */
@@ -74,8 +81,6 @@
     SLOTS("sidecar", "slots", SettingType.POSITIVE, "16", "attempts that run at the same time"),
     /** Queue of the sidecar. */
     MAX_QUEUED("sidecar", "max_queued", SettingType.WHOLE, "8", "attempts that may wait for a slot"),
-    /** Whether the engine checks fencing tokens. */
-    FENCING("sidecar", "fencing", SettingType.FENCING, "enforced", "enforced or ignored by the engine"),
     /** Entries to read the document from. */
     ENTRIES("sidecar", "entries", SettingType.LIST, "", "origins of entries that give the document, besides the list"),
     /** Attempts remembered. */
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -19,9 +19,7 @@
     /** Role of a process. */
     ROLE("entry or sidecar", "entry|sidecar"),
     /** Kind of upstream. */
-    KIND("engine or plain", "engine|plain"),
-    /** Who checks fencing tokens. */
-    FENCING("enforced or ignored", "enforced|ignored");
+    KIND("engine or plain", "engine|plain");
 
     private final String expected;
     private final Pattern pattern;
--- a/src/main/java/org/masticpaddle/sidecar/EngineKeeper.java
+++ b/src/main/java/org/masticpaddle/sidecar/EngineKeeper.java
@@ -25,7 +25,7 @@
  * Keeps the engine's loaded versions equal to the document: reads its state, and orders what is missing.
  *
  * <p>Invariants: each order follows a state that was read after the answer to the previous one, so a lost answer is
- * settled by reading; orders carry this incarnation as the fencing token; a load starts only at the time that the weight
+ * settled by reading; orders carry this incarnation as the fencing token, and none is given beside a newer one; a load starts only at the time that the weight
  * store gave. The sidecar is the only issuer of orders to its engine, and an order states a wanted state, so that a late
  * order of a paused process is undone by the next reading. All methods run on the thread of one {@link Duty}.
  */
@@ -92,7 +92,9 @@
         failures = 0;
         load.upstream(true, state.versions());
         readCacheEvents();
-        nextOrder(state).ifPresent(this::give);
+        if (state.highestFencingToken() <= identity.fencingToken()) {
+            nextOrder(state).ifPresent(this::give);
+        }
     }
 
     private void readCacheEvents() {
