--- a/src/main/java/org/masticpaddle/bench/AdmissionDeployment.java
+++ b/src/main/java/org/masticpaddle/bench/AdmissionDeployment.java
@@ -2,9 +2,9 @@
 
 /** Model service of a deployment of the design page, as slots with random service times. */
 enum AdmissionDeployment {
-    /** Model service of the lender of farm equipment. */
+    /** Model service of the first deployment of the design page. */
     AR_CUYO("ar-cuyo", 8, 16, 1.5, 400),
-    /** Model service of the roof cleaning company. */
+    /** Model service of the second deployment of the design page. */
     PK_CENTRAL("pk-central", 6, 8, 0.8, 250);
 
     private final String label;
--- a/src/main/java/org/masticpaddle/bench/Deployment.java
+++ b/src/main/java/org/masticpaddle/bench/Deployment.java
@@ -31,18 +31,18 @@
     }
 
     /**
-     * Returns the deployment of the lender of farm equipment.
+     * Returns the first deployment of the design page.
      *
      * @param timeScale factor on the times of the engines
      * @return the deployment
      */
     public static Deployment arCuyo(double timeScale) {
         return new Deployment(
-                "ar-cuyo", List.of("cuyo-a", "cuyo-b", "cuyo-c"), "mastic-llm", 8, "prensa-app", 3, 3, 16, timeScale);
+                "ar-cuyo", List.of("cuyo-a", "cuyo-b", "cuyo-c"), "mastic-llm", 8, "booking-app", 3, 3, 16, timeScale);
     }
 
     /**
-     * Returns the deployment of the roof cleaning company.
+     * Returns the second deployment of the design page.
      *
      * @param timeScale factor on the times of the engines
      * @return the deployment
