--- a/src/main/java/org/masticpaddle/entry/EntryGauges.java
+++ b/src/main/java/org/masticpaddle/entry/EntryGauges.java
@@ -8,8 +8,8 @@
 import org.masticpaddle.admission.AdmissionQueue;
 import org.masticpaddle.billing.ChargeWriter;
 import org.masticpaddle.document.ConfigurationService;
-import org.masticpaddle.document.EffectiveConfiguration;
 import org.masticpaddle.metrics.Gauge;
+import org.masticpaddle.metrics.SharedGauges;
 import org.masticpaddle.wire.Rank;
 
 /** Gauges of an entry. The duty that owns the queue takes the readings, any thread collects them. Thread-safe. */
@@ -37,29 +37,11 @@
     }
 
     List<Gauge> all(ConfigurationService configuration, ChargeWriter charges, LongSupplier clock) {
-        return List.of(
+        final List<Gauge> all = new ArrayList<>(List.of(
                 new Gauge("queue.length", "requests that wait, by service and rank", () -> queued),
                 new Gauge("requests.in_flight", "requests dispatched and not ended, by service", () -> inFlight),
-                new Gauge("requests.bound", "requests in flight above which others wait, by service", () -> bounds),
-                Gauge.of(
-                        "document.revision",
-                        "revision of the document in effect",
-                        () -> configuration
-                                .effective()
-                                .map(EffectiveConfiguration::revision)
-                                .orElse(0L)),
-                Gauge.of(
-                        "document.age",
-                        "seconds since the document took effect",
-                        () -> configuration
-                                .effective()
-                                .map(current -> (clock.getAsLong() - current.sinceMillis()) / 1000.0)
-                                .orElse(-1.0)),
-                Gauge.of(
-                        "log.read_age",
-                        "seconds since the log was last read to its end",
-                        () -> configuration.tailAgeMillis().orElse(-1) / 1000.0),
-                Gauge.of("charges.waiting", "charges that wait for an append", charges::waiting),
-                Gauge.of("charges.dropped", "charges dropped since the start", charges::dropped));
+                new Gauge("requests.bound", "requests in flight above which others wait, by service", () -> bounds)));
+        all.addAll(SharedGauges.of(configuration, charges, clock));
+        return List.copyOf(all);
     }
 }
--- a/src/main/java/org/masticpaddle/sidecar/AttemptRunner.java
+++ b/src/main/java/org/masticpaddle/sidecar/AttemptRunner.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
@@ -355,12 +354,4 @@
         load.publish(running, queued, drained != null);
         completeDrain();
     }
-
-    /** Attempts that are queued or run, for tests. */
-    List<String> active() {
-        return attempts.values().stream()
-                .filter(attempt -> attempt.phase() != Attempt.Phase.ENDED)
-                .map(Attempt::id)
-                .toList();
-    }
 }
