--- a/src/main/java/org/masticpaddle/admission/RetryBudget.java
+++ b/src/main/java/org/masticpaddle/admission/RetryBudget.java
@@ -1,7 +1,7 @@
 package org.masticpaddle.admission;
 
 /**
- * Budget of retries of one entry: 10% of first tries, and one retry in ten seconds when there are few.
+ * Budget of retries of one process: a share of its first tries, with a bound on what is saved up.
  *
  * <p>Not thread-safe: one duty owns it.
  */
@@ -12,9 +12,11 @@
     /** Bounds the retries that follow at once when an upstream fails after a long calm time. */
     private static final double CAPACITY = 10;
 
-    private final ShareBudget budget = new ShareBudget(SHARE, FLOOR_PER_SECOND, CAPACITY, 1);
+    private final ShareBudget budget;
 
-    private RetryBudget() {}
+    private RetryBudget(ShareBudget budget) {
+        this.budget = budget;
+    }
 
     /**
      * Creates a budget of one retry.
@@ -22,7 +24,18 @@
      * @return the budget
      */
     public static RetryBudget create() {
-        return new RetryBudget();
+        return new RetryBudget(new ShareBudget(SHARE, FLOOR_PER_SECOND, CAPACITY, 1));
+    }
+
+    /**
+     * Creates a full budget that is earned by requests only.
+     *
+     * @param share retries earned by each first try
+     * @param capacity retries that may follow at once after a calm time
+     * @return the budget
+     */
+    public static RetryBudget of(double share, double capacity) {
+        return new RetryBudget(new ShareBudget(share, 0, capacity, capacity));
     }
 
     /**
--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -5,13 +5,17 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.ServiceLoader;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.entry.EntryProcess;
+import org.masticpaddle.gateway.GatewayPorts;
+import org.masticpaddle.gateway.GatewayProcess;
 import org.masticpaddle.kernel.KernelException;
 import org.masticpaddle.kernel.Service;
 import org.masticpaddle.membership.Incarnation;
@@ -70,6 +74,9 @@
     private static Service create(ProcessSettings settings) {
         final long incarnation = Incarnation.of(System.currentTimeMillis(), new SecureRandom().nextLong())
                 .value();
+        if ("gateway".equals(settings.text(Setting.ROLE))) {
+            return gateway(settings);
+        }
         final ProcessMetrics metrics = ProcessMetrics.create(
                 settings.text(Setting.INSTANCE), settings.text(Setting.ROLE), settings.origin(Setting.OTLP));
         if ("entry".equals(settings.text(Setting.ROLE))) {
@@ -82,6 +89,18 @@
         return sidecar;
     }
 
+    private static Service gateway(ProcessSettings settings) {
+        final GatewayPorts ports = ServiceLoader.load(GatewayPorts.class)
+                .findFirst()
+                .orElseThrow(() -> new KernelException("no platform is bound: GatewayPorts has no provider"));
+        final DecisionLog log =
+                new DecisionLog(settings.text(Setting.INSTANCE), System::currentTimeMillis, System.out::print);
+        final LazyMetrics metrics = new LazyMetrics(settings);
+        final GatewayProcess gateway = new GatewayProcess(settings, ports, log, metrics::page);
+        metrics.register(gateway.counters().gauges());
+        return gateway;
+    }
+
     private static void shutDown(Service process) {
         LOGGER.info("the process finishes its work and stops");
         process.stop();
--- /dev/null
+++ b/src/main/java/org/masticpaddle/fleet/PromptPart.java
@@ -0,0 +1,16 @@
+package org.masticpaddle.fleet;
+
+import java.util.Objects;
+
+/**
+ * A part of a prompt that several requests may share. Immutable.
+ *
+ * @param id identifier of its content
+ * @param tokens size
+ */
+public record PromptPart(String id, int tokens) {
+    /** Checks the arguments. */
+    public PromptPart {
+        Objects.requireNonNull(id, "id is null");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/ControlDuty.java
@@ -0,0 +1,223 @@
+package org.masticpaddle.gateway;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.control.ControlCodec;
+import org.masticpaddle.control.KeyedFollower;
+import org.masticpaddle.control.KeyedRecord;
+import org.masticpaddle.control.LogStream;
+import org.masticpaddle.control.OperatorRecord;
+import org.masticpaddle.control.SharedLog;
+import org.masticpaddle.control.UndecodableRecordException;
+import org.masticpaddle.decisions.Decision;
+import org.masticpaddle.decisions.DecisionLog;
+import org.masticpaddle.fleet.RosterChange;
+import org.masticpaddle.fleet.Upstream;
+import org.masticpaddle.kernel.Scheduler;
+
+/**
+ * Keeps the configuration, the roll-out orders and the upstreams of a gateway current from the shared log.
+ *
+ * <p>Invariant: a record that cannot be decoded changes nothing but its own key. Runs on the event loop.
+ */
+final class ControlDuty {
+    /** Time for which a read waits at the log; bounds how long a silent connection goes unnoticed. */
+    private static final Duration OPERATOR_WAIT = Duration.ofMillis(800);
+    /** Pause between reads of the upstreams, a small part of the time in which a leaving one must get no work. */
+    private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(350);
+
+    private final GatewayState state;
+    private final ControlCodec codec;
+    private final Scheduler scheduler;
+    private final DecisionLog log;
+    private final Consumer<URI> gone;
+    private final Consumer<OperatorRecord> orders;
+    private final List<KeyedFollower> followers;
+
+    /**
+     * Creates the duty.
+     *
+     * @param state knowledge of the gateway
+     * @param shared the log
+     * @param codec translation of its records
+     * @param scheduler time and timers of the event loop
+     * @param random source of jitter
+     * @param log log of decisions
+     * @param gone receives the origin of an upstream that takes no more work
+     * @param orders receives roll-out orders and withdrawals
+     */
+    ControlDuty(
+            GatewayState state,
+            SharedLog shared,
+            ControlCodec codec,
+            Scheduler scheduler,
+            UniformRandomProvider random,
+            DecisionLog log,
+            Consumer<URI> gone,
+            Consumer<OperatorRecord> orders) {
+        this.state = Objects.requireNonNull(state, "state is null");
+        this.codec = Objects.requireNonNull(codec, "codec is null");
+        this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
+        this.log = Objects.requireNonNull(log, "log is null");
+        this.gone = Objects.requireNonNull(gone, "gone is null");
+        this.orders = Objects.requireNonNull(orders, "orders is null");
+        followers = List.of(
+                new KeyedFollower(
+                        shared,
+                        LogStream.OPERATOR,
+                        OPERATOR_WAIT,
+                        Duration.ZERO,
+                        scheduler,
+                        random,
+                        new OperatorListener()),
+                new KeyedFollower(
+                        shared,
+                        LogStream.UPSTREAMS,
+                        Duration.ZERO,
+                        UPSTREAM_PAUSE,
+                        scheduler,
+                        random,
+                        new UpstreamListener()));
+    }
+
+    void start() {
+        followers.forEach(KeyedFollower::start);
+    }
+
+    void stop() {
+        followers.forEach(KeyedFollower::stop);
+    }
+
+    /** Drops upstreams that have not returned after an outage. */
+    void expire() {
+        final long now = scheduler.nanos();
+        state.roster()
+                .expire(now)
+                .forEach(id -> log.write(
+                        Decision.UPSTREAM_CHANGED, "upstream", id, "change", RosterChange.REMOVED, "after", "outage"));
+    }
+
+    private void ignored(KeyedRecord keyed, UndecodableRecordException error) {
+        log.write(Decision.RECORD_IGNORED, "key", keyed.key(), "offset", keyed.offset(), "reason", error.getMessage());
+    }
+
+    private final class OperatorListener implements KeyedFollower.Listener {
+        @Override
+        public void changed(KeyedRecord keyed) {
+            try {
+                final OperatorRecord decoded = codec.operatorRecord(keyed);
+                if (decoded instanceof OperatorRecord.Configuration configuration) {
+                    if (state.accept(configuration.table())) {
+                        log.write(
+                                Decision.TABLE_IN_FORCE,
+                                "version",
+                                configuration.table().version(),
+                                "offset",
+                                keyed.offset());
+                    }
+                } else {
+                    orders.accept(decoded);
+                }
+            } catch (UndecodableRecordException e) {
+                ignored(keyed, e);
+            }
+        }
+
+        @Override
+        public void confirmed(long nanos) {
+            state.confirmed(nanos);
+        }
+
+        @Override
+        public void lost(String reason) {
+            log.write(Decision.DEPENDENCY_LOST, "dependency", "log/operator", "reason", reason);
+        }
+
+        @Override
+        public void regained() {
+            log.write(Decision.DEPENDENCY_REGAINED, "dependency", "log/operator");
+        }
+
+        @Override
+        public void historyLost() {
+            log.write(Decision.HISTORY_LOST, "stream", LogStream.OPERATOR);
+        }
+    }
+
+    private final class UpstreamListener implements KeyedFollower.Listener {
+        @Override
+        public void changed(KeyedRecord keyed) {
+            if (keyed.drops()) {
+                drop(codec.upstreamId(keyed), "dropped");
+                return;
+            }
+            try {
+                final Upstream upstream = codec.upstream(keyed);
+                final RosterChange change = state.roster().listed(upstream, scheduler.nanos());
+                if (change != RosterChange.UNCHANGED) {
+                    log.write(
+                            Decision.UPSTREAM_CHANGED,
+                            "upstream",
+                            upstream.id(),
+                            "service",
+                            upstream.service(),
+                            "version",
+                            upstream.version(),
+                            "origin",
+                            upstream.origin(),
+                            "change",
+                            change,
+                            "offset",
+                            keyed.offset());
+                }
+                if (change == RosterChange.LEAVING || change == RosterChange.REBORN) {
+                    gone.accept(upstream.origin());
+                }
+            } catch (UndecodableRecordException e) {
+                ignored(keyed, e);
+                drop(codec.upstreamId(keyed), "undecodable");
+            }
+        }
+
+        private void drop(String id, String reason) {
+            final URI origin = state.roster()
+                    .find(id)
+                    .map(known -> known.upstream().origin())
+                    .orElse(null);
+            final RosterChange change = state.roster().removed(id, scheduler.nanos());
+            if (change != RosterChange.UNCHANGED) {
+                log.write(Decision.UPSTREAM_CHANGED, "upstream", id, "change", change, "reason", reason);
+                if (change == RosterChange.REMOVED) {
+                    gone.accept(origin);
+                }
+            }
+        }
+
+        @Override
+        public void confirmed(long nanos) {
+            state.rosterRead();
+        }
+
+        @Override
+        public void lost(String reason) {
+            state.roster().outageBegan();
+            log.write(Decision.DEPENDENCY_LOST, "dependency", "log/upstreams", "reason", reason);
+        }
+
+        @Override
+        public void regained() {
+            state.roster().outageEnded(scheduler.nanos());
+            log.write(Decision.DEPENDENCY_REGAINED, "dependency", "log/upstreams");
+        }
+
+        @Override
+        public void historyLost() {
+            log.write(Decision.HISTORY_LOST, "stream", LogStream.UPSTREAMS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/Dialect.java
@@ -0,0 +1,32 @@
+package org.masticpaddle.gateway;
+
+import java.util.Map;
+
+/** Translates the headers of requests and answers. Header names are in lower case. Immutable and thread-safe. */
+public interface Dialect {
+    /**
+     * Reads a caller's headers.
+     *
+     * @param headers headers of the request
+     * @return what they say
+     */
+    InboundRequest inbound(Map<String, String> headers);
+
+    /**
+     * Writes the headers for an upstream: those of the caller that are not for one connection only, without its key and
+     * without what only a gateway may say, and what the gateway says.
+     *
+     * @param headers headers of the caller's request
+     * @param facts what the gateway says
+     * @return headers of the request to the upstream
+     */
+    Map<String, String> outbound(Map<String, String> headers, OutboundFacts facts);
+
+    /**
+     * Reads an upstream's headers.
+     *
+     * @param headers headers of the answer
+     * @return what they say
+     */
+    AnswerFacts answer(Map<String, String> headers);
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -0,0 +1,74 @@
+package org.masticpaddle.gateway;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.masticpaddle.metrics.Gauge;
+
+/** Counts of a gateway since its start. Thread-safe. */
+public final class GatewayCounters {
+    private final Map<Counter, LongAdder> counts = new EnumMap<>(Counter.class);
+
+    /** Creates counters at zero. */
+    public GatewayCounters() {
+        for (final Counter counter : Counter.values()) {
+            counts.put(counter, new LongAdder());
+        }
+    }
+
+    void add(Counter counter) {
+        counts.get(counter).increment();
+    }
+
+    long value(Counter counter) {
+        return counts.get(counter).sum();
+    }
+
+    /**
+     * Lists the counters as gauges, which cost nothing until they are scraped.
+     *
+     * @return the gauges
+     */
+    public List<Gauge> gauges() {
+        return counts.entrySet().stream()
+                .map(entry -> Gauge.of(
+                        "gateway." + entry.getKey().label(),
+                        entry.getKey().description(),
+                        () -> entry.getValue().sum()))
+                .toList();
+    }
+
+    /** What is counted. */
+    enum Counter {
+        RECEIVED("received", "requests received"),
+        ANSWERED("answered", "answers relayed whole"),
+        REFUSED("refused", "requests refused that have not run"),
+        FAILED("failed", "requests that failed and may have run"),
+        CANCELLED("cancelled", "requests whose caller left"),
+        SENT("sent", "requests sent to upstreams"),
+        RETRIED("retried", "requests sent once more after a failure"),
+        RESUMED("resumed", "streams that went on at another upstream"),
+        ESCALATED("escalated", "drafts dropped for a larger model"),
+        BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
+        STORE_CALLS("store_calls", "calls to the shared log"),
+        STORE_FAILURES("store_failures", "calls to the shared log that failed");
+
+        private final String label;
+        private final String description;
+
+        Counter(String label, String description) {
+            this.label = label;
+            this.description = description;
+        }
+
+        String label() {
+            return label;
+        }
+
+        String description() {
+            return description;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -0,0 +1,174 @@
+package org.masticpaddle.gateway;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.WeakHashMap;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import org.masticpaddle.decisions.Decision;
+import org.masticpaddle.routes.KeyHolder;
+import org.masticpaddle.routes.Route;
+import org.masticpaddle.routes.RoutingTable;
+import org.masticpaddle.wire.Exchanges;
+
+/** Takes callers' requests: checks them against the configuration in force and hands them on. Runs on the event loop. */
+final class GatewayHandler implements HttpHandler {
+    private final GatewayContext context;
+    // Weak, since an exchange whose connection was closed under it is never completed.
+    private final Set<HttpServerExchange> active = Collections.newSetFromMap(new WeakHashMap<>());
+    private boolean leaving;
+    private boolean refusing;
+
+    GatewayHandler(GatewayContext context) {
+        this.context = Objects.requireNonNull(context, "context is null");
+    }
+
+    /** Asks callers to leave their connections. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Refuses all further requests. */
+    void refuse() {
+        refusing = true;
+    }
+
+    /** Counts the requests that have no final answer yet. */
+    long active() {
+        return active.stream()
+                .filter(exchange -> exchange.getConnection().isOpen())
+                .count();
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        final long received = context.scheduler().nanos();
+        active.add(exchange);
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            active.remove(ended);
+            next.proceed();
+        });
+        if (leaving) {
+            exchange.setPersistent(false);
+        }
+        final Optional<RoutingTable> table = context.state().table();
+        if (table.isEmpty() || refusing) {
+            refuse(exchange, 503, refusing ? "the gateway stops" : "no configuration is known yet");
+            return;
+        }
+        if (Exchanges.headerSize(exchange) > table.get().limits().headerBytes()) {
+            refuse(exchange, 431, "the headers are too large");
+            return;
+        }
+        if (exchange.getRequestContentLength() > table.get().limits().bodyBytes()) {
+            refuse(exchange, 413, "the body is too large");
+            return;
+        }
+        Exchanges.readBody(exchange, body -> admit(exchange, body, received));
+    }
+
+    private void admit(HttpServerExchange exchange, byte[] body, long received) {
+        final RoutingTable table = context.state().table().orElseThrow();
+        final Optional<Route> route =
+                table.route(Objects.requireNonNullElse(exchange.getHostAndPort(), ""), path(exchange));
+        if (route.isEmpty()) {
+            refuse(exchange, 404, "no route matches");
+            return;
+        }
+        final Map<String, String> headers = headers(exchange);
+        final InboundRequest request = context.dialect().inbound(headers);
+        if (request.id().isEmpty()) {
+            refuse(exchange, 400, "the request has no identifier");
+            return;
+        }
+        Optional<KeyHolder> holder = Optional.empty();
+        if (table.needsKey(route.get())) {
+            if (!context.state().keysFresh(received)) {
+                refuse(exchange, 503, "the keys are not known to be current");
+                return;
+            }
+            holder = request.key().flatMap(table::holder);
+            if (holder.isEmpty()) {
+                refuse(exchange, 401, "the key is not known");
+                return;
+            }
+        }
+        final ForwardFlow.InboundCall call = new ForwardFlow.InboundCall(
+                table,
+                route.get(),
+                holder,
+                request,
+                exchange.getRequestMethod().toString(),
+                target(exchange),
+                headers,
+                body,
+                received);
+        new ForwardFlow(context, new UndertowCaller(exchange), call).start();
+    }
+
+    private void refuse(HttpServerExchange exchange, int status, String reason) {
+        final Map<String, String> headers = new HashMap<>();
+        if (status == 503) {
+            headers.putAll(OwnAnswers.retryAfter(context.random()));
+        }
+        context.counters().add(GatewayCounters.Counter.REFUSED);
+        context.log()
+                .write(
+                        Decision.REQUEST_REFUSED,
+                        "request",
+                        context.dialect().inbound(headers(exchange)).id(),
+                        "status",
+                        status,
+                        "reason",
+                        reason,
+                        "host",
+                        exchange.getHostAndPort(),
+                        "path",
+                        path(exchange),
+                        "configuration",
+                        context.state().table().map(RoutingTable::version).orElse(null),
+                        "configuration_age_ms",
+                        context.state()
+                                .confirmedAgeMillis(context.scheduler().nanos())
+                                .orElse(-1));
+        if (!exchange.isRequestComplete()) {
+            exchange.setPersistent(false);
+        }
+        new UndertowCaller(exchange).answer(status, headers, OwnAnswers.body(status, reason));
+    }
+
+    private static Map<String, String> headers(HttpServerExchange exchange) {
+        final Map<String, String> headers = new HashMap<>();
+        for (final HeaderValues values : exchange.getRequestHeaders()) {
+            headers.put(
+                    values.getHeaderName().toString().toLowerCase(Locale.ROOT),
+                    values.size() == 1 ? values.getFirst() : String.join(", ", values));
+        }
+        headers.putIfAbsent(
+                "host", Objects.requireNonNullElse(exchange.getRequestHeaders().getFirst(Headers.HOST), ""));
+        return headers;
+    }
+
+    private static String target(HttpServerExchange exchange) {
+        final String query = exchange.getQueryString();
+        return path(exchange) + (query.isEmpty() ? "" : "?" + query);
+    }
+
+    /** Path as the caller sent it, without decoding, since upstreams get it unchanged. */
+    private static String path(HttpServerExchange exchange) {
+        final String uri = exchange.getRequestURI();
+        if (!exchange.isHostIncludedInRequestURI()) {
+            return uri;
+        }
+        final int slash = uri.indexOf('/', uri.indexOf("://") + 3);
+        return slash < 0 ? "/" : uri.substring(slash);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/masticpaddle/routes/KeyHolder.java
@@ -0,0 +1,18 @@
+package org.masticpaddle.routes;
+
+import java.util.Objects;
+import java.util.OptionalInt;
+
+/**
+ * The organisation to which a caller's key belongs. Immutable.
+ *
+ * @param organisation name of the organisation
+ * @param rank rank of its requests, which goes before the route's
+ */
+public record KeyHolder(String organisation, OptionalInt rank) {
+    /** Checks the arguments. */
+    public KeyHolder {
+        Objects.requireNonNull(organisation, "organisation is null");
+        Objects.requireNonNull(rank, "rank is null");
+    }
+}
--- a/src/main/java/org/masticpaddle/settings/ProcessSettings.java
+++ b/src/main/java/org/masticpaddle/settings/ProcessSettings.java
@@ -110,19 +110,26 @@
 
     private static List<String> roleMistakes(String file, Map<Setting, String> values) {
         final List<String> mistakes = new ArrayList<>();
-        if (values.get(Setting.ROLE).equals("sidecar")) {
+        final String role = values.get(Setting.ROLE);
+        if (!role.equals("gateway") && values.get(Setting.INSTANCES).isEmpty()) {
+            mistakes.add(file + ": [platform] instances: role " + role + " needs a value, found none");
+        }
+        if (role.equals("sidecar")) {
             for (final Setting setting : List.of(Setting.SERVICE, Setting.UPSTREAM)) {
                 if (values.get(setting).isEmpty()) {
                     mistakes.add(file + ": [sidecar] " + setting.key() + ": a sidecar needs a value, found none");
                 }
             }
-        } else if (Arrays.stream(values.get(Setting.SESSION_KEYS).split(","))
-                .anyMatch(key -> key.trim().length() < MIN_SESSION_KEY)) {
+        } else if (role.equals("entry") && hasShortKey(values.get(Setting.SESSION_KEYS))) {
             mistakes.add(file + ": [entry] session_keys: expected keys of at least " + MIN_SESSION_KEY + " characters");
         }
         return mistakes;
     }
 
+    private static boolean hasShortKey(String keys) {
+        return Arrays.stream(keys.split(",")).anyMatch(key -> key.trim().length() < MIN_SESSION_KEY);
+    }
+
     /**
      * Returns a value as text.
      *
@@ -153,6 +160,26 @@
         return Double.parseDouble(text(setting));
     }
 
+    /**
+     * Returns a number.
+     *
+     * @param setting the setting
+     * @return number of at least 0
+     */
+    public double decimal(Setting setting) {
+        return Double.parseDouble(text(setting));
+    }
+
+    /**
+     * Returns a duration given in seconds with decimals.
+     *
+     * @param setting the setting
+     * @return the duration
+     */
+    public Duration decimalSeconds(Setting setting) {
+        return Duration.ofMillis(Math.round(decimal(setting) * 1000));
+    }
+
     /**
      * Returns a duration given in seconds.
      *
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -6,7 +6,7 @@
 /** Settings of the daemon. Each constant gives section, key, type, default and meaning. */
 public enum Setting {
     /** Role of the process. */
-    ROLE("process", "role", SettingType.ROLE, null, "entry or sidecar"),
+    ROLE("process", "role", SettingType.ROLE, null, "entry, sidecar or gateway"),
     /** Identifier of the instance. */
     INSTANCE("process", "instance", SettingType.NAME, null, "identifier of this instance in the instance list"),
     /** Region. */
@@ -40,7 +40,7 @@
             "86400",
             "time for which the log keeps a record"),
     /** Instance list of the platform. */
-    INSTANCES("platform", "instances", SettingType.ORIGIN, null, "origin of the instance list"),
+    INSTANCES("platform", "instances", SettingType.ORIGIN, "", "origin of the instance list; an entry needs one"),
     /** Rating service of the platform. */
     RATINGS("platform", "ratings", SettingType.ORIGIN, "", "origin of the rating service; empty for none"),
     /** Weight store of the platform. */
@@ -85,6 +85,49 @@
     ENTRIES("sidecar", "entries", SettingType.LIST, "", "origins of entries that give the document, besides the list"),
     /** Attempts remembered. */
     MAX_ATTEMPTS("sidecar", "max_attempts", SettingType.POSITIVE, "16384", "non-idempotent attempts remembered"),
+    /** Address for callers of a gateway. */
+    FRONT("gateway", "front", SettingType.ORIGIN, "http://127.0.0.1:0", "address on which callers are served"),
+    /** Address for the operations of a gateway. */
+    OPERATIONS("gateway", "operations", SettingType.ORIGIN, "http://127.0.0.1:0", "address of /readyz and /metrics"),
+    /** Bound on revoked keys. */
+    KEY_REVOCATION_MS(
+            "gateway",
+            "key_revocation_ms",
+            SettingType.POSITIVE,
+            "5000",
+            "time after which a key that was taken away is used no longer, also without contact to the log"),
+    /** Bound on leaving upstreams. */
+    UPSTREAM_DRAIN_MS(
+            "gateway",
+            "upstream_drain_ms",
+            SettingType.POSITIVE,
+            "2000",
+            "time after which a leaving upstream gets no work"),
+    /** Time between SIGTERM and SIGKILL. */
+    GRACE_SECONDS(
+            "gateway",
+            "grace_seconds",
+            SettingType.DECIMAL,
+            "8",
+            "time between the request to stop and the forced end"),
+    /** Retries of all gateways. */
+    RETRY_SHARE("gateway", "retry_share", SettingType.DECIMAL, "0.9", "retries as part of all requests of a service"),
+    /** Exposure of a new version. */
+    EXPOSURE_SHARE(
+            "gateway", "exposure_share", SettingType.SHARE, "0.15", "part of the requests that a bad version may get"),
+    /** Exposure beyond the share. */
+    EXPOSURE_SLACK(
+            "gateway",
+            "exposure_slack",
+            SettingType.DECIMAL,
+            "30",
+            "requests that a bad version may get beyond the share"),
+    /** Sessions of gateways. */
+    GATEWAY_SESSION_SECONDS(
+            "gateway", "session_seconds", SettingType.DECIMAL, "5", "longest time between two requests of a session"),
+    /** Doubt of drafts. */
+    DOUBT_BELOW(
+            "gateway", "doubt_below", SettingType.WHOLE, "60", "confidence in percent below which a draft is dropped"),
     /** Collector of metrics. */
     OTLP("metrics", "otlp", SettingType.ORIGIN, "", "origin of an OpenTelemetry collector; empty for none");
 
--- a/src/main/java/org/masticpaddle/wire/ActiveCall.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveCall.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -31,8 +32,6 @@
  * thread may call; ends exactly once.
  */
 final class ActiveCall implements StreamHandle {
-    private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
-
     private final HttpCall call;
     private final StreamListener listener;
     private final ByteBufferPool buffers;
@@ -61,14 +60,14 @@
         fail(deliveryNow(), "cancelled", null);
     }
 
-    void armConnectTimeout(XnioIoThread thread) {
+    void armConnectTimeout(XnioIoThread thread, Duration timeout) {
         thread.executeAfter(
                 () -> {
                     if (connection == null) {
                         fail(CallException.Delivery.NOT_SENT, "connect timeout to " + call.origin(), null);
                     }
                 },
-                CONNECT_TIMEOUT_MILLIS,
+                timeout.toMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
@@ -141,7 +140,9 @@
         final ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
         call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
-        request.getRequestHeaders().put(Headers.HOST, call.origin().getAuthority());
+        if (!request.getRequestHeaders().contains(Headers.HOST)) {
+            request.getRequestHeaders().put(Headers.HOST, call.origin().getAuthority());
+        }
         if (call.body().length > 0 || !"GET".equals(call.method())) {
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
         }
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -6,9 +6,11 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -34,21 +36,43 @@
     private static final int MAX_IDLE_PER_ORIGIN = 64;
 
     private final int ioThreads;
-    private final Map<URI, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+    private final ConnectionLimits limits;
+    private final Optional<EventLoop> shared;
+    private final Map<URI, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
     private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
     private XnioWorker worker;
 
     /**
-     * Creates a client that is not started.
+     * Creates a client with threads of its own that is not started.
      *
      * @param ioThreads number of input/output threads
      */
     public HttpClient(int ioThreads) {
+        this(ioThreads, ConnectionLimits.DEFAULT, Optional.empty());
+    }
+
+    /**
+     * Creates a client on the thread of an event loop.
+     *
+     * @param loop the loop, which the caller starts and stops
+     * @param limits times of connections
+     */
+    public HttpClient(EventLoop loop, ConnectionLimits limits) {
+        this(1, limits, Optional.of(loop));
+    }
+
+    private HttpClient(int ioThreads, ConnectionLimits limits, Optional<EventLoop> shared) {
         this.ioThreads = ioThreads;
+        this.limits = Objects.requireNonNull(limits, "limits is null");
+        this.shared = shared;
     }
 
     @Override
     public void start() {
+        if (shared.isPresent()) {
+            worker = shared.get().worker();
+            return;
+        }
         try {
             worker = Xnio.getInstance()
                     .createWorker(OptionMap.builder()
@@ -65,9 +89,37 @@
 
     @Override
     public void stop() {
-        idle.values().forEach(queue -> queue.forEach(IoUtils::safeClose));
+        idle.values().forEach(queue -> queue.forEach(waiting -> IoUtils.safeClose(waiting.connection())));
         idle.clear();
-        worker.shutdownNow();
+        if (shared.isEmpty()) {
+            worker.shutdownNow();
+        }
+    }
+
+    /**
+     * Closes the idle connections to a peer.
+     *
+     * @param origin scheme, host and port of the peer
+     */
+    public void forget(URI origin) {
+        final Deque<IdleConnection> queue = idle.remove(origin);
+        if (queue != null) {
+            queue.forEach(waiting -> IoUtils.safeClose(waiting.connection()));
+        }
+    }
+
+    /** Closes connections that have been idle for longer than the limit. */
+    public void closeExpired() {
+        final long now = System.nanoTime();
+        idle.values()
+                .forEach(queue -> queue.removeIf(waiting -> {
+                    final boolean expired = !waiting.connection().isOpen()
+                            || now - waiting.sinceNanos() > limits.maxIdle().toNanos();
+                    if (expired) {
+                        IoUtils.safeClose(waiting.connection());
+                    }
+                    return expired;
+                }));
     }
 
     /**
@@ -92,7 +144,9 @@
         Objects.requireNonNull(call, "call is null");
         final ActiveCall active = new ActiveCall(call, listener, buffers, this::release);
         final ClientConnection pooled = call.freshConnection() ? null : takeIdle(call.origin());
-        if (pooled != null) {
+        if (pooled != null && Thread.currentThread() == pooled.getIoThread()) {
+            active.begin(pooled);
+        } else if (pooled != null) {
             pooled.getIoThread().execute(() -> active.begin(pooled));
         } else {
             connect(call, active);
@@ -100,14 +154,54 @@
         return active;
     }
 
+    /**
+     * Opens a connection and closes it again, to find out whether a peer can be reached.
+     *
+     * @param origin scheme, host and port of the peer
+     * @return completes when the connection was established; fails with {@link CallException}
+     */
+    public CompletableFuture<Void> reach(URI origin) {
+        final CompletableFuture<Void> reached = new CompletableFuture<>();
+        worker.getIoThread()
+                .executeAfter(
+                        () -> reached.completeExceptionally(new CallException(
+                                CallException.Delivery.NOT_SENT, "connect timeout to " + origin, null)),
+                        limits.connectTimeout().toMillis(),
+                        TimeUnit.MILLISECONDS);
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                IoUtils.safeClose(connection);
+                                reached.complete(null);
+                            }
+
+                            @Override
+                            public void failed(IOException e) {
+                                reached.completeExceptionally(new CallException(
+                                        CallException.Delivery.NOT_SENT, "cannot connect to " + origin, e));
+                            }
+                        },
+                        origin,
+                        worker,
+                        buffers,
+                        OptionMap.EMPTY);
+        return reached;
+    }
+
     private void connect(HttpCall call, ActiveCall active) {
-        active.armConnectTimeout(worker.getIoThread());
+        active.armConnectTimeout(worker.getIoThread(), limits.connectTimeout());
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                connection.getIoThread().execute(() -> active.begin(connection));
+                                if (Thread.currentThread() == connection.getIoThread()) {
+                                    active.begin(connection);
+                                } else {
+                                    connection.getIoThread().execute(() -> active.begin(connection));
+                                }
                             }
 
                             @Override
@@ -122,27 +216,32 @@
     }
 
     private ClientConnection takeIdle(URI origin) {
-        final Deque<ClientConnection> queue = idle.get(origin);
+        final Deque<IdleConnection> queue = idle.get(origin);
         if (queue == null) {
             return null;
         }
-        for (ClientConnection connection = queue.pollFirst(); connection != null; connection = queue.pollFirst()) {
-            if (connection.isOpen()) {
-                return connection;
+        final long now = System.nanoTime();
+        for (IdleConnection waiting = queue.pollFirst(); waiting != null; waiting = queue.pollFirst()) {
+            if (waiting.connection().isOpen()
+                    && now - waiting.sinceNanos() <= limits.maxIdle().toNanos()) {
+                return waiting.connection();
             }
+            IoUtils.safeClose(waiting.connection());
         }
         return null;
     }
 
     private void release(URI origin, ClientConnection connection) {
-        final Deque<ClientConnection> queue = idle.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
+        final Deque<IdleConnection> queue = idle.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
         if (!connection.isOpen() || queue.size() >= MAX_IDLE_PER_ORIGIN) {
             IoUtils.safeClose(connection);
             return;
         }
-        queue.addFirst(connection);
+        queue.addFirst(new IdleConnection(connection, System.nanoTime()));
     }
 
+    private record IdleConnection(ClientConnection connection, long sinceNanos) {}
+
     private static final class Collector implements StreamListener {
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Collections;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.locks.LockSupport;
@@ -20,6 +21,8 @@
     private static final int MAX_HEADERS = 100;
     // Bounds a stop whose peers do not read; requests themselves have ended before.
     private static final long STOP_NANOS = 2_000_000_000L;
+    // One read takes most requests, also where a small heap would make Undertow choose small buffers.
+    private static final int SHARED_BUFFER_BYTES = 16 * 1024;
     private static final long POLL_NANOS = 5_000_000L;
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
 
@@ -32,6 +35,7 @@
     private final int ioThreads;
     private final long maxBodyBytes;
     private final HttpHandler handler;
+    private final Optional<EventLoop> shared;
     // Weak, since an exchange whose connection was closed under it is never completed.
     private final Set<HttpServerExchange> active =
             Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
@@ -47,6 +51,25 @@
      * @param handler handler of all requests, called on an input/output thread
      */
     public HttpServer(String host, int port, int ioThreads, long maxBodyBytes, HttpHandler handler) {
+        this(host, port, ioThreads, maxBodyBytes, handler, Optional.empty());
+    }
+
+    /**
+     * Creates a server on the thread of an event loop.
+     *
+     * @param host IP number to bind
+     * @param port port to bind, 0 to let the operating system choose
+     * @param loop the loop, which the caller starts and stops
+     * @param maxBodyBytes bodies above this size are refused
+     * @param handler handler of all requests, called on the loop's thread
+     */
+    public HttpServer(String host, int port, EventLoop loop, long maxBodyBytes, HttpHandler handler) {
+        this(host, port, 1, maxBodyBytes, handler, Optional.of(loop));
+    }
+
+    private HttpServer(
+            String host, int port, int ioThreads, long maxBodyBytes, HttpHandler handler, Optional<EventLoop> shared) {
+        this.shared = shared;
         this.host = Objects.requireNonNull(host, "host is null");
         this.port = port;
         this.ioThreads = ioThreads;
@@ -56,8 +79,9 @@
 
     @Override
     public void start() {
-        undertow = Undertow.builder()
-                .addHttpListener(port, host)
+        final Undertow.Builder builder = Undertow.builder();
+        shared.ifPresent(loop -> builder.setWorker(loop.worker()).setBufferSize(SHARED_BUFFER_BYTES));
+        undertow = builder.addHttpListener(port, host)
                 .setIoThreads(ioThreads)
                 .setWorkerThreads(Math.max(2, ioThreads))
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, DRAINED_SIZES * maxBodyBytes)
--- a/src/main/java/org/masticpaddle/wire/PeerWatch.java
+++ b/src/main/java/org/masticpaddle/wire/PeerWatch.java
@@ -22,6 +22,26 @@
 
     private PeerWatch() {}
 
+    /** What the end of a peer's sending side means. */
+    public enum HalfClose {
+        /** The peer may still read, which interim responses find out. */
+        MAY_STILL_READ {
+            @Override
+            void ended(HttpServerExchange exchange, HttpServerConnection connection) {
+                probe(exchange, connection);
+            }
+        },
+        /** The peer has left. */
+        HAS_LEFT {
+            @Override
+            void ended(HttpServerExchange exchange, HttpServerConnection connection) {
+                IoUtils.safeClose(connection);
+            }
+        };
+
+        abstract void ended(HttpServerExchange exchange, HttpServerConnection connection);
+    }
+
     /**
      * Closes the connection, which runs its close listeners, once the peer has left. A peer that only closed its sending
      * side still gets its answer. A peer that sends the next
@@ -30,16 +50,27 @@
      * @param exchange exchange whose request has been read whole
      */
     public static void start(HttpServerExchange exchange) {
+        start(exchange, HalfClose.MAY_STILL_READ);
+    }
+
+    /**
+     * Closes the connection, which runs its close listeners, once the peer has left. A peer that sends the next request
+     * early is watched no longer.
+     *
+     * @param exchange exchange whose request has been read whole
+     * @param halfClose what the end of the peer's sending side means
+     */
+    public static void start(HttpServerExchange exchange, HalfClose halfClose) {
         if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
             exchange.getIoThread().execute(() -> {
                 if (!exchange.isComplete()) {
-                    watch(exchange, connection);
+                    watch(exchange, connection, halfClose);
                 }
             });
         }
     }
 
-    private static void watch(HttpServerExchange exchange, HttpServerConnection connection) {
+    private static void watch(HttpServerExchange exchange, HttpServerConnection connection, HalfClose halfClose) {
         final StreamSourceConduit source = connection.getOriginalSourceConduit();
         final ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
         channel.setReadListener(ignored -> {
@@ -53,7 +84,7 @@
                 final int count = source.read(buffer);
                 if (count < 0) {
                     source.suspendReads();
-                    probe(exchange, connection);
+                    halfClose.ended(exchange, connection);
                 } else if (count > 0) {
                     source.suspendReads();
                     buffer.flip();
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -59,7 +59,7 @@
         final List<String> mistakes = mistakes("[process]\nrole = boss\nregio = r\n[nothing]\n");
         assertThat(mistakes)
                 .containsAtLeast(
-                        "f:2: [process] role: expected entry or sidecar, found \"boss\"",
+                        "f:2: [process] role: expected entry, sidecar or gateway, found \"boss\"",
                         "f: [process] instance: expected a name without blanks, found no value",
                         "f: [platform] log: expected an origin, for example http://127.0.0.1:8080, found no value",
                         "f:3: [process] regio: unknown key; did you mean \"region\"?");
