Decide roll-outs by all gateways together

Change: VersionMove enters stages by time and evidence, sessions are chosen by hash so that all gateways agree, RolloutDuty exchanges counts on an own keyed stream and appends the status on the condition of the stream's end.

--- a/src/main/java/org/masticpaddle/control/ControlCodec.java
+++ b/src/main/java/org/masticpaddle/control/ControlCodec.java
@@ -33,12 +33,10 @@
     /**
      * Encodes the status of a roll-out.
      *
-     * @param service name of the service
-     * @param version version to move to
-     * @param state how far it is
+     * @param status the status
      * @return the record's value
      */
-    byte[] rolloutStatus(String service, String version, RolloutProgress state);
+    byte[] rolloutStatus(RolloutStatus status);
 
     /**
      * Names the record of a roll-out's status.
--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -84,6 +85,15 @@
         stopped = true;
     }
 
+    /**
+     * Returns the end of the stream as far as it was read.
+     *
+     * @return offset of the next record, empty while the newest records are being listed
+     */
+    public OptionalLong position() {
+        return following ? OptionalLong.of(next) : OptionalLong.empty();
+    }
+
     private void step() {
         if (stopped) {
             return;
@@ -197,6 +207,7 @@
     }
 
     /** Receiver of a stream. */
+    @FunctionalInterface
     public interface Listener {
         /**
          * Receives a record.
--- a/src/main/java/org/masticpaddle/control/RolloutStatus.java
+++ b/src/main/java/org/masticpaddle/control/RolloutStatus.java
@@ -7,9 +7,10 @@
  *
  * @param service name of the service
  * @param version version to move to
+ * @param order identifier of the order
  * @param progress how far it is
  */
-public record RolloutStatus(String service, String version, RolloutProgress progress) {
+public record RolloutStatus(String service, String version, long order, RolloutProgress progress) {
     /** Checks the arguments. */
     public RolloutStatus {
         Objects.requireNonNull(service, "service is null");
--- a/src/main/java/org/masticpaddle/gateway/ControlDuty.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlDuty.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -36,7 +37,7 @@
     private final Scheduler scheduler;
     private final DecisionLog log;
     private final Consumer<URI> gone;
-    private final Consumer<OperatorRecord> orders;
+    private final BiConsumer<OperatorRecord, Long> orders;
     private final List<KeyedFollower> followers;
 
     /**
@@ -49,7 +50,7 @@
      * @param random source of jitter
      * @param log log of decisions
      * @param gone receives the origin of an upstream that takes no more work
-     * @param orders receives roll-out orders and withdrawals
+     * @param orders receives roll-out orders and withdrawals with their offsets
      */
     ControlDuty(
             GatewayState state,
@@ -59,7 +60,7 @@
             UniformRandomProvider random,
             DecisionLog log,
             Consumer<URI> gone,
-            Consumer<OperatorRecord> orders) {
+            BiConsumer<OperatorRecord, Long> orders) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.codec = Objects.requireNonNull(codec, "codec is null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
@@ -121,7 +122,7 @@
                                 keyed.offset());
                     }
                 } else {
-                    orders.accept(decoded);
+                    orders.accept(decoded, keyed.offset());
                 }
             } catch (UndecodableRecordException e) {
                 ignored(keyed, e);
--- a/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
+++ b/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.Assignment;
@@ -44,7 +45,7 @@
     private final CallerExchange caller;
     private final InboundCall call;
     private final String service;
-    private final Predicate<Upstream> versions;
+    private final VersionGate.Admission versions;
     private final long deadlineNanos;
     private final Set<String> excluded = new HashSet<>();
     private Scheduler.Timer deadline;
@@ -93,17 +94,17 @@
 
     private Optional<UpstreamPlacement.Choice> place() {
         final List<UpstreamState> members = context.state().roster().members(service);
-        final Predicate<UpstreamState> version = member -> versions.test(member.upstream());
-        final Optional<UpstreamPlacement.Choice> other = context.placement()
-                .choose(
-                        placementRequest(model, size),
-                        members,
-                        version.and(
-                                member -> !excluded.contains(member.upstream().id())),
-                        times(),
-                        now());
-        return other.or(
-                () -> context.placement().choose(placementRequest(model, size), members, version, times(), now()));
+        final UpstreamPlacement.Request wanted = placementRequest(model, size);
+        final Predicate<UpstreamState> preferred =
+                member -> versions.preferred().test(member.upstream());
+        final Predicate<UpstreamState> permitted =
+                member -> versions.permitted().test(member.upstream());
+        final Predicate<UpstreamState> untried =
+                member -> !excluded.contains(member.upstream().id());
+        return Stream.of(preferred.and(untried), permitted.and(untried), preferred, permitted)
+                .map(allowed -> context.placement().choose(wanted, members, allowed, times(), now()))
+                .flatMap(Optional::stream)
+                .findFirst();
     }
 
     private UpstreamPlacement.Request placementRequest(String wanted, int index) {
@@ -136,6 +137,8 @@
                         call.route().name(),
                         "organisation",
                         call.holder().map(KeyHolder::organisation).orElse(null),
+                        "session",
+                        request.session().orElse(null),
                         "upstream",
                         upstream.upstream().id(),
                         "version",
@@ -258,7 +261,7 @@
                 .choose(
                         placementRequest(call.route().sizes().get(sizes - 1), sizes - 1),
                         context.state().roster().members(service),
-                        member -> versions.test(member.upstream()),
+                        member -> versions.preferred().test(member.upstream()),
                         times(),
                         now())
                 .map(UpstreamPlacement.Choice::expectedMillis)
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -52,6 +52,7 @@
     private final GatewayState state;
     private final GatewayHandler handler;
     private final ControlDuty control;
+    private final RolloutDuty rollouts;
     private final DecisionLog log;
     private final HttpClient client;
     private final GatewayCounters counters = new GatewayCounters();
@@ -78,7 +79,14 @@
                 settings.origin(Setting.LOG).orElseThrow(),
                 answered -> counters.add(
                         answered ? GatewayCounters.Counter.STORE_CALLS : GatewayCounters.Counter.STORE_FAILURES));
-        final VersionGate versions = new OpenVersionGate();
+        rollouts = new RolloutDuty(
+                settings.text(Setting.INSTANCE) + "/" + System.currentTimeMillis(),
+                shared,
+                ports.codec(),
+                state.roster(),
+                loop,
+                random,
+                log);
         silence = new SilenceWatch(client, loop, log, SILENT_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
@@ -86,14 +94,14 @@
                 silence,
                 ports.dialect(),
                 state,
-                versions,
+                rollouts,
                 new UpstreamPlacement(settings.text(Setting.FAILURE_DOMAIN)),
                 new ModelLadder(settings.number(Setting.DOUBT_BELOW)),
                 log,
                 counters,
                 random);
         handler = new GatewayHandler(context);
-        control = new ControlDuty(state, shared, ports.codec(), loop, random, log, client::forget, order -> {});
+        control = new ControlDuty(state, shared, ports.codec(), loop, random, log, client::forget, rollouts::ordered);
         final URI front = settings.origin(Setting.FRONT).orElseThrow();
         final URI operations = settings.origin(Setting.OPERATIONS).orElseThrow();
         kernel.register("decisions", log)
@@ -178,6 +186,7 @@
 
     private void tick() {
         control.expire();
+        rollouts.tick();
         client.closeExpired();
         state.roster().all().forEach(silence::check);
         loop.schedule(TICK_MILLIS, this::tick);
--- a/src/main/java/org/masticpaddle/gateway/VersionGate.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionGate.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.gateway;
 
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Predicate;
 
@@ -15,7 +16,7 @@
      * @param requestId identifier of the request
      * @return which upstreams may run it
      */
-    Predicate<Upstream> admit(String service, Optional<String> session, String requestId);
+    Admission admit(String service, Optional<String> session, String requestId);
 
     /**
      * Learns of an answer.
@@ -27,4 +28,21 @@
      * @param expectedMillis time that was expected
      */
     void answered(Upstream upstream, String route, boolean sound, double millis, double expectedMillis);
+
+    /**
+     * Which upstreams may run a request. Immutable.
+     *
+     * @param preferred upstreams of the version that the request's session is on
+     * @param permitted upstreams that may run it while none of the preferred can
+     */
+    record Admission(Predicate<Upstream> preferred, Predicate<Upstream> permitted) {
+        /** Every version. */
+        static final Admission ALL = new Admission(upstream -> true, upstream -> true);
+
+        /** Checks the arguments. */
+        public Admission {
+            Objects.requireNonNull(preferred, "preferred is null");
+            Objects.requireNonNull(permitted, "permitted is null");
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/rollout/MoveCounts.java
@@ -0,0 +1,20 @@
+package org.masticpaddle.rollout;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * What one gateway saw of a roll-out since its order, as gateways tell each other. Immutable.
+ *
+ * @param service name of the service
+ * @param order identifier of the order
+ * @param routes counts by route
+ * @param runningBefore requests that run on other versions at the gateway
+ */
+public record MoveCounts(String service, long order, Map<String, RouteCounts> routes, int runningBefore) {
+    /** Checks the arguments and copies the map. */
+    public MoveCounts {
+        Objects.requireNonNull(service, "service is null");
+        routes = Map.copyOf(Objects.requireNonNull(routes, "routes is null"));
+    }
+}
