--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -27,8 +27,6 @@
 
 /** Main class of the daemon {@code bin/masticpaddled}: runs one process of the role that its settings choose. */
 public final class Daemon {
-    private static final Logger LOGGER = LogManager.getLogger(Daemon.class);
-
     private Daemon() {}
 
     /**
@@ -66,7 +64,7 @@
             e.mistakes().forEach(System.err::println);
             System.exit(ExitCode.USAGE);
         } catch (KernelException e) {
-            LOGGER.error("the process cannot start", e);
+            logger().error("the process cannot start", e);
             System.exit(ExitCode.UNAVAILABLE);
         }
     }
@@ -82,11 +80,11 @@
         if ("entry".equals(settings.text(Setting.ROLE))) {
             final EntryProcess entry = new EntryProcess(settings, incarnation, metrics, metrics::page);
             metrics.register(entry.gauges());
-            return entry;
+            return new LoggedStop(entry);
         }
         final SidecarProcess sidecar = new SidecarProcess(settings, incarnation, metrics::page);
         metrics.register(sidecar.gauges());
-        return sidecar;
+        return new LoggedStop(sidecar);
     }
 
     private static Service gateway(ProcessSettings settings) {
@@ -101,15 +99,33 @@
         return gateway;
     }
 
+    // Looked up when it is used: the start of a gateway does not wait for the logging library.
+    private static Logger logger() {
+        return LogManager.getLogger(Daemon.class);
+    }
+
     private static void shutDown(Service process) {
-        LOGGER.info("the process finishes its work and stops");
         process.stop();
-        LOGGER.info("the process has stopped");
-        LogManager.shutdown();
         // Without this the virtual machine would exit with the code of the signal.
         Runtime.getRuntime().halt(ExitCode.SUCCESS);
     }
 
+    /** Logs the end of a process that has no log of decisions. */
+    private record LoggedStop(Service process) implements Service {
+        @Override
+        public void start() {
+            process.start();
+        }
+
+        @Override
+        public void stop() {
+            logger().info("the process finishes its work and stops");
+            process.stop();
+            logger().info("the process has stopped");
+            LogManager.shutdown();
+        }
+    }
+
     private static final class Options {
         @Parameter(description = "FILE.ini")
         private List<String> files = new ArrayList<>();
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -58,6 +58,7 @@
     private final GatewayCounters counters = new GatewayCounters();
     private final SilenceWatch silence;
     private final GatewayBounds bounds;
+    private final HttpServer server;
     private volatile boolean draining;
 
     /**
@@ -104,17 +105,16 @@
         control = new ControlDuty(state, shared, ports.codec(), loop, random, log, client::forget, rollouts::ordered);
         final URI front = settings.origin(Setting.FRONT).orElseThrow();
         final URI operations = settings.origin(Setting.OPERATIONS).orElseThrow();
+        server = new HttpServer(
+                front.getHost(),
+                front.getPort(),
+                loop,
+                settings.number(Setting.MAX_BODY_BYTES),
+                new HttpContinueReadHandler(handler));
         kernel.register("decisions", log)
                 .register("loop", loop)
                 .register("client", client)
-                .register(
-                        "front",
-                        new HttpServer(
-                                front.getHost(),
-                                front.getPort(),
-                                loop,
-                                settings.number(Setting.MAX_BODY_BYTES),
-                                new HttpContinueReadHandler(handler)))
+                .register("front", server)
                 .register(
                         "operations",
                         new HttpServer(
@@ -171,6 +171,15 @@
         return count[0];
     }
 
+    /**
+     * Returns the port for callers.
+     *
+     * @return the port, also when the operating system chose it
+     */
+    public int port() {
+        return server.port();
+    }
+
     /**
      * Returns the counters.
      *
--- a/src/main/java/org/masticpaddle/kernel/Kernel.java
+++ b/src/main/java/org/masticpaddle/kernel/Kernel.java
@@ -16,8 +16,6 @@
  * for use by several threads.
  */
 public final class Kernel {
-    private static final Logger LOGGER = LogManager.getLogger(Kernel.class);
-
     private final Map<String, Service> services = new LinkedHashMap<>();
     private final Deque<Map.Entry<String, Service>> started = new ArrayDeque<>();
     private boolean running;
@@ -87,8 +85,13 @@
             try {
                 entry.getValue().stop();
             } catch (RuntimeException e) {
-                LOGGER.error("service \"{}\" failed to stop", entry.getKey(), e);
+                logger().error("service \"{}\" failed to stop", entry.getKey(), e);
             }
         }
     }
+
+    // Looked up when it is used: the start of a process does not wait for the logging library.
+    private static Logger logger() {
+        return LogManager.getLogger(Kernel.class);
+    }
 }
