Keep the retry budget for failures and the larger model for short waits

In bursts of the least urgent kind the engines' time went to long prompts on the largest model, chats took 12 s. The last failure of an upstream was replaced by a 502. The store was read every 350 ms and 800 ms.

Change: a send that reached nobody is given back; drafts leave five retries; a draft is kept when the wait for the larger model exceeds a bound by rank; the upstream's last failure is relayed as it is; reads every 600 ms and 1 s.

--- a/src/main/java/org/masticpaddle/admission/RetryBudget.java
+++ b/src/main/java/org/masticpaddle/admission/RetryBudget.java
@@ -56,4 +56,24 @@
     public boolean tryRetry(long now) {
         return budget.take(now);
     }
+
+    /**
+     * Takes one retry if another part of the budget is left after it, for work that is worth less than other retries.
+     *
+     * @param now time in nanoseconds
+     * @param reserve retries that are to be left
+     * @return {@code false} if too little is left
+     */
+    public boolean tryRetryAbove(long now, double reserve) {
+        return budget.left(now) >= reserve + 1 && budget.take(now);
+    }
+
+    /**
+     * Gives back a retry that did not reach an upstream.
+     *
+     * @param now time in nanoseconds
+     */
+    public void giveBack(long now) {
+        budget.giveBack(now);
+    }
 }
--- a/src/main/java/org/masticpaddle/gateway/ControlDuty.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlDuty.java
@@ -28,9 +28,9 @@
  */
 final class ControlDuty {
     /** Time for which a read waits at the log; bounds how long a silent connection goes unnoticed. */
-    private static final Duration OPERATOR_WAIT = Duration.ofMillis(800);
+    private static final Duration OPERATOR_WAIT = Duration.ofMillis(1_000);
     /** Pause between reads of the upstreams, a small part of the time in which a leaving one must get no work. */
-    private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(350);
+    private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(600);
 
     private final GatewayState state;
     private final ControlCodec codec;
--- a/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
+++ b/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
@@ -206,7 +206,7 @@
                 headed.status(),
                 headed.headers().containsKey("content-encoding"),
                 facts);
-        if (verdict.failure()) {
+        if (verdict.failure() && !isLastWord(verdict, headed.status(), facts)) {
             refused(headed, verdict);
             return;
         }
@@ -215,6 +215,16 @@
         }
     }
 
+    /** Whether an upstream's own failure is what the caller gets, since no other attempt can follow. */
+    private boolean isLastWord(AnswerVerdict verdict, int status, AnswerFacts facts) {
+        return verdict == AnswerVerdict.FAILED
+                && facts.signed()
+                && status != 503
+                && status >= 500
+                && relay.isEmpty()
+                && (sends >= call.route().maxAttempts() || millisLeft() < SHORTEST_ATTEMPT_MILLIS);
+    }
+
     /** Handles an answer that is no answer to the request; its connection is not used again. */
     private void refused(Attempt refused, AnswerVerdict verdict) {
         refused.cancel();
@@ -257,17 +267,30 @@
         if (sizes < 2 || sends >= call.route().maxAttempts()) {
             return OptionalInt.empty();
         }
-        final double expected = context.placement()
+        final Optional<UpstreamPlacement.Choice> choice = context.placement()
                 .choose(
                         placementRequest(call.route().sizes().get(sizes - 1), sizes - 1),
                         context.state().roster().members(service),
                         member -> versions.preferred().test(member.upstream()),
                         times(),
-                        now())
-                .map(UpstreamPlacement.Choice::expectedMillis)
-                .orElse(Double.MAX_VALUE);
-        final OptionalInt larger = context.ladder().next(sizes, size, confidence, objectiveLeft, expected);
-        return larger.isPresent() && context.state().budget(service).tryRetry(now()) ? larger : OptionalInt.empty();
+                        now());
+        if (choice.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        final double expected = choice.get().expectedMillis();
+        final OptionalInt larger = context.ladder()
+                .next(
+                        sizes,
+                        size,
+                        confidence,
+                        objectiveLeft,
+                        call.rank(),
+                        expected - choice.get().ownMillis(),
+                        expected);
+        return larger.isPresent()
+                        && context.state().budget(service).tryRetryAbove(now(), GatewayState.RETRIES_KEPT_FOR_FAILURES)
+                ? larger
+                : OptionalInt.empty();
     }
 
     private void escalate(Attempt draft, int larger, int confidence) {
@@ -321,6 +344,9 @@
         if (done.status() < 300) {
             learn(done, millis);
             report(done, true);
+        } else if (done.status() >= 500) {
+            done.upstream().answeredFailure();
+            report(done, false);
         }
         if (!ended) {
             end(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, done.status(), "");
@@ -338,6 +364,9 @@
             report(failed, false);
         } else {
             sends--;
+            if (sends > 0) {
+                context.state().budget(service).giveBack(now());
+            }
         }
         logFailure(failed);
         again(failed, sent);
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -23,8 +23,10 @@
     private static final long REVOCATION_MARGIN_NANOS = 400_000_000L;
     /** Part of the shared retry budget that requests earn; the rest is left to gateways that see more failures. */
     private static final double EARNED_SHARE = 0.85;
-    /** Retries at once after a calm time: the shared slack of about fifty, divided among up to ten gateways. */
-    private static final double BURST_RETRIES = 5;
+    /** Retries at once after a calm time: a part of the shared slack that several gateways may use at the same time. */
+    private static final double BURST_RETRIES = 10;
+    /** Retries that drafts leave to requests whose attempt failed. */
+    static final double RETRIES_KEPT_FOR_FAILURES = 5;
 
     private final GatewayBounds bounds;
     private final UpstreamRoster roster = new UpstreamRoster(RETURN_NANOS);
--- a/src/main/java/org/masticpaddle/routing/ModelLadder.java
+++ b/src/main/java/org/masticpaddle/routing/ModelLadder.java
@@ -9,6 +9,12 @@
  * <p>Pure; immutable.
  */
 public final class ModelLadder {
+    /**
+     * Longest wait for the larger model by rank, in milliseconds. Beyond it the larger model's time goes to more urgent
+     * requests: its prompts delay all that runs beside them.
+     */
+    private static final double[] LONGEST_WAIT_MILLIS = {1_200, 500, 250};
+
     private final int doubtBelow;
 
     /**
@@ -37,13 +43,23 @@
      * @param index model of the draft
      * @param confidence its opinion of the draft
      * @param millisLeft time to the latest useful beginning of the answer
+     * @param rank priority class, 0 is the most urgent
+     * @param waitMillis expected time until the next model begins with the request
      * @param expectedMillis expected time to the beginning of the next model's answer
      * @return model to go on with, empty to keep the draft
      */
-    public OptionalInt next(int sizes, int index, OptionalInt confidence, double millisLeft, double expectedMillis) {
+    public OptionalInt next(
+            int sizes,
+            int index,
+            OptionalInt confidence,
+            double millisLeft,
+            int rank,
+            double waitMillis,
+            double expectedMillis) {
         if (index >= sizes - 1 || confidence.isEmpty() || confidence.getAsInt() >= doubtBelow) {
             return OptionalInt.empty();
         }
-        return expectedMillis < millisLeft ? OptionalInt.of(sizes - 1) : OptionalInt.empty();
+        final double longest = LONGEST_WAIT_MILLIS[Math.min(Math.max(rank, 0), LONGEST_WAIT_MILLIS.length - 1)];
+        return waitMillis <= longest && expectedMillis < millisLeft ? OptionalInt.of(sizes - 1) : OptionalInt.empty();
     }
 }
