--- a/src/main/java/org/masticpaddle/entry/AttemptFlow.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptFlow.java
@@ -33,6 +33,7 @@
     // Sidecars that are full are found again within a round trip, so a request may meet several of them.
     private static final int MAX_REFUSALS = 8;
     private static final Set<String> VERSION_ERRORS = Set.of("engine_error", "answer_invalid");
+    private static final String UNREACHABLE = "the upstream's sidecar cannot be reached";
     private static final int MAX_CONNECTIONS = 4;
     // A sidecar acknowledges a dispatch at once; without this the connection is taken for silent.
     private static final long ACCEPT_NANOS = 1_000_000_000L;
@@ -140,7 +141,7 @@
     private void send(RequestRun run, UpstreamView upstream, String attemptId) {
         final Optional<URI> address = upstreams.address(upstream.id());
         if (address.isEmpty()) {
-            retryElsewhere(run, RunState.NOT_RUN, "the upstream has left");
+            retryElsewhere(run, RunState.NOT_RUN, "the upstream has left", true);
             return;
         }
         final Responder target = run.drafting() ? new DraftResponder() : run.responder();
@@ -218,9 +219,15 @@
             connect(run, call, true);
             return;
         }
-        ended(run, call, false);
         final RunState state = call.possiblySent() ? RunState.UNKNOWN : RunState.NOT_RUN;
-        retryElsewhere(run, state, incomplete ? "the answer is not whole" : "the upstream's sidecar cannot be reached");
+        if (sent) {
+            ended(run, call, false);
+            retryElsewhere(run, state, incomplete ? "the answer is not whole" : UNREACHABLE, true);
+        } else {
+            // A refused connection adds no load, so that it draws nothing from the retry budget.
+            call.upstream().onUnreachable(context.millis());
+            retryElsewhere(run, state, UNREACHABLE, false);
+        }
     }
 
     private void refused(RequestRun run, AttemptCall call, Frame.Failed failed) {
@@ -243,18 +250,18 @@
         run.version()
                 .filter(version -> VERSION_ERRORS.contains(failed.reason()))
                 .ifPresent(answers::versionFailed);
-        retryElsewhere(run, state, failed.message());
+        retryElsewhere(run, state, failed.message(), true);
     }
 
     /** Tries another upstream if that is allowed, else fails the request. */
-    private void retryElsewhere(RequestRun run, RunState state, String message) {
+    private void retryElsewhere(RequestRun run, RunState state, String message, boolean charged) {
         final boolean repeatable =
                 state == RunState.NOT_RUN || run.request().target().idempotent();
         if (repeatable
                 && inTime(run)
                 && !run.responder().begun()
                 && run.tries() < MAX_TRIES
-                && retries.tryRetry(context.nanos())) {
+                && (!charged || retries.tryRetry(context.nanos()))) {
             run.attempt().ifPresent(call -> run.firstTry(call.upstream()));
             claims.releaseUnsent(run, () -> attempt(run));
             return;
--- a/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
+++ b/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.masticpaddle.wire.CloseActions;
 import org.masticpaddle.wire.PeerWatch;
@@ -39,6 +40,11 @@
         final Map<String, String> others = new HashMap<>(headers);
         final String type = others.remove("content-type");
         others.forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
+        if (exchange.isHttp11()) {
+            // On a connection that closes after the answer, the server would send no chunks, and a stream that was cut
+            // would look complete.
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
         stream = ResponseStream.start(exchange, status, type == null ? "text/event-stream" : type, MAX_PENDING_BYTES);
     }
 
--- a/src/main/java/org/masticpaddle/routing/CircuitBreaker.java
+++ b/src/main/java/org/masticpaddle/routing/CircuitBreaker.java
@@ -3,7 +3,8 @@
 /**
  * Keeps work from an upstream that fails repeatedly, and lets single trials through later. Not thread-safe.
  *
- * <p>Five failures in a row open the circuit for one second, doubled at each failed trial up to 30 seconds.
+ * <p>Five failures in a row, or one proof that the upstream cannot be reached, open the circuit for one second, doubled
+ * at each failed trial up to 30 seconds.
  */
 public final class CircuitBreaker {
     private static final int FAILURES = 5;
@@ -54,6 +55,20 @@
      */
     public void onFailure(long now) {
         failures++;
+        open(now);
+    }
+
+    /**
+     * Notes that the upstream cannot be reached, which one refused connection proves.
+     *
+     * @param now current time in milliseconds
+     */
+    public void onUnreachable(long now) {
+        failures = Math.max(failures, FAILURES);
+        open(now);
+    }
+
+    private void open(long now) {
         // Requests sent before the circuit opened fail together; they are no trials and do not lengthen the pause.
         if (failures >= FAILURES && (openMillis == 0 || trial)) {
             trial = false;
--- a/src/main/java/org/masticpaddle/routing/UpstreamView.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamView.java
@@ -100,6 +100,16 @@
         }
     }
 
+    /**
+     * Notes the end of a dispatch whose connection was refused.
+     *
+     * @param now current time in milliseconds
+     */
+    public void onUnreachable(long now) {
+        outstanding = Math.max(0, outstanding - 1);
+        breaker.onUnreachable(now);
+    }
+
     /**
      * Sets the mark of the instance list.
      *
--- /dev/null
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -0,0 +1,126 @@
+package org.masticpaddle.control;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.kernel.FakeScheduler;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against a gateway that misses a change, goes back to an older one, or believes in what it has not confirmed. */
+class KeyedFollowerTest {
+    private static final Duration WAIT = Duration.ofMillis(1_000);
+
+    private final FakeScheduler scheduler = new FakeScheduler();
+    private final FakeSharedLog log = new FakeSharedLog(scheduler);
+    private final List<String> seen = new ArrayList<>();
+    private long confirmedMillis = -1;
+    private final KeyedFollower follower = new KeyedFollower(
+            log,
+            LogStream.OPERATOR,
+            WAIT,
+            Duration.ZERO,
+            scheduler,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(7L),
+            new KeyedFollower.Listener() {
+                @Override
+                public void changed(KeyedRecord keyed) {
+                    seen.add(keyed.key() + "=" + new String(keyed.value(), StandardCharsets.UTF_8));
+                }
+
+                @Override
+                public void confirmed(long nanos) {
+                    confirmedMillis = nanos / 1_000_000;
+                }
+
+                @Override
+                public void lost(String reason) {
+                    seen.add("lost");
+                }
+
+                @Override
+                public void regained() {
+                    seen.add("regained");
+                }
+            });
+
+    @Test
+    void shouldListTheNewestRecordsAndThenFollow() {
+        log.put("config", "1");
+        log.put("config", "2");
+        follower.start();
+        log.put("config", "3");
+        scheduler.pass(1_001);
+        assertThat(seen).containsExactly("regained", "config=2", "config=3").inOrder();
+    }
+
+    @Test
+    void shouldConfirmTheEndOfAnEmptyWait() {
+        log.put("config", "1");
+        follower.start();
+        scheduler.pass(1_000);
+        assertThat(confirmedMillis).isEqualTo(1_000);
+    }
+
+    @Test
+    void shouldConfirmNothingDuringAnOutage() {
+        log.put("config", "1");
+        follower.start();
+        log.down(true);
+        scheduler.pass(5_000);
+        assertThat(confirmedMillis).isEqualTo(1_000);
+        log.down(false);
+        scheduler.pass(2_000);
+        assertThat(confirmedMillis).isAtLeast(5_500);
+        assertThat(seen).containsAtLeast("lost", "regained").inOrder();
+    }
+
+    @Test
+    void shouldDropKeysThatWentWithTheLostHistory() {
+        log.put("a", "1");
+        log.put("b", "1");
+        follower.start();
+        log.down(true);
+        scheduler.pass(2_000);
+        log.put("a", "");
+        log.put("b", "2");
+        log.forget();
+        log.down(false);
+        scheduler.pass(1_500);
+        assertThat(seen).containsAtLeast("b=2", "a=").inOrder();
+    }
+
+    @Test
+    void shouldNeverDeliverAnOlderRecordAgain() {
+        log.put("config", "1");
+        follower.start();
+        scheduler.pass(1_500);
+        log.forget();
+        scheduler.pass(3_000);
+        assertThat(seen).containsExactly("regained", "config=1");
+    }
+
+    @Test
+    void shouldAskLessOftenWhileCallsFail() {
+        log.down(true);
+        follower.start();
+        scheduler.pass(10_000);
+        assertThat(log.calls()).isLessThan(70);
+        assertThat(log.calls()).isGreaterThan(20);
+    }
+
+    @Test
+    void shouldFailAnAppendAtAPositionThatIsTaken() {
+        log.put("status", "1");
+        follower.start();
+        final long read = follower.position().orElseThrow();
+        log.put("status", "2");
+        assertThat(log.append(LogStream.STATUS, "status", new byte[1], java.util.OptionalLong.of(read))
+                        .isCompletedExceptionally())
+                .isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
@@ -0,0 +1,67 @@
+package org.masticpaddle.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against streams in which an event is missing, doubled, cut or joined to one of another run. */
+class StreamRelayTest {
+    private final RecordingCaller caller = new RecordingCaller();
+    private final StreamRelay relay = new StreamRelay(caller, 200, Map.of(), OptionalLong.empty());
+
+    @Test
+    void shouldRelayEventsWholeHoweverTheBytesArrive() {
+        final String events = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+        for (final byte value : events.getBytes(StandardCharsets.UTF_8)) {
+            relay.accept(new byte[] {value});
+        }
+        assertThat(relay.complete()).isTrue();
+        assertThat(caller.text()).isEqualTo("begin 200;id: 1\ndata: a\n\n;id: 2\r\ndata: b\r\n\r\n;end;");
+    }
+
+    @Test
+    void shouldNotCompleteInsideAnEvent() {
+        relay.accept(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        assertThat(relay.complete()).isFalse();
+        assertThat(caller.text()).doesNotContain("end");
+    }
+
+    @Test
+    void shouldNotCompleteBeforeTheFirstEvent() {
+        assertThat(relay.complete()).isFalse();
+        assertThat(caller.text()).isEmpty();
+    }
+
+    @Test
+    void shouldGoOnAtAnotherRunWithoutTheRestOfTheFirst() {
+        relay.accept(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        relay.continueWith();
+        relay.accept(bytes("id: 2\ndata: b\n\n"));
+        assertThat(relay.complete()).isTrue();
+        assertThat(caller.text()).isEqualTo("begin 200;id: 1\ndata: a\n\n;id: 2\ndata: b\n\n;end;");
+    }
+
+    @Test
+    void shouldStopAtAGapOrARepetition() {
+        relay.accept(bytes("id: 1\ndata: a\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"));
+        assertThat(relay.disordered()).isTrue();
+        assertThat(relay.complete()).isFalse();
+        assertThat(caller.text()).isEqualTo("begin 200;id: 1\ndata: a\n\n;");
+    }
+
+    @Test
+    void shouldCheckTheFirstEventOfAStreamThatACallerResumes() {
+        final StreamRelay resumed = new StreamRelay(caller, 200, Map.of(), OptionalLong.of(5));
+        resumed.accept(bytes("id: 7\ndata: g\n\n"));
+        assertThat(resumed.disordered()).isTrue();
+        assertThat(caller.text()).isEmpty();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/masticpaddle/routing/ModelLadderTest.java
@@ -0,0 +1,41 @@
+package org.masticpaddle.routing;
+
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against poor answers while there is room, and against long prompts that hold up urgent work when there is none. */
+class ModelLadderTest {
+    private static final OptionalInt KEEP = OptionalInt.empty();
+
+    private final ModelLadder ladder = new ModelLadder(60);
+
+    @Test
+    void shouldKeepADraftThatItsModelTrusts() {
+        assertThat(ladder.next(3, 0, OptionalInt.of(60), 2_000, 0, 0, 100)).isEqualTo(KEEP);
+    }
+
+    @Test
+    void shouldGoOnWithTheLargestModelInDoubt() {
+        assertThat(ladder.next(3, 0, OptionalInt.of(59), 2_000, 0, 0, 100)).isEqualTo(OptionalInt.of(2));
+    }
+
+    @Test
+    void shouldKeepADraftWhenTheLargerModelWouldBeLate() {
+        assertThat(ladder.next(3, 0, OptionalInt.of(0), 90, 0, 0, 100)).isEqualTo(KEEP);
+    }
+
+    @Test
+    void shouldLeaveTheLargerModelToUrgentRequestsUnderLoad() {
+        assertThat(ladder.next(3, 0, OptionalInt.of(0), 9_000, 0, 800, 900)).isEqualTo(OptionalInt.of(2));
+        assertThat(ladder.next(3, 0, OptionalInt.of(0), 9_000, 1, 800, 900)).isEqualTo(KEEP);
+        assertThat(ladder.next(3, 0, OptionalInt.of(0), 9_000, 2, 300, 900)).isEqualTo(KEEP);
+    }
+
+    @Test
+    void shouldKeepTheAnswerOfTheLargestModel() {
+        assertThat(ladder.next(3, 2, OptionalInt.of(0), 2_000, 0, 0, 100)).isEqualTo(KEEP);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -0,0 +1,117 @@
+package org.masticpaddle.routing;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.fleet.LoadFigures;
+import org.masticpaddle.fleet.PromptPart;
+import org.masticpaddle.fleet.Upstream;
+import org.masticpaddle.fleet.UpstreamRoster;
+import org.masticpaddle.fleet.UpstreamState;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against herding on one upstream, reading shared prompts again, and needless traffic between failure domains. */
+class UpstreamPlacementTest {
+    private static final List<PromptPart> PROMPT =
+            List.of(new PromptPart("system", 2_000), new PromptPart("subject", 3_000), new PromptPart("own", 500));
+
+    private final UpstreamRoster roster = new UpstreamRoster(0);
+    private final UpstreamPlacement placement = new UpstreamPlacement("near");
+    private final ServiceTimes times = new ServiceTimes();
+
+    @Test
+    void shouldSendAPromptToTheEngineThatHasReadIt() {
+        list("a", "near");
+        list("b", "near");
+        final UpstreamState first = choose(engineRequest()).member();
+        first.started(first.assign("m", PROMPT, 5_500, 200, 1_000_000, 0));
+        for (int count = 0; count < 5; count++) {
+            assertThat(choose(engineRequest()).member()).isSameInstanceAs(first);
+        }
+    }
+
+    @Test
+    void shouldLeaveTheEngineOfAHotPromptWhenItsBacklogIsLonger() {
+        list("a", "near");
+        list("b", "near");
+        final UpstreamState first = choose(engineRequest()).member();
+        for (int count = 0; count < 10; count++) {
+            first.assign("m", PROMPT, 5_500, 200, 1_000_000, 0);
+        }
+        assertThat(choose(engineRequest()).member()).isNotSameInstanceAs(first);
+    }
+
+    @Test
+    void shouldSpreadDifferentPrompts() {
+        for (int index = 0; index < 4; index++) {
+            list("e" + index, "near");
+        }
+        final Map<String, Long> counts = IntStream.range(0, 400)
+                .mapToObj(number -> {
+                    final List<PromptPart> prompt =
+                            List.of(new PromptPart("s" + number, 500), new PromptPart("o" + number, 500));
+                    final UpstreamPlacement.Choice choice =
+                            choose(new UpstreamPlacement.Request("m", 1, prompt, 1_000, "s" + number, 2));
+                    choice.member().assign("m", prompt, 1_000, choice.ownMillis(), 1_000_000, 0);
+                    return choice.member().upstream().id();
+                })
+                .collect(Collectors.groupingBy(id -> id, Collectors.counting()));
+        counts.values().forEach(count -> assertThat(count).isAtLeast(80L));
+    }
+
+    @Test
+    void shouldStayInItsFailureDomainWhileTheOthersAreLittleFaster() {
+        list("far", "far");
+        list("near", "near");
+        final UpstreamState near = roster.find("near").orElseThrow();
+        near.assign("m", List.of(), 100, 50, 0, 0);
+        assertThat(choose(engineRequest()).member()).isSameInstanceAs(near);
+        for (int count = 0; count < 10; count++) {
+            near.assign("m", List.of(), 100, 200, 0, 0);
+        }
+        assertThat(choose(engineRequest()).member()).isNotSameInstanceAs(near);
+    }
+
+    @Test
+    void shouldAvoidAnUpstreamThatFailsWhileItsHealthIsGood() {
+        list("a", "near");
+        list("b", "near");
+        final UpstreamState bad = roster.find("a").orElseThrow();
+        for (int count = 0; count < 3; count++) {
+            bad.answeredFailure();
+        }
+        assertThat(choose(plainRequest()).member()).isNotSameInstanceAs(bad);
+    }
+
+    @Test
+    void shouldCountRequestsOfOtherGatewaysByTheReportedLoad() {
+        list("a", "near");
+        list("b", "near");
+        final UpstreamState busy = roster.find("a").orElseThrow();
+        busy.reported(new LoadFigures(8, 4, 8), 0);
+        assertThat(choose(plainRequest()).member()).isNotSameInstanceAs(busy);
+    }
+
+    private UpstreamPlacement.Choice choose(UpstreamPlacement.Request request) {
+        return placement
+                .choose(request, roster.members("s"), member -> true, times, 0)
+                .orElseThrow();
+    }
+
+    private static UpstreamPlacement.Request engineRequest() {
+        return new UpstreamPlacement.Request("m", 1, PROMPT, 5_500, "subject", 10);
+    }
+
+    private static UpstreamPlacement.Request plainRequest() {
+        return new UpstreamPlacement.Request("", 1, List.of(), 0, "", 1);
+    }
+
+    private void list(String id, String failureDomain) {
+        roster.listed(new Upstream(id, "s", URI.create("http://127.0.0.1:1"), failureDomain, "v1", 8, false, 1), 0);
+    }
+}
