--- a/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
+++ b/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
@@ -22,6 +22,7 @@
 import org.masticpaddle.routes.Route;
 import org.masticpaddle.routes.RoutingTable;
 import org.masticpaddle.routes.ServicePolicy;
+import org.masticpaddle.routing.ModelLadder;
 import org.masticpaddle.routing.ServiceTimes;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.wire.CallException;
@@ -54,7 +55,10 @@
     private String model;
     private int size;
     private int sends;
+    private long firstEventNanos;
+    private int eventsBefore;
     private boolean mayHaveRun;
+    private boolean failedOnPreferred;
     private boolean ended;
     private String lastFailure = "no upstream was found";
 
@@ -101,7 +105,14 @@
                 member -> versions.permitted().test(member.upstream());
         final Predicate<UpstreamState> untried =
                 member -> !excluded.contains(member.upstream().id());
-        return Stream.of(preferred.and(untried), permitted.and(untried), preferred, permitted)
+        final Predicate<UpstreamState> others =
+                permitted.and(preferred.negate()).and(untried);
+        return Stream.of(
+                        failedOnPreferred ? others : preferred.and(untried),
+                        preferred.and(untried),
+                        permitted.and(untried),
+                        preferred,
+                        permitted)
                 .map(allowed -> context.placement().choose(wanted, members, allowed, times(), now()))
                 .flatMap(Optional::stream)
                 .findFirst();
@@ -231,6 +242,7 @@
         lastFailure = verdict + " with status " + refused.status();
         if (verdict.mayHaveRun()) {
             mayHaveRun = true;
+            failedOnPreferred |= versions.preferred().test(refused.upstream().upstream());
             refused.upstream().answeredFailure();
             report(refused, false);
         } else if (refused.status() == 421) {
@@ -245,6 +257,8 @@
         learn(headed, millis);
         headed.started();
         report(headed, true);
+        firstEventNanos = now();
+        eventsBefore = relay.map(StreamRelay::relayed).orElse(0);
         if (relay.isPresent() && relay.get().begun()) {
             relay.get().continueWith();
             return;
@@ -278,21 +292,30 @@
             return OptionalInt.empty();
         }
         final double expected = choice.get().expectedMillis();
-        final OptionalInt larger = context.ladder()
-                .next(
-                        sizes,
-                        size,
-                        confidence,
-                        objectiveLeft,
-                        call.rank(),
-                        expected - choice.get().ownMillis(),
-                        expected);
+        final ModelLadder.Outlook outlook = new ModelLadder.Outlook(
+                objectiveLeft,
+                millisLeft(),
+                expected - choice.get().ownMillis(),
+                expected,
+                expected + expectedEvents() * times().eventMillis(model(sizes - 1), relativeCost(sizes - 1)));
+        final OptionalInt larger = context.ladder().next(sizes, size, confidence, call.rank(), outlook);
         return larger.isPresent()
                         && context.state().budget(service).tryRetryAbove(now(), GatewayState.RETRIES_KEPT_FOR_FAILURES)
                 ? larger
                 : OptionalInt.empty();
     }
 
+    private double expectedEvents() {
+        final InboundRequest request = call.request();
+        final int tokens =
+                Math.min(request.maxOutputTokens(), request.outputHint().orElse(request.maxOutputTokens()));
+        return (double) tokens
+                / call.table()
+                        .service(service)
+                        .map(ServicePolicy::tokensPerEvent)
+                        .orElse(1);
+    }
+
     private void escalate(Attempt draft, int larger, int confidence) {
         draft.cancel();
         context.counters().add(GatewayCounters.Counter.ESCALATED);
@@ -331,6 +354,7 @@
     public void finished(Attempt done) {
         if (relay.isPresent()) {
             if (relay.get().complete()) {
+                learnEvents();
                 end(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, done.status(), "");
             } else {
                 broken(
@@ -396,6 +420,13 @@
         }
     }
 
+    private void learnEvents() {
+        final int gaps = relay.get().relayed() - eventsBefore - 1;
+        if (gaps > 0 && !model.isEmpty()) {
+            times().observedEvents(model, relativeCost(size), (now() - firstEventNanos) / 1e6 / gaps);
+        }
+    }
+
     private void learn(Attempt answered, double millis) {
         answered.upstream().succeeded(answered.expectedMillis(), millis);
         if (!model.isEmpty() && answered.alone()) {
--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -15,12 +15,18 @@
 import io.undertow.util.Headers;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.routes.KeyHolder;
+import org.masticpaddle.routes.RequestLimits;
 import org.masticpaddle.routes.Route;
 import org.masticpaddle.routes.RoutingTable;
 import org.masticpaddle.wire.Exchanges;
 
 /** Takes callers' requests: checks them against the configuration in force and hands them on. Runs on the event loop. */
 final class GatewayHandler implements HttpHandler {
+    /** Time for which a request waits for the first answers of the log; they usually come within 200 ms. */
+    private static final long LONGEST_START_NANOS = 600_000_000L;
+
+    private static final long START_PAUSE_MILLIS = 20;
+
     private final GatewayContext context;
     // Weak, since an exchange whose connection was closed under it is never completed.
     private final Set<HttpServerExchange> active = Collections.newSetFromMap(new WeakHashMap<>());
@@ -59,20 +65,32 @@
         if (leaving) {
             exchange.setPersistent(false);
         }
-        final Optional<RoutingTable> table = context.state().table();
-        if (table.isEmpty() || refusing) {
-            refuse(exchange, 503, refusing ? "the gateway stops" : "no configuration is known yet");
+        if (refusing) {
+            refuse(exchange, 503, "the gateway stops");
             return;
         }
-        if (Exchanges.headerSize(exchange) > table.get().limits().headerBytes()) {
+        final RequestLimits limits =
+                context.state().table().map(RoutingTable::limits).orElse(RequestLimits.DEFAULT);
+        if (Exchanges.headerSize(exchange) > limits.headerBytes()) {
             refuse(exchange, 431, "the headers are too large");
             return;
         }
-        if (exchange.getRequestContentLength() > table.get().limits().bodyBytes()) {
+        if (exchange.getRequestContentLength() > limits.bodyBytes()) {
             refuse(exchange, 413, "the body is too large");
             return;
         }
-        Exchanges.readBody(exchange, body -> admit(exchange, body, received));
+        Exchanges.readBody(exchange, body -> whenStarted(exchange, body, received));
+    }
+
+    /** Holds requests that come between the start of the listener and the first answers of the log. */
+    private void whenStarted(HttpServerExchange exchange, byte[] body, long received) {
+        if (context.state().started()) {
+            admit(exchange, body, received);
+        } else if (context.scheduler().nanos() - received < LONGEST_START_NANOS) {
+            context.scheduler().schedule(START_PAUSE_MILLIS, () -> whenStarted(exchange, body, received));
+        } else {
+            refuse(exchange, 503, "no configuration is known yet");
+        }
     }
 
     private void admit(HttpServerExchange exchange, byte[] body, long received) {
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -78,9 +78,14 @@
         rosterRead = true;
     }
 
+    /** Tells whether the log has been read once. */
+    boolean started() {
+        return table.isPresent() && rosterRead;
+    }
+
     /** Tells whether the gateway can serve requests. */
     boolean ready(long now) {
-        return table.isPresent() && rosterRead && keysFresh(now);
+        return started() && keysFresh(now);
     }
 
     ServiceTimes times(String service) {
--- a/src/main/java/org/masticpaddle/routing/ModelLadder.java
+++ b/src/main/java/org/masticpaddle/routing/ModelLadder.java
@@ -42,24 +42,31 @@
      * @param sizes number of models
      * @param index model of the draft
      * @param confidence its opinion of the draft
-     * @param millisLeft time to the latest useful beginning of the answer
      * @param rank priority class, 0 is the most urgent
-     * @param waitMillis expected time until the next model begins with the request
-     * @param expectedMillis expected time to the beginning of the next model's answer
+     * @param outlook what the next model would take
      * @return model to go on with, empty to keep the draft
      */
-    public OptionalInt next(
-            int sizes,
-            int index,
-            OptionalInt confidence,
-            double millisLeft,
-            int rank,
-            double waitMillis,
-            double expectedMillis) {
+    public OptionalInt next(int sizes, int index, OptionalInt confidence, int rank, Outlook outlook) {
         if (index >= sizes - 1 || confidence.isEmpty() || confidence.getAsInt() >= doubtBelow) {
             return OptionalInt.empty();
         }
         final double longest = LONGEST_WAIT_MILLIS[Math.min(Math.max(rank, 0), LONGEST_WAIT_MILLIS.length - 1)];
-        return waitMillis <= longest && expectedMillis < millisLeft ? OptionalInt.of(sizes - 1) : OptionalInt.empty();
+        return outlook.waitMillis() <= longest && outlook.fits() ? OptionalInt.of(sizes - 1) : OptionalInt.empty();
+    }
+
+    /**
+     * Times of the next model's answer, in milliseconds. Immutable.
+     *
+     * @param objectiveLeft time to the latest beginning of an answer in time
+     * @param deadlineLeft time to the latest end of the answer
+     * @param waitMillis expected time until the model begins with the request
+     * @param beginMillis expected time to the beginning of the answer
+     * @param endMillis expected time to its end
+     */
+    public record Outlook(
+            double objectiveLeft, double deadlineLeft, double waitMillis, double beginMillis, double endMillis) {
+        boolean fits() {
+            return beginMillis < objectiveLeft && endMillis < deadlineLeft;
+        }
     }
 }
--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -15,6 +15,8 @@
     private static final double FIRST_CALL_MILLIS = 80;
     /** Time of an answer that reads nothing, about one step of an engine and the way there and back. */
     private static final double BASE_MILLIS = 15;
+    /** Time between two events on the most expensive model before anything was observed. */
+    private static final double FIRST_EVENT_MILLIS = 60;
     /** Weight of the newest observation. */
     private static final double NEWEST = 0.08;
     /** Factor by which one observation may differ from what is known, so that one stall does not count for many. */
@@ -23,6 +25,7 @@
     private static final int MIN_TOKENS = 200;
 
     private final Map<String, Double> millisPerToken = new HashMap<>();
+    private final Map<String, Double> millisPerEvent = new HashMap<>();
     private double callMillis = FIRST_CALL_MILLIS;
 
     /**
@@ -53,6 +56,29 @@
         }
     }
 
+    /**
+     * Returns the time between two events of a stream.
+     *
+     * @param model the model
+     * @param relativeCost its price as part of the most expensive model's
+     * @return milliseconds as lately observed
+     */
+    public double eventMillis(String model, double relativeCost) {
+        return millisPerEvent.getOrDefault(model, FIRST_EVENT_MILLIS * relativeCost);
+    }
+
+    /**
+     * Learns from a stream.
+     *
+     * @param model the model
+     * @param relativeCost its price as part of the most expensive model's
+     * @param millis mean time between two of its events
+     */
+    public void observedEvents(String model, double relativeCost, double millis) {
+        final double known = eventMillis(model, relativeCost);
+        millisPerEvent.put(model, known + NEWEST * (bounded(millis, known) - known));
+    }
+
     /**
      * Returns the time of a plain call.
      *
