Reload settings on SIGHUP instead of ending; weigh crossings as before

Change: a handler reads the settings again and takes the bounds; crossing weighs 8 ms a kilobyte again.

--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -24,6 +24,7 @@
 import org.masticpaddle.settings.Setting;
 import org.masticpaddle.settings.SettingsException;
 import org.masticpaddle.sidecar.SidecarProcess;
+import sun.misc.Signal;
 
 /** Main class of the daemon {@code bin/masticpaddled}: runs one process of the role that its settings choose. */
 public final class Daemon {
@@ -58,6 +59,10 @@
     private static void run(Path file) {
         try {
             final Service process = create(ProcessSettings.read(file));
+            if (process instanceof GatewayProcess gateway) {
+                // Without a handler the virtual machine would end at this signal.
+                Signal.handle(new Signal("HUP"), signal -> reload(gateway, file));
+            }
             process.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(process), "shutdown"));
         } catch (SettingsException e) {
@@ -69,6 +74,14 @@
         }
     }
 
+    private static void reload(GatewayProcess gateway, Path file) {
+        try {
+            gateway.reload(ProcessSettings.read(file));
+        } catch (SettingsException e) {
+            logger().warn("the settings were changed to unusable ones and are ignored: {}", e.mistakes());
+        }
+    }
+
     private static Service create(ProcessSettings settings) {
         final long incarnation = Incarnation.of(System.currentTimeMillis(), new SecureRandom().nextLong())
                 .value();
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -57,7 +57,7 @@
     private final HttpClient client;
     private final GatewayCounters counters = new GatewayCounters();
     private final SilenceWatch silence;
-    private final GatewayBounds bounds;
+    private volatile GatewayBounds bounds;
     private final HttpServer server;
     private volatile boolean draining;
 
@@ -171,6 +171,18 @@
         return count[0];
     }
 
+    /**
+     * Takes the bounds of settings that were read again. Addresses and identities hold until the next start.
+     *
+     * @param settings checked settings of role gateway
+     */
+    public void reload(ProcessSettings settings) {
+        final GatewayBounds newest = GatewayBounds.of(settings);
+        log.write(Decision.RELOADED, "changed", !newest.equals(bounds), "bounds", newest);
+        bounds = newest;
+        loop.execute(() -> state.bounds(newest));
+    }
+
     /**
      * Returns the port for callers.
      *
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -28,7 +28,7 @@
     /** Retries that drafts leave to requests whose attempt failed. */
     static final double RETRIES_KEPT_FOR_FAILURES = 5;
 
-    private final GatewayBounds bounds;
+    private GatewayBounds bounds;
     private final UpstreamRoster roster = new UpstreamRoster(RETURN_NANOS);
     private final Map<String, ServiceTimes> times = new HashMap<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -40,6 +40,11 @@
         this.bounds = Objects.requireNonNull(bounds, "bounds is null");
     }
 
+    /** Takes other bounds. Budgets that are in use keep theirs. */
+    void bounds(GatewayBounds newest) {
+        bounds = Objects.requireNonNull(newest, "newest is null");
+    }
+
     Optional<RoutingTable> table() {
         return table;
     }
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -18,7 +18,7 @@
  */
 public final class UpstreamPlacement {
     /** Added per kilobyte of a request that crosses failure domains; that traffic is priced. */
-    private static final double CROSSING_MILLIS_PER_KILOBYTE = 20;
+    private static final double CROSSING_MILLIS_PER_KILOBYTE = 8;
     /** Added for an upstream whose answers were all failures. */
     private static final double FAILURE_MILLIS = 4_000;
     /** Added for each running request of an engine, whose steps grow with the batch. */
