Let a restarted gateway take up a roll-out where the others are

Change: counts carry stage and time passed, which a later starter takes over; no session goes to the new version before the status stream was listed.

--- a/src/main/java/org/masticpaddle/gateway/RolloutDuty.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutDuty.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -158,7 +157,7 @@
             final MoveCounts counts = Json.decode(keyed.value(), MoveCounts.class);
             final Course course = courses.get(counts.service());
             if (course != null) {
-                course.move.learned(keyed.key(), counts);
+                course.move.learned(keyed.key(), counts, scheduler.nanos());
             }
         } catch (MalformedMessageException e) {
             log.write(Decision.RECORD_IGNORED, "key", keyed.key(), "offset", keyed.offset(), "reason", e.getMessage());
@@ -173,7 +172,7 @@
             final VersionMove move = course.move;
             final boolean ended = move.progress().filter(RolloutProgress::ended).isPresent();
             active |= !ended;
-            if (ended) {
+            if (ended || !statusKnown()) {
                 continue;
             }
             final int running = runningBefore(move);
@@ -231,7 +230,7 @@
         if (now < course.nextCountsNanos) {
             return;
         }
-        final MoveCounts counts = course.move.counts(running);
+        final MoveCounts counts = course.move.counts(running, now);
         if (counts.equals(course.published)) {
             return;
         }
@@ -291,6 +290,9 @@
                     ? new Admission(after, after)
                     : new Admission(before, before);
         }
+        if (!statusKnown()) {
+            return new Admission(before, upstream -> true);
+        }
         final double point = (Hashing.of(session.orElse(requestId)) >>> 11) * 0x1.0p-53;
         if (point < move.share()) {
             return new Admission(after, upstream -> true);
@@ -310,9 +312,12 @@
         }
     }
 
-    /** Lists the roll-outs for the status page. */
-    List<VersionMove> moves() {
-        return courses.values().stream().map(course -> course.move).toList();
+    /** Whether the status stream was listed, so that a status of an earlier life of this gateway is known. */
+    private boolean statusKnown() {
+        return statusFollower
+                .map(KeyedFollower::position)
+                .filter(OptionalLong::isPresent)
+                .isPresent();
     }
 
     private static final class Course {
--- a/src/main/java/org/masticpaddle/rollout/MoveCounts.java
+++ b/src/main/java/org/masticpaddle/rollout/MoveCounts.java
@@ -9,9 +9,12 @@
  * @param service name of the service
  * @param order identifier of the order
  * @param routes counts by route
+ * @param stage number of the stage that the gateway has reached
+ * @param passedMillis time since the order as the gateway knows it
  * @param runningBefore requests that run on other versions at the gateway
  */
-public record MoveCounts(String service, long order, Map<String, RouteCounts> routes, int runningBefore) {
+public record MoveCounts(
+        String service, long order, Map<String, RouteCounts> routes, int stage, long passedMillis, int runningBefore) {
     /** Checks the arguments and copies the map. */
     public MoveCounts {
         Objects.requireNonNull(service, "service is null");
--- a/src/main/java/org/masticpaddle/rollout/VersionMove.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionMove.java
@@ -24,11 +24,13 @@
     /** Evidence against the new version at which no further stage is entered. */
     private static final double DOUBT = 8;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final String service;
     private final String version;
     private final long order;
     private final Duration within;
-    private final long startNanos;
+    private long startNanos;
     private final Map<String, RouteCounts> own = new HashMap<>();
     private final Map<String, MoveCounts> others = new HashMap<>();
     private MoveStage stage = MoveStage.CANARY;
@@ -123,14 +125,18 @@
     }
 
     /**
-     * Takes the counts of another gateway, which replace its earlier ones.
+     * Takes the counts of another gateway, which replace its earlier ones, and its stage if it is further: a gateway that
+     * started during the move has not seen the order come.
      *
      * @param gateway the gateway and its life
      * @param counts its counts since the order
+     * @param now time in nanoseconds
      */
-    public void learned(String gateway, MoveCounts counts) {
+    public void learned(String gateway, MoveCounts counts, long now) {
         if (counts.order() == order) {
             others.put(gateway, counts);
+            startNanos = Math.min(startNanos, now - counts.passedMillis() * NANOS_PER_MILLI);
+            stage = MoveStage.values()[Math.min(MoveStage.ALL.ordinal(), Math.max(stage.ordinal(), counts.stage()))];
         }
     }
 
@@ -138,10 +144,12 @@
      * Returns the counts of this gateway.
      *
      * @param runningBefore requests that run on other versions at this gateway
+     * @param now time in nanoseconds
      * @return the counts for the other gateways
      */
-    public MoveCounts counts(int runningBefore) {
-        return new MoveCounts(service, order, own, runningBefore);
+    public MoveCounts counts(int runningBefore, long now) {
+        return new MoveCounts(
+                service, order, own, stage.ordinal(), (now - startNanos) / NANOS_PER_MILLI, runningBefore);
     }
 
     /**
--- a/src/test/java/org/masticpaddle/rollout/VersionMoveTest.java
+++ b/src/test/java/org/masticpaddle/rollout/VersionMoveTest.java
@@ -73,13 +73,16 @@
         for (int count = 0; count < 6; count++) {
             other.answered(true, "a", false, false);
         }
-        move.learned("other", other.counts(0));
+        move.learned("other", other.counts(0, SECOND), SECOND);
         assertThat(move.step(0, 3 * SECOND)).isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
     }
 
     @Test
     void shouldIgnoreCountsOfAnEarlierOrder() {
-        move.learned("other", new MoveCounts("s", 3, Map.of("a", RouteCounts.NONE.counting(true, false, false)), 0));
+        move.learned(
+                "other",
+                new MoveCounts("s", 3, Map.of("a", RouteCounts.NONE.counting(true, false, false)), 3, 9_000, 0),
+                SECOND);
         assertThat(move.total().after().requests()).isEqualTo(0.0);
     }
 
@@ -92,6 +95,20 @@
         assertThat(move.share()).isLessThan(0.1);
     }
 
+    @Test
+    void shouldTakeUpAMoveThatOthersBeganBefore() {
+        final VersionMove late = new VersionMove("s", "v2", 7, Duration.ofSeconds(20), 12 * SECOND);
+        answers(40, 0);
+        move.agree(RolloutProgress.RUNNING);
+        for (int second = 1; second <= 14; second++) {
+            move.step(0, second * SECOND);
+        }
+        late.learned("other", move.counts(0, 14 * SECOND), 14 * SECOND);
+        assertThat(late.share()).isEqualTo(move.share());
+        late.agree(RolloutProgress.RUNNING);
+        assertThat(late.step(0, 16 * SECOND)).isEqualTo(Optional.of(RolloutProgress.COMPLETED));
+    }
+
     @Test
     void shouldKeepAFinalProgress() {
         move.agree(RolloutProgress.ROLLED_BACK);
