Wait for the request, not the connection, before the proxy cuts it

The client may not have begun to write by then, and says truly that nothing was sent (ActiveCall.begin on a closed connection).

Change: the test holds the answer back and waits until the service has counted the look-up, so that the request was certainly sent; the expected result is the same.

--- a/src/test/java/org/masticpaddle/standin/FaultProxyTest.java
+++ b/src/test/java/org/masticpaddle/standin/FaultProxyTest.java
@@ -67,9 +67,12 @@
 
     @Test
     void shouldResetOpenConnections() {
-        service.faults().on(Fault.HANG, 0);
+        // The answer is held back, and the look-up shows that the request was sent: a connection that is cut before
+        // that
+        // fails as not sent.
+        proxy.delay(FaultProxy.Direction.TO_CLIENT, 10_000);
         final CompletableFuture<HttpAnswer> hanging = get(LONG);
-        Conditions.await(() -> proxy.accepted() == 1);
+        Conditions.await(() -> service.lookups() == 1);
         proxy.cut();
         assertThat(delivery(hanging)).isEqualTo(CallException.Delivery.POSSIBLY_SENT);
     }
