--- a/src/main/java/org/masticpaddle/gateway/ControlDuty.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlDuty.java
@@ -4,8 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.control.ControlCodec;
@@ -36,8 +34,7 @@
     private final ControlCodec codec;
     private final Scheduler scheduler;
     private final DecisionLog log;
-    private final Consumer<URI> gone;
-    private final BiConsumer<OperatorRecord, Long> orders;
+    private final Effects effects;
     private final List<KeyedFollower> followers;
 
     /**
@@ -49,8 +46,7 @@
      * @param scheduler time and timers of the event loop
      * @param random source of jitter
      * @param log log of decisions
-     * @param gone receives the origin of an upstream that takes no more work
-     * @param orders receives roll-out orders and withdrawals with their offsets
+     * @param effects receives what concerns other parts
      */
     ControlDuty(
             GatewayState state,
@@ -59,14 +55,12 @@
             Scheduler scheduler,
             UniformRandomProvider random,
             DecisionLog log,
-            Consumer<URI> gone,
-            BiConsumer<OperatorRecord, Long> orders) {
+            Effects effects) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.codec = Objects.requireNonNull(codec, "codec is null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.log = Objects.requireNonNull(log, "log is null");
-        this.gone = Objects.requireNonNull(gone, "gone is null");
-        this.orders = Objects.requireNonNull(orders, "orders is null");
+        this.effects = Objects.requireNonNull(effects, "effects is null");
         followers = List.of(
                 new KeyedFollower(
                         shared,
@@ -122,7 +116,7 @@
                                 keyed.offset());
                     }
                 } else {
-                    orders.accept(decoded, keyed.offset());
+                    effects.ordered(decoded, keyed.offset());
                 }
             } catch (UndecodableRecordException e) {
                 ignored(keyed, e);
@@ -177,7 +171,7 @@
                             keyed.offset());
                 }
                 if (change == RosterChange.LEAVING || change == RosterChange.REBORN) {
-                    gone.accept(upstream.origin());
+                    effects.gone(upstream.origin());
                 }
             } catch (UndecodableRecordException e) {
                 ignored(keyed, e);
@@ -194,7 +188,7 @@
             if (change != RosterChange.UNCHANGED) {
                 log.write(Decision.UPSTREAM_CHANGED, "upstream", id, "change", change, "reason", reason);
                 if (change == RosterChange.REMOVED) {
-                    gone.accept(origin);
+                    effects.gone(origin);
                 }
             }
         }
@@ -221,4 +215,13 @@
             log.write(Decision.HISTORY_LOST, "stream", LogStream.UPSTREAMS);
         }
     }
+
+    /** What the records mean for other parts of the gateway. */
+    interface Effects {
+        /** Takes the origin of an upstream that gets no more work. */
+        void gone(URI origin);
+
+        /** Takes a roll-out order or its withdrawal, and the offset of its record. */
+        void ordered(OperatorRecord order, long offset);
+    }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -10,6 +10,7 @@
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
@@ -102,7 +103,17 @@
                 counters,
                 random);
         handler = new GatewayHandler(context);
-        control = new ControlDuty(state, shared, ports.codec(), loop, random, log, client::forget, rollouts::ordered);
+        control = new ControlDuty(state, shared, ports.codec(), loop, random, log, new ControlDuty.Effects() {
+            @Override
+            public void gone(URI origin) {
+                client.forget(origin);
+            }
+
+            @Override
+            public void ordered(OperatorRecord order, long offset) {
+                rollouts.ordered(order, offset);
+            }
+        });
         final URI front = settings.origin(Setting.FRONT).orElseThrow();
         final URI operations = settings.origin(Setting.OPERATIONS).orElseThrow();
         server = new HttpServer(
