Write the head of a request apart from a large body

The reason logged was only 'answer failed'; with the cause added it is ClosedChannelException. A stack trace of SocketChannelImpl.shutdownOutput shows that Undertow's fixed-length sink misses bytes at the end of the body and truncates: a first write that ends the head and takes a part of the body returns 0. Change: bodies above 4 KiB are written after the head was flushed. CallException says its cause; request.sent has the sizes. Test: LargeBodyTest, which failed with the same exception before.

--- a/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
+++ b/src/main/java/org/masticpaddle/gateway/ForwardFlow.java
@@ -164,6 +164,10 @@
                         choice.expectedMillis(),
                         "score",
                         choice.score(),
+                        "body_bytes",
+                        call.body().length,
+                        "prompt_tokens",
+                        request.promptTokens(),
                         "unread_tokens",
                         choice.unreadTokens(),
                         "own",
@@ -380,7 +384,7 @@
 
     @Override
     public void broken(Attempt failed, CallException error) {
-        lastFailure = String.valueOf(error.getMessage());
+        lastFailure = error.reason();
         final boolean sent = error.delivery() == CallException.Delivery.POSSIBLY_SENT;
         failed.upstream().unreachable(now());
         if (sent) {
--- a/src/main/java/org/masticpaddle/wire/ActiveCall.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveCall.java
@@ -32,6 +32,11 @@
  * thread may call; ends exactly once.
  */
 final class ActiveCall implements StreamHandle {
+    /**
+     * Largest body, in bytes, that is written together with the head: half of the smallest send buffer of common kernels.
+     */
+    private static final int LARGEST_JOINT_BODY = 4 * 1024;
+
     private final HttpCall call;
     private final StreamListener listener;
     private final ByteBufferPool buffers;
@@ -151,8 +156,30 @@
 
     private void writeBody(StreamSinkChannel channel) {
         final ByteBuffer remaining = ByteBuffer.wrap(call.body());
-        channel.getWriteSetter().set(sink -> writeSome(sink, remaining));
-        writeSome(channel, remaining);
+        if (remaining.remaining() > LARGEST_JOINT_BODY) {
+            writeHead(channel, remaining);
+        } else {
+            channel.getWriteSetter().set(sink -> writeSome(sink, remaining));
+            writeSome(channel, remaining);
+        }
+    }
+
+    /**
+     * Writes the head by itself. Undertow reports no bytes for a write that ends the head and takes a part of the body, so
+     * that it would miss these bytes at the end and close the sending side.
+     */
+    private void writeHead(StreamSinkChannel channel, ByteBuffer body) {
+        try {
+            if (channel.flush()) {
+                channel.getWriteSetter().set(sink -> writeSome(sink, body));
+                writeSome(channel, body);
+            } else {
+                channel.getWriteSetter().set(sink -> writeHead(sink, body));
+                channel.resumeWrites();
+            }
+        } catch (IOException e) {
+            fail(CallException.Delivery.POSSIBLY_SENT, "write to " + call.origin() + " failed", e);
+        }
     }
 
     private void writeSome(StreamSinkChannel channel, ByteBuffer remaining) {
--- a/src/main/java/org/masticpaddle/wire/CallException.java
+++ b/src/main/java/org/masticpaddle/wire/CallException.java
@@ -36,4 +36,13 @@
         /** Some bytes may have reached the peer. */
         POSSIBLY_SENT
     }
+
+    /**
+     * Describes the failure for a log line.
+     *
+     * @return the message and, if there is one, the cause
+     */
+    public String reason() {
+        return getCause() == null ? getMessage() : getMessage() + ": " + getCause();
+    }
 }
