--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -36,6 +36,11 @@
      * @param arguments the settings file
      */
     public static void main(String[] arguments) {
+        if (arguments.length == 1 && !arguments[0].startsWith("-")) {
+            // The usual start does without the parser, whose reflection would delay a restarted process.
+            run(Path.of(arguments[0]));
+            return;
+        }
         final Options options = new Options();
         final JCommander parser = JCommander.newBuilder()
                 .programName("masticpaddled")
@@ -83,11 +88,11 @@
     }
 
     private static Service create(ProcessSettings settings) {
-        final long incarnation = Incarnation.of(System.currentTimeMillis(), new SecureRandom().nextLong())
-                .value();
         if ("gateway".equals(settings.text(Setting.ROLE))) {
             return gateway(settings);
         }
+        final long incarnation = Incarnation.of(System.currentTimeMillis(), new SecureRandom().nextLong())
+                .value();
         final ProcessMetrics metrics = ProcessMetrics.create(
                 settings.text(Setting.INSTANCE), settings.text(Setting.ROLE), settings.origin(Setting.OTLP));
         if ("entry".equals(settings.text(Setting.ROLE))) {
@@ -101,9 +106,7 @@
     }
 
     private static Service gateway(ProcessSettings settings) {
-        final GatewayPorts ports = ServiceLoader.load(GatewayPorts.class)
-                .findFirst()
-                .orElseThrow(() -> new KernelException("no platform is bound: GatewayPorts has no provider"));
+        final GatewayPorts ports = ports(settings.text(Setting.BINDING));
         final DecisionLog log =
                 new DecisionLog(settings.text(Setting.INSTANCE), System::currentTimeMillis, System.out::print);
         final LazyMetrics metrics = new LazyMetrics(settings);
@@ -112,6 +115,23 @@
         return gateway;
     }
 
+    /** Creates the binding to the platform that the settings name, or the one that is registered on the class path. */
+    private static GatewayPorts ports(String binding) {
+        if (binding.isEmpty()) {
+            return ServiceLoader.load(GatewayPorts.class)
+                    .findFirst()
+                    .orElseThrow(() -> new KernelException("no platform is bound: GatewayPorts has no provider"));
+        }
+        try {
+            return Class.forName(binding)
+                    .asSubclass(GatewayPorts.class)
+                    .getConstructor()
+                    .newInstance();
+        } catch (ReflectiveOperationException | ClassCastException e) {
+            throw new KernelException("[gateway] binding: " + binding + " is no binding to a platform: " + e);
+        }
+    }
+
     // Looked up when it is used: the start of a gateway does not wait for the logging library.
     private static Logger logger() {
         return LogManager.getLogger(Daemon.class);
--- a/src/main/java/org/masticpaddle/document/IniReader.java
+++ b/src/main/java/org/masticpaddle/document/IniReader.java
@@ -1,29 +1,22 @@
 package org.masticpaddle.document;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
-import org.apache.commons.configuration2.tree.ImmutableNode;
-
 /**
  * Sections and keys of an INI text, with their places and the mistakes of form. Immutable and thread-safe.
  *
- * <p>A byte-order mark and line ends of any kind are accepted; duplicate sections and keys are mistakes.
+ * <p>A byte-order mark and line ends of any kind are accepted; duplicate sections and keys are mistakes. Read without the
+ * INI library, which takes ten times as long and would delay the start of every process.
  */
 public final class IniReader {
     private final String file;
     private final LineScan scan;
-    private final Map<String, Map<String, String>> sections;
-    private final List<Problem> problems;
 
-    private IniReader(String file, LineScan scan, Map<String, Map<String, String>> sections, List<Problem> problems) {
+    private IniReader(String file, LineScan scan) {
         this.file = file;
         this.scan = scan;
-        this.sections = sections;
-        this.problems = problems;
     }
 
     /**
@@ -37,14 +30,7 @@
         Objects.requireNonNull(text, "text is null");
         final String clean = text.startsWith("\uFEFF") ? text.substring(1) : text;
         final LineScan scan = LineScan.of(file, clean);
-        final List<Problem> problems = new ArrayList<>(scan.problems());
-        final Map<String, Map<String, String>> sections = new LinkedHashMap<>();
-        for (final ImmutableNode node : PartParser.nodes(new Part("", file, clean), clean, problems)) {
-            if (scan.sections().containsKey(node.getNodeName())) {
-                sections.putIfAbsent(LineScan.canonical(node.getNodeName()), PartParser.values(node));
-            }
-        }
-        return new IniReader(file, scan, sections, problems);
+        return new IniReader(file, scan);
     }
 
     /**
@@ -53,7 +39,7 @@
      * @return values by section and key
      */
     public Map<String, Map<String, String>> sections() {
-        return sections;
+        return scan.values();
     }
 
     /**
@@ -62,7 +48,7 @@
      * @return one line each
      */
     public List<String> mistakes() {
-        return problems.stream().map(Problem::message).toList();
+        return scan.problems().stream().map(Problem::message).toList();
     }
 
     /**
--- a/src/main/java/org/masticpaddle/document/LineScan.java
+++ b/src/main/java/org/masticpaddle/document/LineScan.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,9 +14,14 @@
  *
  * @param sections line of each section by header as written
  * @param keys line of each key by header as written and key
+ * @param values value of each key by canonical header, the first of duplicates
  * @param problems mistakes found
  */
-record LineScan(Map<String, Integer> sections, Map<String, Map<String, Integer>> keys, List<Problem> problems) {
+record LineScan(
+        Map<String, Integer> sections,
+        Map<String, Map<String, Integer>> keys,
+        Map<String, Map<String, String>> values,
+        List<Problem> problems) {
     static String canonical(String header) {
         return header.trim().replaceAll("\\s+", " ");
     }
@@ -23,13 +29,14 @@
     static LineScan of(String file, String text) {
         final Scanner scanner = new Scanner(file);
         text.lines().forEach(scanner::line);
-        return new LineScan(scanner.sections, scanner.keys, scanner.problems);
+        return new LineScan(scanner.sections, scanner.keys, scanner.values, scanner.problems);
     }
 
     private static final class Scanner {
         private final String file;
         private final Map<String, Integer> sections = new HashMap<>();
         private final Map<String, Map<String, Integer>> keys = new HashMap<>();
+        private final Map<String, Map<String, String>> values = new LinkedHashMap<>();
         private final List<Problem> problems = new ArrayList<>();
         private final Set<String> seen = new HashSet<>();
         private int number;
@@ -69,6 +76,7 @@
             }
             header = line.substring(1, line.length() - 1);
             sections.putIfAbsent(header, number);
+            values.putIfAbsent(canonical(header), new HashMap<>());
             if (!seen.add(canonical(header))) {
                 report(Problem.Kind.DUPLICATE_SECTION, "", "one section of this name", "a second one");
             }
@@ -83,7 +91,24 @@
                 report(Problem.Kind.BAD_LINE, key, "a section header before the first key", quote(line));
             } else if (keys.computeIfAbsent(header, name -> new HashMap<>()).putIfAbsent(key, number) != null) {
                 report(Problem.Kind.DUPLICATE_KEY, key, "one value", "a second one");
+            } else {
+                values.get(canonical(header)).putIfAbsent(key, value(line.substring(separator + 1)));
+            }
+        }
+
+        /** Returns the text between double quotes, or the text before a comment, which follows a blank. */
+        private static String value(String raw) {
+            final String text = raw.trim();
+            if (text.length() > 1 && text.charAt(0) == '"' && text.indexOf('"', 1) > 0) {
+                return text.substring(1, text.indexOf('"', 1));
+            }
+            for (int index = 0; index < text.length(); index++) {
+                final boolean comment = text.charAt(index) == '#' || text.charAt(index) == ';';
+                if (comment && (index == 0 || Character.isWhitespace(text.charAt(index - 1)))) {
+                    return text.substring(0, index).trim();
+                }
             }
+            return text;
         }
 
         private void report(Problem.Kind kind, String key, String expected, String found) {
--- a/src/main/java/org/masticpaddle/gateway/EventSplitter.java
+++ b/src/main/java/org/masticpaddle/gateway/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -13,7 +14,9 @@
  * thread-safe: one stream uses one instance.
  */
 final class EventSplitter {
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    /** Digits of the largest power of ten below the largest long number. */
+    private static final int MAX_DIGITS = 18;
 
     private final Consumer<Event> receiver;
     private final ByteArrayOutputStream current = new ByteArrayOutputStream();
@@ -52,19 +55,48 @@
     }
 
     private static OptionalLong id(byte[] event) {
-        for (final String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                try {
-                    return OptionalLong.of(
-                            Long.parseLong(line.substring(ID_FIELD.length()).trim()));
-                } catch (NumberFormatException e) {
-                    return OptionalLong.empty();
-                }
+        int line = 0;
+        while (line < event.length) {
+            if (startsWith(event, line, ID_FIELD)) {
+                return number(event, line + ID_FIELD.length);
+            }
+            while (line < event.length && event[line] != '\n') {
+                line++;
             }
+            line++;
         }
         return OptionalLong.empty();
     }
 
+    private static boolean startsWith(byte[] event, int from, byte[] prefix) {
+        return from + prefix.length <= event.length
+                && Arrays.equals(event, from, from + prefix.length, prefix, 0, prefix.length);
+    }
+
+    /** Reads the number that makes up the rest of a line but for blanks; anything else is no number. */
+    private static OptionalLong number(byte[] event, int from) {
+        int index = from;
+        while (index < event.length && isBlank(event[index])) {
+            index++;
+        }
+        long number = 0;
+        int digits = 0;
+        while (index < event.length && event[index] >= '0' && event[index] <= '9' && digits < MAX_DIGITS) {
+            number = number * 10 + event[index] - '0';
+            index++;
+            digits++;
+        }
+        while (index < event.length && isBlank(event[index])) {
+            index++;
+        }
+        final boolean ends = index < event.length && (event[index] == '\n' || event[index] == '\r');
+        return digits > 0 && ends ? OptionalLong.of(number) : OptionalLong.empty();
+    }
+
+    private static boolean isBlank(byte value) {
+        return value == ' ' || value == '\t';
+    }
+
     /**
      * One event.
      *
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -23,6 +23,7 @@
 import org.masticpaddle.settings.Setting;
 import org.masticpaddle.wire.ConnectionLimits;
 import org.masticpaddle.wire.EventLoop;
+import org.masticpaddle.wire.Hashing;
 import org.masticpaddle.wire.HttpClient;
 import org.masticpaddle.wire.HttpServer;
 import org.masticpaddle.wire.OperationsHandler;
@@ -75,7 +76,7 @@
         bounds = GatewayBounds.of(settings);
         state = new GatewayState(bounds);
         client = new HttpClient(loop, new ConnectionLimits(CONNECT_TIMEOUT, MAX_IDLE));
-        final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        final UniformRandomProvider random = random(settings.text(Setting.INSTANCE));
         final SharedLog shared = ports.log(
                 client,
                 settings.origin(Setting.LOG).orElseThrow(),
@@ -136,6 +137,12 @@
                                 new OperationsHandler(this::ready, metrics, () -> "gateway")));
     }
 
+    /** Seeds from the clocks and the instance: a seed from the system's entropy would load its security providers. */
+    private static UniformRandomProvider random(String instance) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(
+                new long[] {Hashing.of(instance) ^ System.currentTimeMillis(), System.nanoTime()});
+    }
+
     @Override
     public void start() {
         kernel.start();
--- a/src/main/java/org/masticpaddle/gateway/OwnAnswers.java
+++ b/src/main/java/org/masticpaddle/gateway/OwnAnswers.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.gateway;
 
-import java.util.Locale;
 import java.util.Map;
 
 import org.masticpaddle.wire.Json;
@@ -14,6 +13,7 @@
     }
 
     static Map<String, String> retryAfter(double seconds) {
-        return Map.of("retry-after", String.format(Locale.ROOT, "%.2f", seconds));
+        final long hundredths = Math.round(seconds * 100);
+        return Map.of("retry-after", hundredths / 100 + "." + hundredths / 10 % 10 + hundredths % 10);
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/StreamRelay.java
+++ b/src/main/java/org/masticpaddle/gateway/StreamRelay.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
@@ -19,6 +20,7 @@
     private boolean begun;
     private boolean disordered;
     private int relayed;
+    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
 
     /**
      * Creates a relay.
@@ -41,8 +43,14 @@
         splitter = new EventSplitter(this::relay);
     }
 
+    /** Relays the events that the bytes complete, together. */
     void accept(byte[] bytes) {
         splitter.accept(bytes);
+        if (received.size() > 0) {
+            final byte[] events = received.toByteArray();
+            received.reset();
+            caller.piece(events);
+        }
     }
 
     private void relay(EventSplitter.Event event) {
@@ -60,7 +68,7 @@
             begun = true;
             caller.begin(status, headers);
         }
-        caller.piece(event.bytes());
+        received.writeBytes(event.bytes());
         relayed++;
     }
 
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -85,6 +85,13 @@
     ENTRIES("sidecar", "entries", SettingType.LIST, "", "origins of entries that give the document, besides the list"),
     /** Attempts remembered. */
     MAX_ATTEMPTS("sidecar", "max_attempts", SettingType.POSITIVE, "16384", "non-idempotent attempts remembered"),
+    /** Binding to the platform. */
+    BINDING(
+            "gateway",
+            "binding",
+            SettingType.NAME,
+            "",
+            "class of the binding to the platform; empty to look one up, which makes the start longer"),
     /** Address for callers of a gateway. */
     FRONT("gateway", "front", SettingType.ORIGIN, "http://127.0.0.1:0", "address on which callers are served"),
     /** Address for the operations of a gateway. */
--- a/src/main/java/org/masticpaddle/wire/EventLoop.java
+++ b/src/main/java/org/masticpaddle/wire/EventLoop.java
@@ -12,6 +12,7 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.nio.NioXnioProvider;
 
 /**
  * One input/output thread that serves a server, a client and the state between them.
@@ -31,7 +32,7 @@
      */
     public EventLoop(String name) {
         try {
-            worker = Xnio.getInstance()
+            worker = transport()
                     .createWorker(OptionMap.builder()
                             .set(Options.WORKER_IO_THREADS, 1)
                             .set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -45,6 +46,11 @@
         thread = worker.getIoThread();
     }
 
+    /** Names the transport, since a look-up of providers opens every library on the class path. */
+    static Xnio transport() {
+        return new NioXnioProvider().getInstance();
+    }
+
     @Override
     public void start() {
         // The thread runs since the construction, so that servers and clients can be wired to it.
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -14,14 +14,14 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
+import io.undertow.client.ClientProvider;
+import io.undertow.client.http.HttpClientProvider;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import org.masticpaddle.kernel.Service;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /**
@@ -40,6 +40,8 @@
     private final Optional<EventLoop> shared;
     private final Map<URI, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
     private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
+    // Named rather than looked up, since a look-up of providers opens every library on the class path.
+    private final ClientProvider provider = new HttpClientProvider();
     private XnioWorker worker;
 
     /**
@@ -74,7 +76,7 @@
             return;
         }
         try {
-            worker = Xnio.getInstance()
+            worker = EventLoop.transport()
                     .createWorker(OptionMap.builder()
                             .set(Options.WORKER_IO_THREADS, ioThreads)
                             .set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -168,51 +170,51 @@
                                 CallException.Delivery.NOT_SENT, "connect timeout to " + origin, null)),
                         limits.connectTimeout().toMillis(),
                         TimeUnit.MILLISECONDS);
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                IoUtils.safeClose(connection);
-                                reached.complete(null);
-                            }
+        provider.connect(
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection connection) {
+                        IoUtils.safeClose(connection);
+                        reached.complete(null);
+                    }
 
-                            @Override
-                            public void failed(IOException e) {
-                                reached.completeExceptionally(new CallException(
-                                        CallException.Delivery.NOT_SENT, "cannot connect to " + origin, e));
-                            }
-                        },
-                        origin,
-                        worker,
-                        buffers,
-                        OptionMap.EMPTY);
+                    @Override
+                    public void failed(IOException e) {
+                        reached.completeExceptionally(
+                                new CallException(CallException.Delivery.NOT_SENT, "cannot connect to " + origin, e));
+                    }
+                },
+                origin,
+                worker,
+                null,
+                buffers,
+                OptionMap.EMPTY);
         return reached;
     }
 
     private void connect(HttpCall call, ActiveCall active) {
         active.armConnectTimeout(worker.getIoThread(), limits.connectTimeout());
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                if (Thread.currentThread() == connection.getIoThread()) {
-                                    active.begin(connection);
-                                } else {
-                                    connection.getIoThread().execute(() -> active.begin(connection));
-                                }
-                            }
+        provider.connect(
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientConnection connection) {
+                        if (Thread.currentThread() == connection.getIoThread()) {
+                            active.begin(connection);
+                        } else {
+                            connection.getIoThread().execute(() -> active.begin(connection));
+                        }
+                    }
 
-                            @Override
-                            public void failed(IOException e) {
-                                active.fail(CallException.Delivery.NOT_SENT, "cannot connect to " + call.origin(), e);
-                            }
-                        },
-                        call.origin(),
-                        worker,
-                        buffers,
-                        OptionMap.create(Options.TCP_NODELAY, true));
+                    @Override
+                    public void failed(IOException e) {
+                        active.fail(CallException.Delivery.NOT_SENT, "cannot connect to " + call.origin(), e);
+                    }
+                },
+                call.origin(),
+                worker,
+                null,
+                buffers,
+                OptionMap.create(Options.TCP_NODELAY, true));
     }
 
     private ClientConnection takeIdle(URI origin) {
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -87,6 +87,7 @@
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, DRAINED_SIZES * maxBodyBytes)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
                 .setHandler(this::handle)
                 .build();
--- a/src/main/java/org/masticpaddle/wire/ResponseStream.java
+++ b/src/main/java/org/masticpaddle/wire/ResponseStream.java
@@ -59,19 +59,22 @@
      * @return {@code false} if the peer is gone or too slow; the stream is then closed
      */
     public boolean write(byte[] bytes) {
+        final boolean fits;
+        final boolean drains;
         synchronized (this) {
             if (closed || ended) {
                 return false;
             }
             pendingBytes += bytes.length;
-            if (pendingBytes <= maxPendingBytes) {
-                pending.add(ByteBuffer.wrap(bytes));
-                scheduleDrain();
-                return true;
-            }
+            fits = pendingBytes <= maxPendingBytes;
+            drains = fits && pending.add(ByteBuffer.wrap(bytes)) && beginDrain();
+        }
+        if (!fits) {
+            abort();
+        } else if (drains) {
+            startDrain();
         }
-        abort();
-        return false;
+        return fits;
     }
 
     /**
@@ -90,9 +93,15 @@
     }
 
     /** Ends the answer after the queued pieces. */
-    public synchronized void end() {
-        ended = true;
-        scheduleDrain();
+    public void end() {
+        final boolean drains;
+        synchronized (this) {
+            ended = true;
+            drains = beginDrain();
+        }
+        if (drains) {
+            startDrain();
+        }
     }
 
     /** Cuts the connection, so that the peer sees an incomplete answer. */
@@ -101,9 +110,17 @@
         exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
 
-    private synchronized void scheduleDrain() {
-        if (channel != null && !draining) {
-            draining = true;
+    private boolean beginDrain() {
+        final boolean begins = channel != null && !draining;
+        draining |= begins;
+        return begins;
+    }
+
+    /** Drains at once on the connection's thread: a task would wake the selector up for each piece. */
+    private void startDrain() {
+        if (Thread.currentThread() == exchange.getIoThread()) {
+            drain();
+        } else {
             exchange.getIoThread().execute(this::drain);
         }
     }
--- a/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
+++ b/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
@@ -61,6 +61,22 @@
         assertThat(caller.text()).isEmpty();
     }
 
+    @Test
+    void shouldRelayTheEventsOfOneReadTogether() {
+        relay.accept(bytes("id: 1\ndata: a\n\nid:2\ndata: b\n\nid: 3\nda"));
+        assertThat(caller.text()).isEqualTo("begin 200;id: 1\ndata: a\n\nid:2\ndata: b\n\n;");
+        assertThat(relay.relayed()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldTakeANumberOnlyFromAWholeIdLine() {
+        relay.accept(
+                bytes("id: 4\ndata: id: 9\n\nevent: x\nid: 5 \r\ndata: b\n\nid: 6x\ndata: c\n\nid: 6\ndata: d\n\n"));
+        assertThat(relay.disordered()).isFalse();
+        assertThat(relay.lastEvent()).isEqualTo(OptionalLong.of(6));
+        assertThat(relay.relayed()).isEqualTo(4);
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -32,6 +32,17 @@
         assertThat(settings.number(Setting.QUEUE)).isEqualTo(4096);
     }
 
+    @Test
+    void shouldLeaveOutCommentsAndQuotes() {
+        final ProcessSettings settings = ProcessSettings.parse(
+                "f",
+                ENTRY
+                        + "; a comment\nqueue = 8 ; a comment\nkey_lifetime_seconds = \"9\" # another\npeers = http://a:1#b\n");
+        assertThat(settings.number(Setting.QUEUE)).isEqualTo(8);
+        assertThat(settings.number(Setting.KEY_LIFETIME_SECONDS)).isEqualTo(9);
+        assertThat(settings.list(Setting.PEERS)).containsExactly("http://a:1#b");
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
