Log why a request may run on a version and each answer counted in a rollout

No decision changes, except that answers after the end of a rollout are no longer counted; the counts were not read after it. RolloutCoordinatorTest and VersionRolloutTest pass.

--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -26,6 +26,8 @@
     UPSTREAM_UNRESPONSIVE("upstream.silent", Priority.IMPORTANT),
     /** A rollout started, progressed or ended. */
     ROLLOUT_CHANGED("rollout.changed", Priority.IMPORTANT),
+    /** An answer was counted as evidence for or against the version of a rollout. */
+    ANSWER_OBSERVED("rollout.observed", Priority.ROUTINE),
     /** A request was queued until an upstream has capacity. */
     REQUEST_QUEUED("request.queued", Priority.ROUTINE),
     /** A request was sent to an upstream. */
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -165,6 +165,12 @@
                         upstream.upstream().id(),
                         "version",
                         upstream.upstream().version(),
+                        "assignment",
+                        eligible.assignment(),
+                        "preferred",
+                        eligible.preferred().test(upstream.upstream()),
+                        "share",
+                        eligible.share(),
                         "model",
                         model,
                         "attempt",
@@ -474,12 +480,13 @@
 
     private void reportOutcome(Attempt reported, boolean successful) {
         context.versionRouter()
-                .recordOutcome(
+                .recordOutcome(new VersionRouter.Outcome(
+                        admitted.request().id(),
                         reported.upstream().upstream(),
                         admitted.route().name(),
                         successful,
                         (now() - reported.sentNanos()) / 1e6,
-                        reported.expectedMillis());
+                        reported.expectedMillis()));
     }
 
     private void onDeadline() {
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -185,10 +185,8 @@
         boolean unfinished = false;
         for (final ActiveRollout active : rollouts.values()) {
             final VersionRollout rollout = active.rollout;
-            final boolean ended =
-                    rollout.progress().filter(RolloutProgress::ended).isPresent();
-            unfinished |= !ended;
-            if (ended || !statusKnown()) {
+            unfinished |= !active.ended();
+            if (active.ended() || !statusKnown()) {
                 continue;
             }
             final int runningOnOldVersions = runningOnOldVersions(rollout);
@@ -305,31 +303,52 @@
         final Predicate<Upstream> oldVersions = newVersion.negate();
         final Optional<RolloutProgress> ended = rollout.progress().filter(RolloutProgress::ended);
         if (ended.isPresent()) {
-            return ended.get() == RolloutProgress.COMPLETED
-                    ? new EligibleUpstreams(newVersion, newVersion)
-                    : new EligibleUpstreams(oldVersions, oldVersions);
+            final Predicate<Upstream> remaining = ended.get() == RolloutProgress.COMPLETED ? newVersion : oldVersions;
+            return new EligibleUpstreams(remaining, remaining, Assignment.ROLLOUT_ENDED, rollout.share());
         }
         if (!statusKnown()) {
-            return new EligibleUpstreams(oldVersions, upstream -> true);
+            return new EligibleUpstreams(oldVersions, upstream -> true, Assignment.PROGRESS_UNKNOWN, rollout.share());
         }
         final double sessionFraction = (Hashing.hash64(session.orElse(requestId)) >>> 11) * 0x1.0p-53;
         if (sessionFraction < rollout.share()) {
-            return new EligibleUpstreams(newVersion, upstream -> true);
+            return new EligibleUpstreams(newVersion, upstream -> true, Assignment.NEW_SHARE, rollout.share());
         }
-        return new EligibleUpstreams(oldVersions, rollout.share() > 0 ? upstream -> true : oldVersions);
+        return new EligibleUpstreams(
+                oldVersions,
+                rollout.share() > 0 ? upstream -> true : oldVersions,
+                Assignment.OLD_SHARE,
+                rollout.share());
     }
 
     @Override
-    public void recordOutcome(
-            Upstream upstream, String route, boolean successful, double millis, double expectedMillis) {
+    public void recordOutcome(Outcome outcome) {
+        final Upstream upstream = outcome.upstream();
         final ActiveRollout active = rollouts.get(upstream.service());
-        if (active != null) {
-            active.rollout.recordAnswer(
-                    upstream.version().equals(active.rollout.version()),
-                    route,
-                    successful,
-                    millis > SLOW_ANSWER_FACTOR * expectedMillis + SLOW_ANSWER_MARGIN_MILLIS);
+        if (active == null || active.ended()) {
+            return;
         }
+        final boolean slow =
+                outcome.millis() > SLOW_ANSWER_FACTOR * outcome.expectedMillis() + SLOW_ANSWER_MARGIN_MILLIS;
+        active.rollout.recordAnswer(
+                upstream.version().equals(active.rollout.version()), outcome.route(), outcome.successful(), slow);
+        log.write(
+                Decision.ANSWER_OBSERVED,
+                "request",
+                outcome.requestId(),
+                "service",
+                upstream.service(),
+                "route",
+                outcome.route(),
+                "version",
+                upstream.version(),
+                "successful",
+                outcome.successful(),
+                "slow",
+                slow,
+                "ms",
+                outcome.millis(),
+                "expected_ms",
+                outcome.expectedMillis());
     }
 
     /** Returns whether the status stream was listed, so that a status written before a restart of this gateway is known. */
@@ -351,5 +370,9 @@
             this.rollout = rollout;
             this.nextStatusNanos = nextStatusNanos;
         }
+
+        boolean ended() {
+            return rollout.progress().filter(RolloutProgress::ended).isPresent();
+        }
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -133,9 +133,9 @@
     private void simulate(long millis, boolean successful) {
         for (long elapsedMillis = 0; elapsedMillis < millis; elapsedMillis += 100) {
             for (final RolloutCoordinator gateway : gateways) {
-                gateway.recordOutcome(OLD, "r", true, 10, 10);
+                gateway.recordOutcome(new VersionRouter.Outcome("x", OLD, "r", true, 10, 10));
                 if (elapsedMillis % 500 == 0) {
-                    gateway.recordOutcome(NEW, "r", successful, 10, 10);
+                    gateway.recordOutcome(new VersionRouter.Outcome("x", NEW, "r", successful, 10, 10));
                 }
                 gateway.tick();
             }
