Report the sends, events and ends of attempts to the version router

The router of versions was told of an attempt at its response head or failure only, without its session. It is now told when an attempt is sent, with its session, when events arrive, and when and how it ends. Decisions stay as they were: an answer is still counted at its first event. RolloutCoordinatorTest, VersionRolloutTest and GatewayOverPlatformTest pass.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -53,6 +53,7 @@
     private final Set<String> triedUpstreams = new HashSet<>();
     private Scheduler.Timer deadlineTimer;
     private Attempt attempt;
+    private VersionRouter.AttemptObserver observer;
     private Optional<StreamRelay> relay = Optional.empty();
     private String model;
     private int modelIndex;
@@ -149,6 +150,14 @@
         sentAttempts++;
         attempt = new Attempt(
                 upstream, inFlight, choice.expectedMillis(), choice.serviceMillis(), sentWithoutBacklog, now(), this);
+        observer = context.versionRouter()
+                .attemptSent(new VersionRouter.SentAttempt(
+                        request.id(),
+                        request.session(),
+                        upstream.upstream(),
+                        admitted.route().name(),
+                        choice.expectedMillis(),
+                        model.isEmpty() ? 0 : serviceTimes().eventIntervalMillis(model, relativeCost(modelIndex))));
         context.counters().add(GatewayCounters.Counter.SENT);
         context.log()
                 .write(
@@ -266,10 +275,10 @@
             preferredVersionFailed |=
                     eligible.preferred().test(failed.upstream().upstream());
             failed.upstream().onErrorResponse();
-            reportOutcome(failed, false);
         } else if (failed.status() == 421) {
             failed.upstream().tripCircuit(now());
         }
+        observer.onEnd(verdict.mayHaveRun() ? VersionRouter.AttemptEnd.FAILED : VersionRouter.AttemptEnd.NOT_RUN);
         logFailure(failed);
         retryOrFail(failed, verdict.mayHaveRun());
     }
@@ -278,7 +287,6 @@
         final double millis = (now() - streaming.sentNanos()) / 1e6;
         recordServiceTime(streaming, millis);
         streaming.markStarted();
-        reportOutcome(streaming, true);
         firstEventNanos = now();
         eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
         if (relay.isPresent() && relay.get().started()) {
@@ -352,6 +360,7 @@
 
     private void escalate(Attempt draft, int largerIndex, int confidence) {
         draft.cancel();
+        observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
         context.counters().add(GatewayCounters.Counter.ESCALATED);
         context.log()
                 .write(
@@ -379,6 +388,10 @@
             return;
         }
         relay.get().accept(bytes);
+        final int events = relay.get().relayedEvents() - eventsBeforeAttempt;
+        if (events > 0) {
+            observer.onEvents(events);
+        }
         if (relay.get().outOfSequence() && !receiving.ended()) {
             receiving.fail("an event is missing or comes twice");
         }
@@ -389,6 +402,7 @@
         if (relay.isPresent()) {
             if (relay.get().completeIfWhole()) {
                 recordEventInterval();
+                observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
                 complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
             } else {
                 onAttemptFailed(
@@ -401,10 +415,12 @@
         final double millis = (now() - completed.sentNanos()) / 1e6;
         if (completed.status() < 300) {
             recordServiceTime(completed, millis);
-            reportOutcome(completed, true);
+            observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
         } else if (completed.status() >= 500) {
             completed.upstream().onErrorResponse();
-            reportOutcome(completed, false);
+            observer.onEnd(VersionRouter.AttemptEnd.FAILED);
+        } else {
+            observer.onEnd(VersionRouter.AttemptEnd.CANCELLED);
         }
         if (!ended) {
             complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
@@ -419,8 +435,9 @@
         failed.upstream().onUnreachable(now());
         if (possiblySent) {
             mayHaveRun = true;
-            reportOutcome(failed, false);
+            observer.onEnd(VersionRouter.AttemptEnd.FAILED);
         } else {
+            observer.onEnd(VersionRouter.AttemptEnd.NOT_RUN);
             sentAttempts--;
             if (sentAttempts > 0) {
                 context.state().retryBudget(service).refundRetry(now());
@@ -478,17 +495,6 @@
         return sent.inFlight().uncachedTokens();
     }
 
-    private void reportOutcome(Attempt reported, boolean successful) {
-        context.versionRouter()
-                .recordOutcome(new VersionRouter.Outcome(
-                        admitted.request().id(),
-                        reported.upstream().upstream(),
-                        admitted.route().name(),
-                        successful,
-                        (now() - reported.sentNanos()) / 1e6,
-                        reported.expectedMillis()));
-    }
-
     private void onDeadline() {
         fail("no answer before the deadline; last failure: " + lastFailure, true);
     }
@@ -505,6 +511,7 @@
         if (inFlight) {
             mayHaveRun = true;
             attempt.cancel();
+            observer.onEnd(VersionRouter.AttemptEnd.CANCELLED);
         }
         if (relay.isPresent() && relay.get().started()) {
             complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, 0, reason);
@@ -526,8 +533,9 @@
         if (ended) {
             return;
         }
-        if (attempt != null) {
+        if (attempt != null && !attempt.ended()) {
             attempt.cancel();
+            observer.onEnd(VersionRouter.AttemptEnd.CANCELLED);
         }
         complete(Decision.REQUEST_CANCELLED, GatewayCounters.Counter.CANCELLED, 0, "the caller disconnected");
     }
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -321,34 +321,37 @@
     }
 
     @Override
-    public void recordOutcome(Outcome outcome) {
-        final Upstream upstream = outcome.upstream();
+    public AttemptObserver attemptSent(SentAttempt attempt) {
+        return new Observer(attempt, scheduler.nanos());
+    }
+
+    private void countAnswer(SentAttempt attempt, boolean successful, double millis) {
+        final Upstream upstream = attempt.upstream();
         final ActiveRollout active = rollouts.get(upstream.service());
         if (active == null || active.ended()) {
             return;
         }
-        final boolean slow =
-                outcome.millis() > SLOW_ANSWER_FACTOR * outcome.expectedMillis() + SLOW_ANSWER_MARGIN_MILLIS;
+        final boolean slow = millis > SLOW_ANSWER_FACTOR * attempt.expectedMillis() + SLOW_ANSWER_MARGIN_MILLIS;
         active.rollout.recordAnswer(
-                upstream.version().equals(active.rollout.version()), outcome.route(), outcome.successful(), slow);
+                upstream.version().equals(active.rollout.version()), attempt.route(), successful, slow);
         log.write(
                 Decision.ANSWER_OBSERVED,
                 "request",
-                outcome.requestId(),
+                attempt.requestId(),
                 "service",
                 upstream.service(),
                 "route",
-                outcome.route(),
+                attempt.route(),
                 "version",
                 upstream.version(),
                 "successful",
-                outcome.successful(),
+                successful,
                 "slow",
                 slow,
                 "ms",
-                outcome.millis(),
+                millis,
                 "expected_ms",
-                outcome.expectedMillis());
+                attempt.expectedMillis());
     }
 
     /** Returns whether the status stream was listed, so that a status written before a restart of this gateway is known. */
@@ -359,6 +362,37 @@
                 .isPresent();
     }
 
+    /** Counts an attempt when its answer begins or when it fails. */
+    private final class Observer implements AttemptObserver {
+        private final SentAttempt attempt;
+        private final long sentNanos;
+        private boolean begun;
+
+        Observer(SentAttempt attempt, long sentNanos) {
+            this.attempt = Objects.requireNonNull(attempt, "attempt is null");
+            this.sentNanos = sentNanos;
+        }
+
+        @Override
+        public void onEvents(int events) {
+            if (!begun) {
+                begun = true;
+                countAnswer(attempt, true, elapsedMillis());
+            }
+        }
+
+        @Override
+        public void onEnd(AttemptEnd end) {
+            if (end == AttemptEnd.FAILED || end == AttemptEnd.ANSWERED && !begun) {
+                countAnswer(attempt, end == AttemptEnd.ANSWERED, elapsedMillis());
+            }
+        }
+
+        private double elapsedMillis() {
+            return (scheduler.nanos() - sentNanos) / 1e6;
+        }
+    }
+
     /** A rollout whose order was not withdrawn, with the times of the next writes about it. */
     private static final class ActiveRollout {
         private final VersionRollout rollout;
--- a/src/main/java/org/masticpaddle/gateway/VersionRouter.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionRouter.java
@@ -7,7 +7,7 @@
 import org.masticpaddle.fleet.Upstream;
 
 /**
- * Chooses the versions of a service that a request may run on and records the outcomes of attempts. Used on the event loop
+ * Chooses the versions of a service that a request may run on and observes their attempts. Used on the event loop
  * only.
  */
 interface VersionRouter {
@@ -22,37 +22,68 @@
     EligibleUpstreams eligibleUpstreams(String service, Optional<String> session, String requestId);
 
     /**
-     * Records the outcome of an attempt that may have run.
+     * Records that an attempt is sent to an upstream, and observes the attempt until it ends.
      *
-     * @param outcome outcome of the attempt
+     * @param attempt the attempt
+     * @return observer of the attempt, to be told of its events and its end
      */
-    void recordOutcome(Outcome outcome);
+    AttemptObserver attemptSent(SentAttempt attempt);
 
     /**
-     * Outcome of an attempt. Immutable.
+     * An attempt that is sent to an upstream. Immutable.
      *
      * @param requestId identifier of the request
-     * @param upstream the upstream that ran the request
+     * @param session session of the request, empty if it belongs to none
+     * @param upstream the upstream that gets the request
      * @param route name of the request's route
-     * @param successful whether the upstream answered without a failure of its own
-     * @param millis time from sending the request to the outcome, in milliseconds; for streams to the response head
      * @param expectedMillis expected time to the beginning of the answer, in milliseconds
+     * @param expectedEventMillis expected time between two events of a stream, in milliseconds; 0 for other answers
      */
-    record Outcome(
+    record SentAttempt(
             String requestId,
+            Optional<String> session,
             Upstream upstream,
             String route,
-            boolean successful,
-            double millis,
-            double expectedMillis) {
+            double expectedMillis,
+            double expectedEventMillis) {
         /** Checks the arguments. */
-        public Outcome {
+        public SentAttempt {
             Objects.requireNonNull(requestId, "requestId is null");
+            Objects.requireNonNull(session, "session is null");
             Objects.requireNonNull(upstream, "upstream is null");
             Objects.requireNonNull(route, "route is null");
         }
     }
 
+    /** Observes one attempt. Used on the event loop only. */
+    interface AttemptObserver {
+        /**
+         * Called when events of a stream have arrived.
+         *
+         * @param events number of events that the attempt has delivered so far, at least 1
+         */
+        void onEvents(int events);
+
+        /**
+         * Called once when the attempt has ended.
+         *
+         * @param end how it ended
+         */
+        void onEnd(AttemptEnd end);
+    }
+
+    /** How an attempt ended. */
+    enum AttemptEnd {
+        /** The upstream gave a usable answer. */
+        ANSWERED,
+        /** The upstream failed after the request may have run. */
+        FAILED,
+        /** The request did not run. */
+        NOT_RUN,
+        /** The gateway cancelled the attempt for a reason other than a failure of the upstream. */
+        CANCELLED
+    }
+
     /** Reason why a request may run on certain versions. */
     enum Assignment {
         /** No rollout of the service is known. */
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -133,9 +133,9 @@
     private void simulate(long millis, boolean successful) {
         for (long elapsedMillis = 0; elapsedMillis < millis; elapsedMillis += 100) {
             for (final RolloutCoordinator gateway : gateways) {
-                gateway.recordOutcome(new VersionRouter.Outcome("x", OLD, "r", true, 10, 10));
+                answer(gateway, OLD, true);
                 if (elapsedMillis % 500 == 0) {
-                    gateway.recordOutcome(new VersionRouter.Outcome("x", NEW, "r", successful, 10, 10));
+                    answer(gateway, NEW, successful);
                 }
                 gateway.tick();
             }
@@ -143,6 +143,11 @@
         }
     }
 
+    private static void answer(RolloutCoordinator gateway, Upstream upstream, boolean successful) {
+        gateway.attemptSent(new VersionRouter.SentAttempt("x", Optional.empty(), upstream, "r", 10, 0))
+                .onEnd(successful ? VersionRouter.AttemptEnd.ANSWERED : VersionRouter.AttemptEnd.FAILED);
+    }
+
     private static boolean isPermitted(RolloutCoordinator gateway, Upstream upstream) {
         return gateway.eligibleUpstreams("s", Optional.of("any"), "x")
                 .permitted()
