--- /dev/null
+++ b/src/test/java/org/masticpaddle/gateway/FakeStreams.java
@@ -0,0 +1,59 @@
+package org.masticpaddle.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+import org.masticpaddle.control.FakeSharedLog;
+import org.masticpaddle.control.KeyedRecord;
+import org.masticpaddle.control.LogBatch;
+import org.masticpaddle.control.LogStream;
+import org.masticpaddle.control.NewestPage;
+import org.masticpaddle.control.RolloutProgress;
+import org.masticpaddle.control.SharedLog;
+import org.masticpaddle.kernel.FakeScheduler;
+
+/** Shared log with a fake for each stream; records the statuses that were written. */
+final class FakeStreams implements SharedLog {
+    private final Map<LogStream, FakeSharedLog> logs = new EnumMap<>(LogStream.class);
+    private final List<RolloutProgress> writtenStatuses = new ArrayList<>();
+
+    FakeStreams(FakeScheduler scheduler) {
+        for (final LogStream stream : LogStream.values()) {
+            logs.put(stream, new FakeSharedLog(scheduler));
+        }
+    }
+
+    void setUnavailable(boolean unavailable) {
+        logs.values().forEach(log -> log.setUnavailable(unavailable));
+    }
+
+    List<RolloutProgress> statuses() {
+        return writtenStatuses;
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(LogStream stream, String after) {
+        return logs.get(stream).newest(stream, after);
+    }
+
+    @Override
+    public CompletableFuture<LogBatch> read(LogStream stream, long from, Duration wait) {
+        return logs.get(stream).read(stream, from, wait);
+    }
+
+    @Override
+    public CompletableFuture<Long> append(LogStream stream, String key, byte[] value, OptionalLong onlyAt) {
+        final CompletableFuture<Long> appended = logs.get(stream).append(stream, key, value, onlyAt);
+        if (stream == LogStream.STATUS && !appended.isCompletedExceptionally()) {
+            writtenStatuses.add(new TextControlCodec()
+                    .rolloutStatus(new KeyedRecord(0, key, value))
+                    .progress());
+        }
+        return appended;
+    }
+}
