Judge a version by the progress of its answers and require evidence of health

Cause: an answer counted when it began, and never if it did not; four answers without clear evidence of a fault let a stage start. The estimate that answers are compared with also learnt from the version under test.

Now an answer is compared with the expected progress while it runs: it is slow as soon as it takes several times the expected time for the events so far, and on time after eight events in time or at its end. A stage starts and a rollout completes only if the answers exclude a fault, in total and on each route with a tenth of the traffic; answers that are late so far count as slow. The canary uses half of the permitted exposure, whose setting was read but not used. The estimates learn from versions that are not under test, and the event interval starts from the first observation.

The larger canary showed sessions that moved near the end of their timeout in SessionVersionTest, where gateways that had heard of different requests disagreed. A session that has run on its other side now stays there for the rollout, so that there is no end to disagree on.

--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -96,7 +96,7 @@
                 loop,
                 random,
                 log,
-                bounds.session());
+                bounds);
         healthProbe = new UpstreamHealthProbe(client, loop, log, UNRESPONSIVE_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -496,7 +496,7 @@
 
     private void recordEventInterval() {
         final int intervals = relay.get().relayedEvents() - eventsBeforeAttempt - 1;
-        if (intervals > 0 && !model.isEmpty()) {
+        if (intervals > 0 && !model.isEmpty() && isReference(attempt)) {
             serviceTimes()
                     .recordEventInterval(model, relativeCost(modelIndex), (now() - firstEventNanos) / 1e6 / intervals);
         }
@@ -504,6 +504,9 @@
 
     private void recordServiceTime(Attempt measured, double millis) {
         measured.upstream().onSuccess(measured.expectedMillis(), millis);
+        if (!isReference(measured)) {
+            return;
+        }
         if (!model.isEmpty() && measured.sentWithoutBacklog()) {
             serviceTimes().recordPrefill(model, relativeCost(modelIndex), uncachedTokens(measured), millis);
         } else if (model.isEmpty()) {
@@ -511,6 +514,10 @@
         }
     }
 
+    private boolean isReference(Attempt measured) {
+        return !context.versionRouter().underTest(measured.upstream().upstream());
+    }
+
     private static int uncachedTokens(Attempt sent) {
         return sent.inFlight().uncachedTokens();
     }
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -26,7 +29,10 @@
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
+import org.masticpaddle.rollout.ActiveSessions;
+import org.masticpaddle.rollout.AnswerTiming;
 import org.masticpaddle.rollout.EstablishedVersions;
+import org.masticpaddle.rollout.GatewayActivity;
 import org.masticpaddle.rollout.RolloutCounts;
 import org.masticpaddle.rollout.RouteCounts;
 import org.masticpaddle.rollout.SessionVersions;
@@ -51,14 +57,12 @@
     private static final Duration COUNTS_POLL_INTERVAL = Duration.ofMillis(900);
     /** Shortest interval between two writes of this gateway's counts. */
     private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 900_000_000L;
+    /** Delay of a report of sessions before the canary starts, so that one write reports several. */
+    private static final long SESSION_REPORT_DELAY_NANOS = 200_000_000L;
     /** Interval between two attempts to append a status; longer than the log takes to respond. */
     private static final long STATUS_RETRY_INTERVAL_NANOS = 400_000_000L;
     /** Maximum random delay of the first status, so that the gateways do not all append at once. */
     private static final double FIRST_STATUS_JITTER_NANOS = 300e6;
-    /** Multiple of the expected time, plus the margin below, beyond which an answer counts as slow. */
-    private static final double SLOW_ANSWER_FACTOR = 2.5;
-    /** Margin of slow answers, for the jitter of short answers. */
-    private static final double SLOW_ANSWER_MARGIN_MILLIS = 50;
 
     private final String gatewayId;
     private final SharedLog sharedLog;
@@ -67,8 +71,8 @@
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final DecisionLog log;
-    private final Duration sessionTimeout;
-    private final Map<String, SessionVersions> sessionsByService = new HashMap<>();
+    private final GatewayBounds bounds;
+    private final Map<String, ActiveSessions> sessionsByService = new HashMap<>();
     private final Map<String, EstablishedVersions> establishedByService = new HashMap<>();
     private final Map<String, ActiveRollout> rollouts = new HashMap<>();
     private final Map<String, RolloutStatus> statuses = new HashMap<>();
@@ -85,7 +89,7 @@
      * @param scheduler clock and timers of the event loop
      * @param random source of the jitter of writes and retries
      * @param log decision log
-     * @param sessionTimeout longest time between two requests of a session
+     * @param bounds timeout of sessions and permitted exposure to a bad version
      */
     RolloutCoordinator(
             String gatewayId,
@@ -95,7 +99,7 @@
             Scheduler scheduler,
             UniformRandomProvider random,
             DecisionLog log,
-            Duration sessionTimeout) {
+            GatewayBounds bounds) {
         this.gatewayId = Objects.requireNonNull(gatewayId, "gatewayId is null");
         this.sharedLog = Objects.requireNonNull(sharedLog, "sharedLog is null");
         this.codec = Objects.requireNonNull(codec, "codec is null");
@@ -103,7 +107,7 @@
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.log = Objects.requireNonNull(log, "log is null");
-        this.sessionTimeout = Objects.requireNonNull(sessionTimeout, "sessionTimeout is null");
+        this.bounds = Objects.requireNonNull(bounds, "bounds is null");
     }
 
     /**
@@ -115,11 +119,14 @@
     void onOperatorRecord(OperatorRecord operatorRecord, long offset) {
         if (operatorRecord instanceof OperatorRecord.RolloutOrder order) {
             final long now = scheduler.nanos();
-            final VersionRollout rollout =
-                    new VersionRollout(order.service(), order.version(), offset, order.timeLimit(), now);
-            rollouts.put(
-                    order.service(),
-                    new ActiveRollout(rollout, now + (long) (random.nextDouble() * FIRST_STATUS_JITTER_NANOS)));
+            final VersionRollout rollout = new VersionRollout(
+                    order.service(), order.version(), offset, order.timeLimit(), bounds.exposureShare(), now);
+            final ActiveRollout active =
+                    new ActiveRollout(rollout, now + (long) (random.nextDouble() * FIRST_STATUS_JITTER_NANOS));
+            rollouts.put(order.service(), active);
+            sessions(order.service())
+                    .versions(now)
+                    .forEach((session, version) -> active.recordSession(session, version, now));
             Optional.ofNullable(statuses.get(order.service()))
                     .filter(status -> status.order() == offset)
                     .ifPresent(status -> rollout.applyProgress(status.progress()));
@@ -189,7 +196,7 @@
             if (active != null) {
                 active.rollout.mergeCounts(keyed.key(), counts, scheduler.nanos());
                 if (counts.order() == active.rollout.order()) {
-                    sessions(counts.service()).merge(counts.sessions(), active.rollout.nanosOf(counts.passedMillis()));
+                    active.sessions.merge(counts.sessions());
                 }
             }
         } catch (MalformedMessageException e) {
@@ -213,9 +220,11 @@
             if (active.ended() || !progressKnown()) {
                 continue;
             }
-            final int runningOnOldVersions = runningOnOldVersions(rollout);
+            List.copyOf(active.observers).forEach(observer -> observer.countIfJudged(now));
+            final GatewayActivity activity =
+                    new GatewayActivity(runningOnOldVersions(rollout), active.lateOnNewVersion(now));
             final double scheduledShare = rollout.scheduledShare();
-            final Optional<RolloutProgress> proposed = rollout.step(runningOnOldVersions, now);
+            final Optional<RolloutProgress> proposed = rollout.step(activity, now);
             if (scheduledShare != rollout.scheduledShare()) {
                 active.nextCountsNanos = now;
             }
@@ -224,7 +233,7 @@
                 logRollout(rollout, "share");
             }
             proposed.ifPresent(progress -> proposeProgress(active, progress, now));
-            publishCounts(active, runningOnOldVersions, now);
+            publishCounts(active, activity, now);
         }
         if (!unfinished && statusFollower.isPresent()) {
             stopFollowers();
@@ -270,15 +279,12 @@
                         error == null ? null : error.getMessage()));
     }
 
-    private void publishCounts(ActiveRollout active, int runningOnOldVersions, long now) {
+    private void publishCounts(ActiveRollout active, GatewayActivity activity, long now) {
         if (now < active.nextCountsNanos) {
             return;
         }
         final VersionRollout rollout = active.rollout;
-        final RolloutCounts counts = rollout.counts(
-                runningOnOldVersions,
-                sessions(rollout.service()).exceptions(rollout.version(), rollout.scheduledShare(), now),
-                now);
+        final RolloutCounts counts = rollout.counts(activity, active.sessions.report(), now);
         if (counts.equals(active.publishedCounts)) {
             return;
         }
@@ -348,8 +354,7 @@
         if (rollout.halted()) {
             return new EligibleUpstreams(oldVersions, oldVersions, oldVersions, Assignment.OLD_SHARE, share);
         }
-        final Optional<Boolean> onNewVersion =
-                session.flatMap(id -> sessions(service).runsOn(id, rollout.version(), now));
+        final Optional<Boolean> onNewVersion = session.flatMap(active.sessions::staysOnNewVersion);
         if (onNewVersion.isPresent() && onNewVersion.get()) {
             return new EligibleUpstreams(newVersion, newVersion, all, Assignment.SESSION_ON_NEW, share);
         }
@@ -367,8 +372,8 @@
                 share);
     }
 
-    private SessionVersions sessions(String service) {
-        return sessionsByService.computeIfAbsent(service, name -> new SessionVersions(sessionTimeout));
+    private ActiveSessions sessions(String service) {
+        return sessionsByService.computeIfAbsent(service, name -> new ActiveSessions(bounds.session()));
     }
 
     private EstablishedVersions established(String service) {
@@ -377,39 +382,24 @@
 
     @Override
     public AttemptObserver attemptSent(SentAttempt attempt) {
-        attempt.session()
-                .ifPresent(session -> sessions(attempt.upstream().service())
-                        .begin(session, attempt.upstream().version()));
-        return new Observer(attempt, scheduler.nanos());
+        final Upstream upstream = attempt.upstream();
+        final long now = scheduler.nanos();
+        final Optional<ActiveRollout> rollout =
+                Optional.ofNullable(rollouts.get(upstream.service())).filter(active -> !active.ended());
+        attempt.session().ifPresent(session -> {
+            sessions(upstream.service()).begin(session, upstream.version());
+            rollout.ifPresent(active -> active.recordSession(session, upstream.version(), now));
+        });
+        final Observer observer = new Observer(attempt, rollout, now);
+        rollout.ifPresent(active -> active.observers.add(observer));
+        return observer;
     }
 
-    private void countAnswer(SentAttempt attempt, boolean successful, double millis) {
-        final Upstream upstream = attempt.upstream();
-        final ActiveRollout active = rollouts.get(upstream.service());
-        if (active == null || active.ended()) {
-            return;
-        }
-        final boolean slow = millis > SLOW_ANSWER_FACTOR * attempt.expectedMillis() + SLOW_ANSWER_MARGIN_MILLIS;
-        active.rollout.recordAnswer(
-                upstream.version().equals(active.rollout.version()), attempt.route(), successful, slow);
-        log.write(
-                Decision.ANSWER_OBSERVED,
-                "request",
-                attempt.requestId(),
-                "service",
-                upstream.service(),
-                "route",
-                attempt.route(),
-                "version",
-                upstream.version(),
-                "successful",
-                successful,
-                "slow",
-                slow,
-                "ms",
-                millis,
-                "expected_ms",
-                attempt.expectedMillis());
+    @Override
+    public boolean underTest(Upstream upstream) {
+        return Optional.ofNullable(rollouts.get(upstream.service()))
+                .filter(active -> !active.ended() && upstream.version().equals(active.rollout.version()))
+                .isPresent();
     }
 
     /**
@@ -422,42 +412,99 @@
                 .allMatch(follower -> follower.position().isPresent());
     }
 
-    /** Counts an attempt when its answer begins or when it fails. */
+    /** Counts an attempt as soon as it is known whether it is slow, and each failure. */
     private final class Observer implements AttemptObserver {
         private final SentAttempt attempt;
-        private final long sentNanos;
-        private boolean begun;
+        private final Optional<ActiveRollout> rollout;
+        private final AnswerTiming timing;
+        private boolean counted;
 
-        Observer(SentAttempt attempt, long sentNanos) {
+        Observer(SentAttempt attempt, Optional<ActiveRollout> rollout, long sentNanos) {
             this.attempt = Objects.requireNonNull(attempt, "attempt is null");
-            this.sentNanos = sentNanos;
+            this.rollout = Objects.requireNonNull(rollout, "rollout is null");
+            timing = new AnswerTiming(sentNanos, attempt.expectedMillis(), attempt.expectedEventMillis());
         }
 
         @Override
         public void onEvents(int events) {
-            if (!begun) {
-                begun = true;
-                countAnswer(attempt, true, elapsedMillis());
-            }
+            final long now = scheduler.nanos();
+            timing.onEvents(events, now);
+            countIfJudged(now);
         }
 
         @Override
         public void onEnd(AttemptEnd end) {
+            final long now = scheduler.nanos();
             attempt.session()
-                    .ifPresent(session -> sessions(attempt.upstream().service()).end(session, scheduler.nanos()));
-            if (end == AttemptEnd.FAILED || end == AttemptEnd.ANSWERED && !begun) {
-                countAnswer(attempt, end == AttemptEnd.ANSWERED, elapsedMillis());
+                    .ifPresent(session -> sessions(attempt.upstream().service()).end(session, now));
+            rollout.ifPresent(active -> active.observers.remove(this));
+            final boolean slow = timing.pace(now) == AnswerTiming.Pace.SLOW;
+            switch (end) {
+                case FAILED -> count(false, slow, now);
+                case ANSWERED -> countOnce(slow, now);
+                case CANCELLED -> countIfJudged(now);
+                case NOT_RUN -> {}
+            }
+        }
+
+        void countIfJudged(long now) {
+            final AnswerTiming.Pace pace = timing.pace(now);
+            if (pace == AnswerTiming.Pace.SLOW || pace == AnswerTiming.Pace.ON_TIME) {
+                countOnce(pace == AnswerTiming.Pace.SLOW, now);
+            }
+        }
+
+        boolean lateOnNewVersion(long now) {
+            return !counted && onNewVersion() && timing.pace(now) == AnswerTiming.Pace.LATE;
+        }
+
+        private boolean onNewVersion() {
+            return rollout.filter(active -> attempt.upstream().version().equals(active.rollout.version()))
+                    .isPresent();
+        }
+
+        private void countOnce(boolean slow, long now) {
+            if (!counted) {
+                count(true, slow, now);
             }
         }
 
-        private double elapsedMillis() {
-            return (scheduler.nanos() - sentNanos) / 1e6;
+        private void count(boolean successful, boolean slow, long now) {
+            counted = true;
+            if (rollout.filter(active -> !active.ended()).isEmpty()) {
+                return;
+            }
+            rollout.get().rollout.recordAnswer(onNewVersion(), attempt.route(), successful, slow);
+            log.write(
+                    Decision.ANSWER_OBSERVED,
+                    "request",
+                    attempt.requestId(),
+                    "service",
+                    attempt.upstream().service(),
+                    "route",
+                    attempt.route(),
+                    "version",
+                    attempt.upstream().version(),
+                    "successful",
+                    successful,
+                    "slow",
+                    slow,
+                    "events",
+                    timing.events(),
+                    "ms",
+                    timing.millis(now),
+                    "expected_ms",
+                    attempt.expectedMillis(),
+                    "expected_event_ms",
+                    attempt.expectedEventMillis());
         }
     }
 
     /** A rollout whose order was not withdrawn, with the times of the next writes about it. */
     private static final class ActiveRollout {
         private final VersionRollout rollout;
+        private final Set<Observer> observers = new LinkedHashSet<>();
+        private final SessionVersions sessions = new SessionVersions();
         private long nextStatusNanos;
         private long nextCountsNanos;
         private RolloutCounts publishedCounts;
@@ -468,6 +515,22 @@
             this.nextStatusNanos = nextStatusNanos;
         }
 
+        /** Records the version of a session. Before the canary starts, the other gateways are told at once. */
+        void recordSession(String session, String version, long now) {
+            final boolean newVersion = version.equals(rollout.version());
+            if ((newVersion || rollout.keepsSessionsOnOldVersion(now))
+                    && sessions.record(session, newVersion, rollout.scheduledShare())
+                    && rollout.share(now) == 0) {
+                nextCountsNanos = Math.min(nextCountsNanos, now + SESSION_REPORT_DELAY_NANOS);
+            }
+        }
+
+        int lateOnNewVersion(long now) {
+            return (int) observers.stream()
+                    .filter(observer -> observer.lateOnNewVersion(now))
+                    .count();
+        }
+
         boolean ended() {
             return rollout.progress().filter(RolloutProgress::ended).isPresent();
         }
--- a/src/main/java/org/masticpaddle/gateway/VersionRouter.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionRouter.java
@@ -30,6 +30,15 @@
      */
     AttemptObserver attemptSent(SentAttempt attempt);
 
+    /**
+     * Returns whether an upstream has a version that is being rolled out. Its answers must not change the estimates that
+     * they are compared with.
+     *
+     * @param upstream the upstream
+     * @return {@code true} until the rollout has ended
+     */
+    boolean underTest(Upstream upstream);
+
     /**
      * An attempt that is sent to an upstream. Immutable.
      *
--- a/src/main/java/org/masticpaddle/rollout/RolloutCounts.java
+++ b/src/main/java/org/masticpaddle/rollout/RolloutCounts.java
@@ -13,7 +13,7 @@
  * @param stage index of the last stage that the gateway has scheduled
  * @param stageStartMillis start of that stage, in milliseconds since the order
  * @param passedMillis time since the order, in milliseconds, by the clock of the gateway
- * @param runningBefore requests of the gateway that run on other versions
+ * @param activity requests of the gateway that are in flight
  * @param sessions active sessions that run on another version than their hash assigns them to
  */
 public record RolloutCounts(
@@ -23,11 +23,12 @@
         int stage,
         long stageStartMillis,
         long passedMillis,
-        int runningBefore,
+        GatewayActivity activity,
         List<SessionUse> sessions) {
     /** Checks the arguments and copies the collections. */
     public RolloutCounts {
         Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(activity, "activity is null");
         routes = Map.copyOf(Objects.requireNonNull(routes, "routes is null"));
         sessions = List.copyOf(Objects.requireNonNull(sessions, "sessions is null"));
     }
--- a/src/main/java/org/masticpaddle/rollout/SequentialTest.java
+++ b/src/main/java/org/masticpaddle/rollout/SequentialTest.java
@@ -78,6 +78,21 @@
         return ratioSum / (3 * FAULT_SIZES.length);
     }
 
+    /**
+     * Computes how likely a fault in errors or latency is, compared with none. Ratings are not included, since gateways get
+     * none.
+     *
+     * @param counts observations of the version since the test began
+     * @param baseline highest rates that do not count as a fault
+     * @param faultSize size of the fault, as a fraction of the distance from the baseline rate to a rate of 1
+     * @return the larger likelihood ratio of both measures, 1 without observations
+     */
+    public static double faultRatio(HealthCounts counts, HealthBaseline baseline, double faultSize) {
+        return Math.exp(Math.max(
+                logRatio(counts.errors(), counts.requests(), baseline.errorRate(), faultSize),
+                logRatio(counts.slow(), counts.requests(), baseline.slowRate(), faultSize)));
+    }
+
     /** Returns the sum of 1 minus the rating over all rated answers. */
     private static double complaints(HealthCounts counts) {
         return counts.rated() - counts.ratings();
--- a/src/main/java/org/masticpaddle/rollout/SessionUse.java
+++ b/src/main/java/org/masticpaddle/rollout/SessionUse.java
@@ -3,13 +3,12 @@
 import java.util.Objects;
 
 /**
- * Session that runs on another version than its hash assigns it to, as gateways tell each other. Immutable.
+ * Session that stays on another version than its hash assigns it to, as gateways tell each other. Immutable.
  *
  * @param sessionHash hash of the session's identifier, in hexadecimal
- * @param newVersion whether it runs on the version that is rolled out
- * @param remainingMillis time after which the session has timed out, in milliseconds
+ * @param newVersion whether it stays on the version that is rolled out, as opposed to an old version
  */
-public record SessionUse(String sessionHash, boolean newVersion, long remainingMillis) {
+public record SessionUse(String sessionHash, boolean newVersion) {
     /** Checks the arguments. */
     public SessionUse {
         Objects.requireNonNull(sessionHash, "sessionHash is null");
--- a/src/main/java/org/masticpaddle/rollout/VersionRollout.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionRollout.java
@@ -26,10 +26,18 @@
     private static final double EARLIEST_COMPLETION_FRACTION = 0.76;
     /** Fraction of the time limit within which active sessions stay on the old version: half of it and a margin for the clocks. */
     private static final double KEEP_SESSIONS_FRACTION = 0.52;
-    /** Answers of the new version that are required before the next stage is entered. */
-    private static final double MIN_NEW_VERSION_ANSWERS = 4;
+    /** Answers that are required in a stage, so that its load has shown, before the next stage or the completion. */
+    private static final double MIN_STAGE_ANSWERS = 8;
     /** Evidence against the new version, as a likelihood ratio, from which on no further stage is entered. */
     private static final double ADVANCE_EVIDENCE_LIMIT = 8;
+    /** Likelihood ratio up to which a fault is excluded. */
+    private static final double MAX_EXCLUDED_RATIO = 0.1;
+    /** Likelihood ratio up to which a fault is excluded on a single route, which has fewer answers. */
+    private static final double MAX_EXCLUDED_ROUTE_RATIO = 0.3;
+    /** Size of the fault that must be excluded on a single route. */
+    private static final double EXCLUDED_ROUTE_FAULT = 0.4;
+    /** Part of the answers from which on a route is judged by itself before all traffic is shifted. */
+    private static final double MIN_ROUTE_PART = 0.1;
 
     /**
      * Time from the decision on a stage to its start, within which all gateways hear of it. Before the first stage they tell
@@ -43,12 +51,15 @@
     private final String version;
     private final long order;
     private final Duration timeLimit;
+    private final double exposureShare;
     private long startNanos;
     private final Map<String, RouteCounts> localCounts = new HashMap<>();
     private final Map<String, RolloutCounts> peerCounts = new HashMap<>();
     private RolloutStage stage = RolloutStage.CANARY;
     private long stageStartMillis = STAGE_NOTICE_MILLIS;
     private Optional<RolloutProgress> progress = Optional.empty();
+    private RolloutStage countedStage = RolloutStage.CANARY;
+    private double answersBeforeStage;
     private boolean halted;
 
     /**
@@ -58,13 +69,16 @@
      * @param version version to roll out
      * @param order identifier of the order, its offset in the operators' stream
      * @param timeLimit time from the order within which the rollout must end
+     * @param exposureShare share of the requests that a bad version may get, between 0 and 1
      * @param startNanos time of the order by the scheduler's clock, in nanoseconds
      */
-    public VersionRollout(String service, String version, long order, Duration timeLimit, long startNanos) {
+    public VersionRollout(
+            String service, String version, long order, Duration timeLimit, double exposureShare, long startNanos) {
         this.service = Objects.requireNonNull(service, "service is null");
         this.version = Objects.requireNonNull(version, "version is null");
         this.order = order;
         this.timeLimit = Objects.requireNonNull(timeLimit, "timeLimit is null");
+        this.exposureShare = exposureShare;
         this.startNanos = startNanos;
     }
 
@@ -124,7 +138,10 @@
     public double share(long now) {
         return progress.filter(RolloutProgress::ended)
                 .map(ended -> ended == RolloutProgress.COMPLETED ? 1.0 : 0.0)
-                .orElse(halted ? 0.0 : stageStarted(now) ? stage.share() : stage.shareBefore());
+                .orElse(
+                        halted
+                                ? 0.0
+                                : stageStarted(now) ? stage.share(exposureShare) : stage.shareBefore(exposureShare));
     }
 
     /**
@@ -133,7 +150,7 @@
      * @return share between 0 and 1
      */
     public double scheduledShare() {
-        return stage.share();
+        return stage.share(exposureShare);
     }
 
     /**
@@ -169,7 +186,7 @@
      * @param newVersion whether an upstream of the new version gave the answer
      * @param route name of the route
      * @param successful whether the upstream answered without a failure
-     * @param slow whether the answer took several times longer than expected
+     * @param slow whether the answer took several times longer than expected, also if it has not ended
      */
     public void recordAnswer(boolean newVersion, String route, boolean successful, boolean slow) {
         localCounts.merge(route, RouteCounts.NONE.withAnswer(newVersion, successful, slow), RouteCounts::plus);
@@ -198,44 +215,28 @@
         }
     }
 
-    /**
-     * Converts a time since the order to the scheduler's clock.
-     *
-     * @param passedMillis time since the order, in milliseconds, as another gateway published it
-     * @return time by the scheduler's clock, in nanoseconds
-     */
-    public long nanosOf(long passedMillis) {
-        return startNanos + passedMillis * NANOS_PER_MILLI;
-    }
-
     /**
      * Returns the state of this gateway for publication.
      *
-     * @param runningOnOldVersions requests of this gateway that run on other versions
+     * @param activity requests of this gateway that are in flight
      * @param sessions active sessions that run on another version than their hash assigns them to
      * @param now current time by the scheduler's clock, in nanoseconds
      * @return counts that the other gateways merge
      */
-    public RolloutCounts counts(int runningOnOldVersions, List<SessionUse> sessions, long now) {
+    public RolloutCounts counts(GatewayActivity activity, List<SessionUse> sessions, long now) {
         return new RolloutCounts(
-                service,
-                order,
-                localCounts,
-                stage.ordinal(),
-                stageStartMillis,
-                elapsedMillis(now),
-                runningOnOldVersions,
-                sessions);
+                service, order, localCounts, stage.ordinal(), stageStartMillis, elapsedMillis(now), activity, sessions);
     }
 
     /**
-     * Schedules the next stage if it is due and the evidence allows it, and decides whether the rollout ends.
+     * Schedules the next stage if it is due and the evidence allows it, and decides whether the rollout ends. Both need
+     * evidence that the new version is healthy; without it the rollout stays where it is.
      *
-     * @param runningOnOldVersions requests of this gateway that run on other versions
+     * @param activity requests of this gateway that are in flight
      * @param now current time by the scheduler's clock, in nanoseconds
      * @return progress to propose to the other gateways, empty if the agreed one still holds
      */
-    public Optional<RolloutProgress> step(int runningOnOldVersions, long now) {
+    public Optional<RolloutProgress> step(GatewayActivity activity, long now) {
         if (progress.filter(RolloutProgress::ended).isPresent()) {
             return Optional.empty();
         }
@@ -246,35 +247,65 @@
         if (halted) {
             return Optional.of(RolloutProgress.ROLLED_BACK);
         }
-        final double elapsedFraction = (now - startNanos) / (double) timeLimit.toNanos();
-        scheduleNextStage(evidence, now);
-        final boolean oldVersionsDrained = runningOnOldVersions == 0
-                && peerCounts.values().stream().allMatch(counts -> counts.runningBefore() == 0);
-        if (stage == RolloutStage.ALL
-                && stageStarted(now)
-                && elapsedFraction
-                        >= (oldVersionsDrained ? EARLIEST_COMPLETION_FRACTION : LATEST_COMPLETION_FRACTION)) {
-            return Optional.of(RolloutProgress.COMPLETED);
+        if (stageStarted(now) && countedStage != stage) {
+            countedStage = stage;
+            answersBeforeStage = totals().after().requests();
+        }
+        if (stageStarted(now) && evidence < ADVANCE_EVIDENCE_LIMIT) {
+            if (stage != RolloutStage.ALL) {
+                scheduleNextStage(activity, now);
+            } else if (mayComplete(activity, now)) {
+                return Optional.of(RolloutProgress.COMPLETED);
+            }
         }
         return progress.isEmpty() ? Optional.of(RolloutProgress.RUNNING) : Optional.empty();
     }
 
-    private void scheduleNextStage(double evidence, long now) {
-        if (stage == RolloutStage.ALL
-                || !stageStarted(now)
-                || evidence >= ADVANCE_EVIDENCE_LIMIT
-                || totals().after().requests() < MIN_NEW_VERSION_ANSWERS) {
-            return;
-        }
+    private void scheduleNextStage(GatewayActivity activity, long now) {
         final RolloutStage nextStage = RolloutStage.values()[stage.ordinal() + 1];
         final long earliestStartMillis = (long) (nextStage.earliestStartFraction() * timeLimit.toMillis());
         final long noticedStartMillis = elapsedMillis(now) + STAGE_NOTICE_MILLIS;
-        if (noticedStartMillis >= earliestStartMillis) {
+        if (noticedStartMillis >= earliestStartMillis && healthyFor(nextStage, activity)) {
             stage = nextStage;
             stageStartMillis = noticedStartMillis;
         }
     }
 
+    private boolean mayComplete(GatewayActivity activity, long now) {
+        final boolean oldVersionsDrained = activity.onOldVersions() == 0
+                && peerCounts.values().stream()
+                        .allMatch(counts -> counts.activity().onOldVersions() == 0);
+        final double elapsedFraction = (now - startNanos) / (double) timeLimit.toNanos();
+        return elapsedFraction >= (oldVersionsDrained ? EARLIEST_COMPLETION_FRACTION : LATEST_COMPLETION_FRACTION)
+                && healthyFor(RolloutStage.ALL, activity);
+    }
+
+    /**
+     * Returns whether the answers so far exclude the fault that must be excluded for a stage. Answers that are later than
+     * expected count as slow until they have arrived.
+     */
+    private boolean healthyFor(RolloutStage nextStage, GatewayActivity activity) {
+        final RouteCounts totals = totals();
+        if (totals.after().requests() - answersBeforeStage < MIN_STAGE_ANSWERS) {
+            return false;
+        }
+        final int late = activity.lateOnNewVersion()
+                + peerCounts.values().stream()
+                        .mapToInt(counts -> counts.activity().lateOnNewVersion())
+                        .sum();
+        final HealthCounts withLate = totals.after().plus(new HealthCounts(late, 0, late, 0, 0));
+        return SequentialTest.faultRatio(withLate, baseline(totals), nextStage.excludedFault()) <= MAX_EXCLUDED_RATIO
+                && (nextStage != RolloutStage.ALL || healthyOnEachRoute(totals));
+    }
+
+    private boolean healthyOnEachRoute(RouteCounts totals) {
+        return countsByRoute().values().stream()
+                .filter(counts -> counts.before().requests()
+                        >= MIN_ROUTE_PART * totals.before().requests())
+                .allMatch(counts -> SequentialTest.faultRatio(counts.after(), baseline(counts), EXCLUDED_ROUTE_FAULT)
+                        <= MAX_EXCLUDED_ROUTE_RATIO);
+    }
+
     /**
      * Computes the evidence against the new version, over all routes together and for each route. The evidence of a single
      * route is divided by the number of routes, to correct for testing several routes.
@@ -291,7 +322,11 @@
     }
 
     private static double evidence(RouteCounts counts) {
-        return SequentialTest.evidence(counts.after(), HealthBaseline.of(counts.before(), 1, 1));
+        return SequentialTest.evidence(counts.after(), baseline(counts));
+    }
+
+    private static HealthBaseline baseline(RouteCounts counts) {
+        return HealthBaseline.of(counts.before(), 1, 1);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -71,13 +71,17 @@
     }
 
     /**
-     * Records the event interval of a stream.
+     * Records the event interval of a stream. The first one replaces the initial estimate, which may be far off.
      *
      * @param model name of the model
      * @param relativeCost ratio of its price to that of the most expensive model
      * @param millis mean time between two events of the stream in milliseconds
      */
     public void recordEventInterval(String model, double relativeCost, double millis) {
+        if (!millisPerEvent.containsKey(model)) {
+            millisPerEvent.put(model, millis);
+            return;
+        }
         final double average = eventIntervalMillis(model, relativeCost);
         millisPerEvent.put(model, average + SMOOTHING_FACTOR * (clamped(millis, average) - average));
     }
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -150,7 +150,7 @@
                 scheduler,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()),
                 new DecisionLog(name, () -> 0, text -> {}),
-                Duration.ofSeconds(5));
+                RolloutDeployment.BOUNDS);
     }
 
     private static Upstream upstream(String id, String version) {
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -18,6 +18,16 @@
 final class RolloutDeployment {
     static final Upstream OLD = upstream("old", "v1");
     static final Upstream NEW = upstream("new", "v2");
+    static final GatewayBounds BOUNDS = new GatewayBounds(
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(2),
+            Duration.ofSeconds(8),
+            0.9,
+            54,
+            Duration.ofSeconds(10),
+            0.15,
+            30,
+            Duration.ofSeconds(5));
     static final Duration TIME_LIMIT = Duration.ofSeconds(16);
 
     private static final long ORDER_OFFSET = 3;
@@ -48,7 +58,7 @@
                 scheduler,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()),
                 new DecisionLog(name, () -> 0, text -> {}),
-                Duration.ofSeconds(5)));
+                BOUNDS));
         gateways.get(gateways.size() - 1).tick();
     }
 
--- a/src/test/java/org/masticpaddle/rollout/VersionRolloutTest.java
+++ b/src/test/java/org/masticpaddle/rollout/VersionRolloutTest.java
@@ -13,12 +13,13 @@
 /** Guards against shifting traffic to a bad version, and against a rollout of a good version that never completes. */
 class VersionRolloutTest {
     private static final long SECOND_NANOS = 1_000_000_000L;
+    private static final double EXPOSURE_SHARE = 0.15;
 
-    private final VersionRollout rollout = new VersionRollout("s", "v2", 7, Duration.ofSeconds(20), 0);
+    private final VersionRollout rollout = new VersionRollout("s", "v2", 7, Duration.ofSeconds(20), EXPOSURE_SHARE, 0);
 
     @Test
     void shouldStartWithFewSessions() {
-        assertThat(rollout.step(0, SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.RUNNING));
+        assertThat(rollout.step(GatewayActivity.NONE, SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.RUNNING));
         assertThat(rollout.share(SECOND_NANOS)).isLessThan(0.1);
     }
 
@@ -28,12 +29,14 @@
         rollout.applyProgress(RolloutProgress.RUNNING);
         double share = 0;
         for (int second = 1; second <= 15; second++) {
-            rollout.step(0, second * SECOND_NANOS);
+            recordAnswers(20, 0);
+            rollout.step(GatewayActivity.NONE, second * SECOND_NANOS);
             assertThat(rollout.share(second * SECOND_NANOS)).isAtLeast(share);
             share = rollout.share(second * SECOND_NANOS);
         }
         assertThat(share).isEqualTo(1.0);
-        assertThat(rollout.step(0, 16 * SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.COMPLETED));
+        assertThat(rollout.step(GatewayActivity.NONE, 16 * SECOND_NANOS))
+                .isEqualTo(Optional.of(RolloutProgress.COMPLETED));
     }
 
     @Test
@@ -41,16 +44,19 @@
         recordAnswers(40, 0);
         rollout.applyProgress(RolloutProgress.RUNNING);
         for (int second = 1; second <= 15; second++) {
-            rollout.step(3, second * SECOND_NANOS);
+            recordAnswers(20, 0);
+            rollout.step(new GatewayActivity(3, 0), second * SECOND_NANOS);
         }
-        assertThat(rollout.step(3, 16 * SECOND_NANOS)).isEqualTo(Optional.empty());
-        assertThat(rollout.step(3, 18 * SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.COMPLETED));
+        assertThat(rollout.step(new GatewayActivity(3, 0), 16 * SECOND_NANOS)).isEqualTo(Optional.empty());
+        assertThat(rollout.step(new GatewayActivity(3, 0), 18 * SECOND_NANOS))
+                .isEqualTo(Optional.of(RolloutProgress.COMPLETED));
     }
 
     @Test
     void shouldRollBackAVersionThatFails() {
         recordAnswers(6, 6);
-        assertThat(rollout.step(0, 3 * SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
+        assertThat(rollout.step(GatewayActivity.NONE, 3 * SECOND_NANOS))
+                .isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
         assertThat(rollout.share(3 * SECOND_NANOS)).isEqualTo(0.0);
     }
 
@@ -64,18 +70,20 @@
                 rollout.recordAnswer(true, "b", count % 10 != 0, false);
             }
         }
-        assertThat(rollout.step(0, 3 * SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
+        assertThat(rollout.step(GatewayActivity.NONE, 3 * SECOND_NANOS))
+                .isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
     }
 
     @Test
     void shouldMergeCountsOfOtherGateways() {
         recordAnswers(2, 0);
-        final VersionRollout other = new VersionRollout("s", "v2", 7, Duration.ofSeconds(20), 0);
+        final VersionRollout other = new VersionRollout("s", "v2", 7, Duration.ofSeconds(20), EXPOSURE_SHARE, 0);
         for (int count = 0; count < 6; count++) {
             other.recordAnswer(true, "a", false, false);
         }
-        rollout.mergeCounts("other", other.counts(0, List.of(), SECOND_NANOS), SECOND_NANOS);
-        assertThat(rollout.step(0, 3 * SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
+        rollout.mergeCounts("other", other.counts(GatewayActivity.NONE, List.of(), SECOND_NANOS), SECOND_NANOS);
+        assertThat(rollout.step(GatewayActivity.NONE, 3 * SECOND_NANOS))
+                .isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
     }
 
     @Test
@@ -89,7 +97,7 @@
                         3,
                         8_000,
                         9_000,
-                        0,
+                        GatewayActivity.NONE,
                         List.of()),
                 SECOND_NANOS);
         assertThat(rollout.totals().after().requests()).isEqualTo(0.0);
@@ -99,23 +107,53 @@
     void shouldNotAdvanceWithoutAnswersOfTheNewVersion() {
         rollout.applyProgress(RolloutProgress.RUNNING);
         for (int second = 1; second <= 19; second++) {
-            assertThat(rollout.step(0, second * SECOND_NANOS)).isEqualTo(Optional.empty());
+            assertThat(rollout.step(GatewayActivity.NONE, second * SECOND_NANOS))
+                    .isEqualTo(Optional.empty());
+        }
+        assertThat(rollout.share(19 * SECOND_NANOS)).isLessThan(0.1);
+    }
+
+    @Test
+    void shouldNotAdvanceWhileAnswersAreLate() {
+        rollout.applyProgress(RolloutProgress.RUNNING);
+        for (int second = 1; second <= 19; second++) {
+            recordAnswers(2, 0);
+            assertThat(rollout.step(new GatewayActivity(0, 20), second * SECOND_NANOS))
+                    .isEqualTo(Optional.empty());
+        }
+        assertThat(rollout.share(19 * SECOND_NANOS)).isLessThan(0.1);
+    }
+
+    @Test
+    void shouldNotAdvanceOnFewAnswers() {
+        rollout.applyProgress(RolloutProgress.RUNNING);
+        recordAnswers(4, 0);
+        for (int second = 1; second <= 19; second++) {
+            rollout.step(GatewayActivity.NONE, second * SECOND_NANOS);
         }
         assertThat(rollout.share(19 * SECOND_NANOS)).isLessThan(0.1);
     }
 
     @Test
     void shouldAdoptStageOfRolloutStartedEarlier() {
-        final VersionRollout late = new VersionRollout("s", "v2", 7, Duration.ofSeconds(20), 12 * SECOND_NANOS);
+        final VersionRollout late =
+                new VersionRollout("s", "v2", 7, Duration.ofSeconds(20), EXPOSURE_SHARE, 12 * SECOND_NANOS);
         recordAnswers(40, 0);
         rollout.applyProgress(RolloutProgress.RUNNING);
         for (int second = 1; second <= 14; second++) {
-            rollout.step(0, second * SECOND_NANOS);
+            recordAnswers(20, 0);
+            rollout.step(GatewayActivity.NONE, second * SECOND_NANOS);
         }
-        late.mergeCounts("other", rollout.counts(0, List.of(), 14 * SECOND_NANOS), 14 * SECOND_NANOS);
+        late.mergeCounts(
+                "other", rollout.counts(GatewayActivity.NONE, List.of(), 14 * SECOND_NANOS), 14 * SECOND_NANOS);
         assertThat(late.share(15 * SECOND_NANOS)).isEqualTo(rollout.share(15 * SECOND_NANOS));
         late.applyProgress(RolloutProgress.RUNNING);
-        assertThat(late.step(0, 16 * SECOND_NANOS)).isEqualTo(Optional.of(RolloutProgress.COMPLETED));
+        late.step(GatewayActivity.NONE, 15 * SECOND_NANOS);
+        for (int count = 0; count < 10; count++) {
+            late.recordAnswer(true, "a", true, false);
+        }
+        assertThat(late.step(GatewayActivity.NONE, 16 * SECOND_NANOS))
+                .isEqualTo(Optional.of(RolloutProgress.COMPLETED));
     }
 
     @Test
