Detect slow versions earlier and tolerate the load of the last stage

Cause: the old version lost its load, its answers became faster, and the estimate that the new version was compared with followed them (event interval 162 ms at the order, 76 ms at the end).

Now estimates learn from old versions only while these have their usual load; an answer is slow from 1.5 times the expected time on; the canary uses more of the permitted exposure, the next stage less, so that both stay within it until the time limit if there is no verdict; the last stage, in which all new upstreams have cold caches, tolerates more slow answers.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -496,7 +496,7 @@
 
     private void recordEventInterval() {
         final int intervals = relay.get().relayedEvents() - eventsBeforeAttempt - 1;
-        if (intervals > 0 && !model.isEmpty() && isReference(attempt)) {
+        if (intervals > 0 && !model.isEmpty() && updatesEstimates(attempt)) {
             serviceTimes()
                     .recordEventInterval(model, relativeCost(modelIndex), (now() - firstEventNanos) / 1e6 / intervals);
         }
@@ -504,7 +504,7 @@
 
     private void recordServiceTime(Attempt measured, double millis) {
         measured.upstream().onSuccess(measured.expectedMillis(), millis);
-        if (!isReference(measured)) {
+        if (!updatesEstimates(measured)) {
             return;
         }
         if (!model.isEmpty() && measured.sentWithoutBacklog()) {
@@ -514,8 +514,8 @@
         }
     }
 
-    private boolean isReference(Attempt measured) {
-        return !context.versionRouter().underTest(measured.upstream().upstream());
+    private boolean updatesEstimates(Attempt measured) {
+        return context.versionRouter().updatesEstimates(measured.upstream().upstream());
     }
 
     private static int uncachedTokens(Attempt sent) {
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -396,10 +396,13 @@
     }
 
     @Override
-    public boolean underTest(Upstream upstream) {
+    public boolean updatesEstimates(Upstream upstream) {
         return Optional.ofNullable(rollouts.get(upstream.service()))
-                .filter(active -> !active.ended() && upstream.version().equals(active.rollout.version()))
-                .isPresent();
+                .filter(active -> !active.ended())
+                .map(active -> active.rollout)
+                .map(rollout -> !upstream.version().equals(rollout.version())
+                        && rollout.oldVersionsFullyLoaded(scheduler.nanos()))
+                .orElse(true);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/VersionRouter.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionRouter.java
@@ -31,13 +31,13 @@
     AttemptObserver attemptSent(SentAttempt attempt);
 
     /**
-     * Returns whether an upstream has a version that is being rolled out. Its answers must not change the estimates that
-     * they are compared with.
+     * Returns whether the estimates of service times may learn from an upstream. During a rollout they are what the new version
+     * is compared with, so they learn neither from it nor from old versions that have lost their load to it.
      *
      * @param upstream the upstream
-     * @return {@code true} until the rollout has ended
+     * @return {@code true} if no rollout of its service is in progress
      */
-    boolean underTest(Upstream upstream);
+    boolean updatesEstimates(Upstream upstream);
 
     /**
      * An attempt that is sent to an upstream. Immutable.
--- a/src/main/java/org/masticpaddle/rollout/AnswerTiming.java
+++ b/src/main/java/org/masticpaddle/rollout/AnswerTiming.java
@@ -7,7 +7,7 @@
  */
 public final class AnswerTiming {
     /** Multiple of the expected time, plus the margin below, beyond which an answer is slow. */
-    private static final double SLOW_FACTOR = 2.5;
+    private static final double SLOW_FACTOR = 1.5;
     /** Margin for the jitter of short answers. */
     private static final double MARGIN_MILLIS = 50;
     /** Events after which the pace of a stream is known. */
@@ -29,7 +29,7 @@
         LATE,
         /** It has kept the expected pace for long enough. */
         ON_TIME,
-        /** It takes several times as long as expected. */
+        /** It takes much longer than expected. */
         SLOW
     }
 
--- a/src/main/java/org/masticpaddle/rollout/HealthBaseline.java
+++ b/src/main/java/org/masticpaddle/rollout/HealthBaseline.java
@@ -50,6 +50,16 @@
                         + SLOW_RATE_TOLERANCE);
     }
 
+    /**
+     * Returns a baseline that tolerates more slow answers.
+     *
+     * @param increase increase of the rate of slow answers that has another cause than the version
+     * @return the baseline with the higher rate
+     */
+    public HealthBaseline withSlowTolerance(double increase) {
+        return new HealthBaseline(complaintRate, errorRate, slowRate + increase);
+    }
+
     /** Returns an upper confidence bound of a rate. */
     private static double upperConfidenceBound(double badCount, double totalCount) {
         final double rate = Math.min(1, badCount / totalCount);
--- a/src/main/java/org/masticpaddle/rollout/RolloutStage.java
+++ b/src/main/java/org/masticpaddle/rollout/RolloutStage.java
@@ -4,33 +4,29 @@
  * Stages of a rollout, with the fraction of its time limit after which each may start, the share of sessions that are
  * routed to the new version, and the fault that the evidence must exclude before it.
  *
+ * <p>Invariant: without a verdict the first two stages together stay within the permitted exposure until the time limit.
+ *
  * <p>In the first half of the time active sessions stay on the old version, so the share is small. Sessions are assigned by
  * their hash and the share only grows, so a session on the new version stays there.
  */
 enum RolloutStage {
-    /** Collects evidence within the exposure that a bad version may have. */
-    CANARY(0, 0, 1) {
-        @Override
-        double share(double exposureShare) {
-            return CANARY_EXPOSURE_FRACTION * exposureShare;
-        }
-    },
-    /** Routes a quarter of the sessions to the new version, so that a fault under load shows. */
-    QUARTER(0.55, 0.25, 0.4),
-    /** Sends everything to the new version. */
-    ALL(0.65, 1, 0.2);
-
-    /** Part of the permitted exposure that the canary uses; the rest is left for the later stages. */
-    private static final double CANARY_EXPOSURE_FRACTION = 0.5;
+    /** Collects evidence on few sessions. */
+    CANARY(0, 0.8, 1, 0),
+    /** Collects evidence under more load. */
+    PARTIAL(0.55, 1.2, 0.4, 0),
+    /** Sends everything to the new version. Its upstreams get all the load with cold caches, so more slow answers are due. */
+    ALL(0.65, Double.POSITIVE_INFINITY, 0.2, 0.1);
 
     private final double earliestStartFraction;
-    private final double share;
+    private final double exposureFactor;
     private final double excludedFault;
+    private final double slowTolerance;
 
-    RolloutStage(double earliestStart, double share, double excludedFault) {
+    RolloutStage(double earliestStart, double exposureFactor, double excludedFault, double slowTolerance) {
         this.earliestStartFraction = earliestStart;
-        this.share = share;
+        this.exposureFactor = exposureFactor;
         this.excludedFault = excludedFault;
+        this.slowTolerance = slowTolerance;
     }
 
     /**
@@ -39,7 +35,7 @@
      * @param exposureShare share of the requests that a bad version may get
      */
     double share(double exposureShare) {
-        return share;
+        return Math.min(1, exposureFactor * exposureShare);
     }
 
     /** Returns the share of the sessions before the stage. */
@@ -56,4 +52,9 @@
     double excludedFault() {
         return excludedFault;
     }
+
+    /** Returns the increase of the rate of slow answers that the stage itself causes. */
+    double slowTolerance() {
+        return slowTolerance;
+    }
 }
--- a/src/main/java/org/masticpaddle/rollout/VersionRollout.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionRollout.java
@@ -162,6 +162,16 @@
         return halted;
     }
 
+    /**
+     * Returns whether the old versions still get the load that they had before the rollout, apart from the canary's.
+     *
+     * @param now current time by the scheduler's clock, in nanoseconds
+     * @return {@code false} from the stage after the canary on
+     */
+    public boolean oldVersionsFullyLoaded(long now) {
+        return stage == RolloutStage.CANARY || stage == RolloutStage.PARTIAL && !stageStarted(now);
+    }
+
     /**
      * Returns whether active sessions stay on the old version.
      *
@@ -321,12 +331,12 @@
         return maxEvidence;
     }
 
-    private static double evidence(RouteCounts counts) {
+    private double evidence(RouteCounts counts) {
         return SequentialTest.evidence(counts.after(), baseline(counts));
     }
 
-    private static HealthBaseline baseline(RouteCounts counts) {
-        return HealthBaseline.of(counts.before(), 1, 1);
+    private HealthBaseline baseline(RouteCounts counts) {
+        return HealthBaseline.of(counts.before(), 1, 1).withSlowTolerance(countedStage.slowTolerance());
     }
 
     /**
