Close connections whose responses do not end

An upstream in trouble may send bytes without end, in a head or a body. Undertow's client collects a head, or the size of a chunk, for as long as the peer sends one; the gateway kept such bodies and events in memory until the deadline. Six of seven cases of EndlessResponseTest failed before with a request still open after 20 s.

The connection now fails when 64 KiB were read without a complete head or a byte of the body, a collected body exceeds 16 MiB, a body of a gateway's answer exceeds 4 MiB, or an event exceeds 1 MiB; the attempt may then be retried like any other that broke off. Reading a body yields the I/O thread after 16 reads. EndlessResponseTest, StreamRelayTest, LargeBodyTest and ClosedConnectionTest pass.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -20,6 +20,9 @@
  * Used on the event loop only.
  */
 final class Attempt {
+    /** Largest body of an answer that is not a stream. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
     private final UpstreamState upstream;
     private final InFlightRequest inFlight;
     private final double expectedMillis;
@@ -119,8 +122,13 @@
         }
     }
 
+    /** Keeps bytes of a body for the caller, or fails the attempt if the body is too large. */
     void bufferBody(byte[] bytes) {
-        body.writeBytes(bytes);
+        if (body.size() + bytes.length > MAX_BODY_BYTES) {
+            fail("the body exceeds " + MAX_BODY_BYTES + " bytes");
+        } else {
+            body.writeBytes(bytes);
+        }
     }
 
     byte[] body() {
--- a/src/main/java/org/masticpaddle/gateway/EventSplitter.java
+++ b/src/main/java/org/masticpaddle/gateway/EventSplitter.java
@@ -44,6 +44,11 @@
         currentEvent.write(bytes, from, bytes.length - from);
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int remainderBytes() {
+        return currentEvent.size();
+    }
+
     /** Returns the bytes after the last complete event. */
     byte[] remainder() {
         return currentEvent.toByteArray();
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -412,8 +412,10 @@
         if (events > 0) {
             observer.onEvents(events);
         }
-        if (relay.get().outOfSequence() && !receiving.ended()) {
+        if (relay.get().outOfSequence()) {
             receiving.fail("an event is missing or comes twice");
+        } else if (relay.get().eventTooLarge()) {
+            receiving.fail("an event does not end");
         }
     }
 
--- a/src/main/java/org/masticpaddle/gateway/StreamRelay.java
+++ b/src/main/java/org/masticpaddle/gateway/StreamRelay.java
@@ -12,6 +12,9 @@
  * after the response to an attempt is complete and no partial event is left. Used on the event loop only.
  */
 final class StreamRelay {
+    /** Largest event of a stream. */
+    private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
     private final CallerExchange caller;
     private final Map<String, String> headers;
     private final int status;
@@ -77,6 +80,11 @@
         return outOfSequence;
     }
 
+    /** Returns whether the upstream has sent more bytes without the end of an event than an event may have. */
+    boolean eventTooLarge() {
+        return splitter.remainderBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns whether the response to the caller was started. */
     boolean started() {
         return started;
--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -15,6 +15,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.http.FramingLimit;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
@@ -37,6 +38,11 @@
      */
     private static final int MAX_COALESCED_BODY_BYTES = 4 * 1024;
 
+    /** Largest response head, and largest number of bytes that are read without a byte of the body. */
+    private static final int MAX_FRAMING_BYTES = 64 * 1024;
+    /** Reads of a body after which other connections of the I/O thread get their turn. */
+    private static final int MAX_READS_PER_TURN = 16;
+
     private final HttpRequest request;
     private final StreamListener listener;
     private final ByteBufferPool buffers;
@@ -93,18 +99,19 @@
         armIdleTimeout();
         sent = true;
         try {
-            opened.sendRequest(clientRequest(), requestListener());
+            final FramingLimit framingLimit = FramingLimit.install(opened, MAX_FRAMING_BYTES);
+            opened.sendRequest(clientRequest(), requestListener(framingLimit));
         } catch (RuntimeException e) {
             // Undertow throws NullPointerException if the peer resets the connection before the request is written.
             fail(HttpRequestException.Delivery.POSSIBLY_SENT, "request to " + request.origin() + " failed", e);
         }
     }
 
-    private ClientCallback<ClientExchange> requestListener() {
+    private ClientCallback<ClientExchange> requestListener(FramingLimit framingLimit) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
-                exchange.setResponseListener(responseListener());
+                exchange.setResponseListener(responseListener(framingLimit));
                 startWriting(exchange.getRequestChannel());
             }
 
@@ -205,10 +212,11 @@
         }
     }
 
-    private ClientCallback<ClientExchange> responseListener() {
+    private ClientCallback<ClientExchange> responseListener(FramingLimit framingLimit) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
+                framingLimit.onProgress();
                 lastByteNanos = System.nanoTime();
                 final Map<String, String> headers = new HashMap<>();
                 exchange.getResponse()
@@ -217,8 +225,8 @@
                                 values.getHeaderName().toString().toLowerCase(Locale.ROOT), values.getFirst()));
                 notifyListener(() -> listener.onHead(exchange.getResponse().getResponseCode(), headers));
                 final StreamSourceChannel channel = exchange.getResponseChannel();
-                channel.getReadSetter().set(ActiveRequest.this::readBody);
-                readBody(channel);
+                channel.getReadSetter().set(source -> readBody(source, framingLimit));
+                readBody(channel, framingLimit);
             }
 
             @Override
@@ -228,10 +236,14 @@
         };
     }
 
-    private void readBody(StreamSourceChannel channel) {
+    private void readBody(StreamSourceChannel channel, FramingLimit framingLimit) {
         try (PooledByteBuffer pooled = buffers.allocate()) {
             final ByteBuffer buffer = pooled.getBuffer();
-            while (!finished.isDone()) {
+            for (int reads = 0; !finished.isDone(); reads++) {
+                if (reads == MAX_READS_PER_TURN) {
+                    channel.wakeupReads();
+                    return;
+                }
                 buffer.clear();
                 final int count = channel.read(buffer);
                 if (count == 0) {
@@ -243,6 +255,7 @@
                     return;
                 }
                 lastByteNanos = System.nanoTime();
+                framingLimit.onProgress();
                 buffer.flip();
                 final byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -34,6 +34,8 @@
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int MAX_POOLED_BUFFERS = 256;
     private static final int MAX_IDLE_PER_ORIGIN = 64;
+    /** Largest body that is collected; several times the largest page of the log. */
+    private static final int MAX_COLLECTED_BYTES = 16 * 1024 * 1024;
 
     private final int ioThreads;
     private final ConnectionTimeouts timeouts;
@@ -249,6 +251,7 @@
 
     private record IdleConnection(ClientConnection connection, long sinceNanos) {}
 
+    /** Collects a response; refuses a body that is too large, which makes the request fail. Not thread-safe. */
     private static final class ResponseCollector implements StreamListener {
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private int status;
@@ -262,6 +265,9 @@
 
         @Override
         public void onBytes(byte[] bytes) {
+            if (body.size() + bytes.length > MAX_COLLECTED_BYTES) {
+                throw new IllegalStateException("the body exceeds " + MAX_COLLECTED_BYTES + " bytes");
+            }
             body.writeBytes(bytes);
         }
 
--- a/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
+++ b/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
@@ -53,6 +53,17 @@
         assertThat(caller.text()).isEqualTo("begin 200;id: 1\ndata: a\n\n;");
     }
 
+    @Test
+    void shouldNoticeEventWithoutEnd() {
+        relay.accept(bytes("id: 1\ndata: a\n\nid: 2\ndata: "));
+        for (int block = 0; block < 40 && !relay.eventTooLarge(); block++) {
+            relay.accept(new byte[64 * 1024]);
+        }
+        assertThat(relay.eventTooLarge()).isTrue();
+        relay.resume();
+        assertThat(relay.eventTooLarge()).isFalse();
+    }
+
     @Test
     void shouldCheckFirstEventOfStreamResumedByCaller() {
         final StreamRelay resumed = new StreamRelay(caller, 200, Map.of(), OptionalLong.of(5));
