Send the canary's sessions to as many upstreams as match its share

Cause: the canary's few sessions were spread over all new upstreams, which idled; there a slow version answers as fast as the old one does under load (19% to 27% slow answers of the new version, 16% to 31% of the old one).

The sessions now go to as many new upstreams as their share of them, so that each has about the load of an old one; faults under load show earlier as well. SlowVersionTest checks the number of upstreams; on the commit before the test sees all eight.

--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.gateway;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -37,6 +38,7 @@
 import org.masticpaddle.rollout.RouteCounts;
 import org.masticpaddle.rollout.SessionVersions;
 import org.masticpaddle.rollout.VersionRollout;
+import org.masticpaddle.wire.Hashing;
 import org.masticpaddle.wire.Json;
 import org.masticpaddle.wire.MalformedMessageException;
 
@@ -355,14 +357,15 @@
             return new EligibleUpstreams(oldVersions, oldVersions, oldVersions, Assignment.OLD_SHARE, share);
         }
         final Optional<Boolean> onNewVersion = session.flatMap(active.sessions::staysOnNewVersion);
+        final Predicate<Upstream> canaries = canaries(rollout, share);
         if (onNewVersion.isPresent() && onNewVersion.get()) {
-            return new EligibleUpstreams(newVersion, newVersion, all, Assignment.SESSION_ON_NEW, share);
+            return new EligibleUpstreams(canaries, newVersion, all, Assignment.SESSION_ON_NEW, share);
         }
         if (onNewVersion.isPresent() && rollout.keepsSessionsOnOldVersion(now)) {
             return new EligibleUpstreams(oldVersions, oldVersions, all, Assignment.SESSION_ON_OLD, share);
         }
         if (SessionVersions.fraction(session.orElse(requestId)) < share) {
-            return new EligibleUpstreams(newVersion, all, all, Assignment.NEW_SHARE, share);
+            return new EligibleUpstreams(canaries, all, all, Assignment.NEW_SHARE, share);
         }
         return new EligibleUpstreams(
                 oldVersions,
@@ -372,6 +375,21 @@
                 share);
     }
 
+    /**
+     * Returns the upstreams of the new version that the share of the sessions is sent to: as many that each gets about the load
+     * of an old one. On idle upstreams a slow version answers as fast as a sound one under load.
+     */
+    private Predicate<Upstream> canaries(VersionRollout rollout, double share) {
+        final List<String> ids = registry.members(rollout.service()).stream()
+                .map(UpstreamState::upstream)
+                .filter(upstream -> upstream.version().equals(rollout.version()))
+                .map(Upstream::id)
+                .sorted(Comparator.comparingLong(Hashing::hash64).thenComparing(Comparator.naturalOrder()))
+                .toList();
+        final Set<String> chosen = Set.copyOf(ids.subList(0, (int) Math.ceil(share * ids.size())));
+        return upstream -> chosen.contains(upstream.id());
+    }
+
     private ActiveSessions sessions(String service) {
         return sessionsByService.computeIfAbsent(service, name -> new ActiveSessions(bounds.session()));
     }
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -79,6 +79,13 @@
         registries.forEach(registry -> registry.applyEntry(NEW, scheduler.nanos()));
     }
 
+    /** Makes another upstream of the new version known to all gateways. */
+    Upstream addNewUpstream(String id) {
+        final Upstream upstream = upstream(id, NEW.version());
+        registries.forEach(registry -> registry.applyEntry(upstream, scheduler.nanos()));
+        return upstream;
+    }
+
     /** Gives the order for the new version to one gateway. */
     void order(int gatewayIndex) {
         gateways.get(gatewayIndex)
--- a/src/test/java/org/masticpaddle/gateway/SlowVersionTest.java
+++ b/src/test/java/org/masticpaddle/gateway/SlowVersionTest.java
@@ -1,7 +1,10 @@
 package org.masticpaddle.gateway;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.masticpaddle.control.RolloutProgress;
@@ -50,6 +53,26 @@
                 .inOrder();
     }
 
+    @Test
+    void shouldLoadEachCanaryUpstreamLikeAnOldOne() {
+        final List<Upstream> newUpstreams = new ArrayList<>(List.of(RolloutDeployment.NEW));
+        for (int number = 1; number < 8; number++) {
+            newUpstreams.add(deployment.addNewUpstream("new-" + number));
+        }
+        deployment.advance(1_000);
+        deployment.orderEverywhere();
+        deployment.advance(3_000);
+        final Set<Upstream> used = new HashSet<>();
+        for (int number = 0; number < 1_000; number++) {
+            final Optional<String> session = Optional.of("session-" + number);
+            for (final RolloutCoordinator gateway : deployment.gateways()) {
+                final VersionRouter.EligibleUpstreams eligible = gateway.eligibleUpstreams("s", session, "x");
+                newUpstreams.stream().filter(eligible.preferred()).forEach(used::add);
+            }
+        }
+        assertThat(used).hasSize(1);
+    }
+
     private void assertRolledBackWithinExposure() {
         assertThat(deployment.sharedLog().statuses())
                 .containsExactly(RolloutProgress.RUNNING, RolloutProgress.ROLLED_BACK)
