--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -92,11 +92,10 @@
                 settings.text(Setting.INSTANCE) + "/" + System.currentTimeMillis(),
                 sharedLog,
                 ports.recordCodec(),
-                state.registry(),
+                state,
                 loop,
                 random,
-                log,
-                bounds);
+                log);
         healthProbe = new UpstreamHealthProbe(client, loop, log, UNRESPONSIVE_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -50,6 +50,11 @@
         bounds = Objects.requireNonNull(newBounds, "newBounds is null");
     }
 
+    /** Returns the limits in force. */
+    GatewayBounds bounds() {
+        return bounds;
+    }
+
     Optional<RoutingTable> table() {
         return table;
     }
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -27,7 +27,6 @@
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.Upstream;
-import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.rollout.ActiveSessions;
@@ -69,11 +68,10 @@
     private final String gatewayId;
     private final SharedLog sharedLog;
     private final ControlCodec codec;
-    private final UpstreamRegistry registry;
+    private final GatewayState state;
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final DecisionLog log;
-    private final GatewayBounds bounds;
     private final Map<String, ActiveSessions> sessionsByService = new HashMap<>();
     private final Map<String, EstablishedVersions> establishedByService = new HashMap<>();
     private final Map<String, ActiveRollout> rollouts = new HashMap<>();
@@ -87,29 +85,26 @@
      * @param gatewayId name and incarnation of this gateway, the key of its counts
      * @param sharedLog log through which the gateways agree
      * @param codec encoder and decoder of the status records
-     * @param registry upstreams, for the requests in flight on old versions
+     * @param state upstreams, timeout of sessions and permitted exposure to a bad version
      * @param scheduler clock and timers of the event loop
      * @param random source of the jitter of writes and retries
      * @param log decision log
-     * @param bounds timeout of sessions and permitted exposure to a bad version
      */
     RolloutCoordinator(
             String gatewayId,
             SharedLog sharedLog,
             ControlCodec codec,
-            UpstreamRegistry registry,
+            GatewayState state,
             Scheduler scheduler,
             UniformRandomProvider random,
-            DecisionLog log,
-            GatewayBounds bounds) {
+            DecisionLog log) {
         this.gatewayId = Objects.requireNonNull(gatewayId, "gatewayId is null");
         this.sharedLog = Objects.requireNonNull(sharedLog, "sharedLog is null");
         this.codec = Objects.requireNonNull(codec, "codec is null");
-        this.registry = Objects.requireNonNull(registry, "registry is null");
+        this.state = Objects.requireNonNull(state, "state is null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.log = Objects.requireNonNull(log, "log is null");
-        this.bounds = Objects.requireNonNull(bounds, "bounds is null");
     }
 
     /**
@@ -122,7 +117,12 @@
         if (operatorRecord instanceof OperatorRecord.RolloutOrder order) {
             final long now = scheduler.nanos();
             final VersionRollout rollout = new VersionRollout(
-                    order.service(), order.version(), offset, order.timeLimit(), bounds.exposureShare(), now);
+                    order.service(),
+                    order.version(),
+                    offset,
+                    order.timeLimit(),
+                    state.bounds().exposureShare(),
+                    now);
             final ActiveRollout active =
                     new ActiveRollout(rollout, now + (long) (random.nextDouble() * FIRST_STATUS_JITTER_NANOS));
             rollouts.put(order.service(), active);
@@ -210,7 +210,7 @@
     void tick() {
         final long now = scheduler.nanos();
         sessionsByService.values().forEach(sessions -> sessions.removeInactive(now));
-        registry.all().stream()
+        state.registry().all().stream()
                 .map(UpstreamState::upstream)
                 .collect(Collectors.groupingBy(
                         Upstream::service, Collectors.mapping(Upstream::version, Collectors.toSet())))
@@ -243,7 +243,7 @@
     }
 
     private int runningOnOldVersions(VersionRollout rollout) {
-        return registry.all().stream()
+        return state.registry().all().stream()
                 .filter(member -> member.upstream().service().equals(rollout.service())
                         && !member.upstream().version().equals(rollout.version()))
                 .mapToInt(member -> member.inFlight())
@@ -380,7 +380,7 @@
      * of an old one. On idle upstreams a slow version answers as fast as a sound one under load.
      */
     private Predicate<Upstream> canaries(VersionRollout rollout, double share) {
-        final List<String> ids = registry.members(rollout.service()).stream()
+        final List<String> ids = state.registry().members(rollout.service()).stream()
                 .map(UpstreamState::upstream)
                 .filter(upstream -> upstream.version().equals(rollout.version()))
                 .map(Upstream::id)
@@ -391,7 +391,8 @@
     }
 
     private ActiveSessions sessions(String service) {
-        return sessionsByService.computeIfAbsent(service, name -> new ActiveSessions(bounds.session()));
+        return sessionsByService.computeIfAbsent(
+                service, name -> new ActiveSessions(state.bounds().session()));
     }
 
     private EstablishedVersions established(String service) {
@@ -460,11 +461,12 @@
                     .ifPresent(session -> sessions(attempt.upstream().service()).end(session, now));
             rollout.ifPresent(active -> active.observers.remove(this));
             final boolean slow = timing.pace(now) == AnswerTiming.Pace.SLOW;
-            switch (end) {
-                case FAILED -> count(false, slow, now);
-                case ANSWERED -> countOnce(slow, now);
-                case CANCELLED -> countIfJudged(now);
-                case NOT_RUN -> {}
+            if (end == AttemptEnd.FAILED) {
+                count(false, slow, now);
+            } else if (end == AttemptEnd.ANSWERED) {
+                countOnce(slow, now);
+            } else if (end == AttemptEnd.CANCELLED) {
+                countIfJudged(now);
             }
         }
 
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -12,7 +12,6 @@
 import org.masticpaddle.control.RolloutProgress;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.Upstream;
-import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.kernel.FakeScheduler;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -146,11 +145,10 @@
                 name,
                 sharedLog,
                 new TextControlCodec(),
-                new UpstreamRegistry(0),
+                new GatewayState(RolloutDeployment.BOUNDS),
                 scheduler,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()),
-                new DecisionLog(name, () -> 0, text -> {}),
-                RolloutDeployment.BOUNDS);
+                new DecisionLog(name, () -> 0, text -> {}));
     }
 
     private static Upstream upstream(String id, String version) {
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -47,18 +47,17 @@
     /** Starts a gateway that knows the upstream of the old version. */
     void addGateway() {
         final String name = "gateway-" + gateways.size();
-        final UpstreamRegistry registry = new UpstreamRegistry(0);
-        registry.applyEntry(OLD, scheduler.nanos());
-        registries.add(registry);
+        final GatewayState state = new GatewayState(BOUNDS);
+        state.registry().applyEntry(OLD, scheduler.nanos());
+        registries.add(state.registry());
         gateways.add(new RolloutCoordinator(
                 name,
                 sharedLog,
                 new TextControlCodec(),
-                registry,
+                state,
                 scheduler,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()),
-                new DecisionLog(name, () -> 0, text -> {}),
-                BOUNDS));
+                new DecisionLog(name, () -> 0, text -> {})));
         gateways.get(gateways.size() - 1).tick();
     }
 
