--- a/src/main/java/org/masticpaddle/gateway/VersionRouter.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionRouter.java
@@ -126,7 +126,8 @@
     /**
      * Upstreams that may run a request. Immutable.
      *
-     * @param preferred upstreams of the version that the session of the request is assigned to
+     * @param preferred upstreams of the version that the session of the request is assigned to; during a rollout, those of
+     *     them that take part in the present stage
      * @param permitted upstreams that may run the request if no preferred one is available
      * @param lastResort upstreams that may run the request if the permitted ones are gone or stay unavailable
      * @param assignment reason of the choice
--- a/src/main/java/org/masticpaddle/rollout/RolloutStage.java
+++ b/src/main/java/org/masticpaddle/rollout/RolloutStage.java
@@ -4,7 +4,8 @@
  * Stages of a rollout, with the fraction of its time limit after which each may start, the share of sessions that are
  * routed to the new version, and the fault that the evidence must exclude before it.
  *
- * <p>Invariant: without a verdict the first two stages together stay within the permitted exposure until the time limit.
+ * <p>Invariant: without a verdict the first two stages together stay within the permitted exposure until the time limit. The
+ * shares of these stages are given as factors of the permitted exposure.
  *
  * <p>In the first half of the time active sessions stay on the old version, so the share is small. Sessions are assigned by
  * their hash and the share only grows, so a session on the new version stays there.
--- a/src/main/java/org/masticpaddle/rollout/VersionRollout.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionRollout.java
@@ -58,7 +58,9 @@
     private RolloutStage stage = RolloutStage.CANARY;
     private long stageStartMillis = STAGE_NOTICE_MILLIS;
     private Optional<RolloutProgress> progress = Optional.empty();
+    /** Last stage that has started, and the answers of the new version that were counted before its start. */
     private RolloutStage countedStage = RolloutStage.CANARY;
+
     private double answersBeforeStage;
     private boolean halted;
 
@@ -196,7 +198,7 @@
      * @param newVersion whether an upstream of the new version gave the answer
      * @param route name of the route
      * @param successful whether the upstream answered without a failure
-     * @param slow whether the answer took several times longer than expected, also if it has not ended
+     * @param slow whether the answer took much longer than expected, also if it has not ended
      */
     public void recordAnswer(boolean newVersion, String route, boolean successful, boolean slow) {
         localCounts.merge(route, RouteCounts.NONE.withAnswer(newVersion, successful, slow), RouteCounts::plus);
