Wait for the endless response to flow in its test, in place of a fixed time

EndlessResponseTest slept 300 ms before it checked that other tasks are served. It now waits until the peer has sent the first block after the beginning.

--- a/src/test/java/org/masticpaddle/wire/EndlessResponseTest.java
+++ b/src/test/java/org/masticpaddle/wire/EndlessResponseTest.java
@@ -32,6 +32,7 @@
     private final EventLoop loop = new EventLoop("test");
     private final HttpClient client = new HttpClient(loop, ConnectionTimeouts.DEFAULT);
     private final CountDownLatch closedByClient = new CountDownLatch(1);
+    private final CountDownLatch flowing = new CountDownLatch(1);
     private ServerSocket server;
 
     @BeforeEach
@@ -70,7 +71,7 @@
     void shouldServeOtherTasksMeanwhile(String beginning) throws Exception {
         sendEndlessly(beginning);
         final StreamHandle handle = client.stream(request(), new DiscardingListener());
-        TimeUnit.MILLISECONDS.sleep(300);
+        assertThat(flowing.await(5, TimeUnit.SECONDS)).isTrue();
         final CompletableFuture<Void> task = new CompletableFuture<>();
         loop.defer(() -> task.complete(null));
         task.get(1, TimeUnit.SECONDS);
@@ -94,6 +95,8 @@
             try (Socket socket = server.accept()) {
                 final OutputStream output = socket.getOutputStream();
                 output.write(beginning.getBytes(StandardCharsets.US_ASCII));
+                output.write(BLOCK);
+                flowing.countDown();
                 while (!server.isClosed()) {
                     output.write(BLOCK);
                 }
