Say what three parameters hold, and when estimates learn from an upstream

Their tags restated the name, and the result of updatesEstimates left out the old versions during the canary. Comments only.

--- a/src/main/java/org/masticpaddle/gateway/VersionRouter.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionRouter.java
@@ -25,7 +25,7 @@
     /**
      * Records that an attempt is sent to an upstream, and observes the attempt until it ends.
      *
-     * @param attempt the attempt
+     * @param attempt what is sent, where and for which session
      * @return observer of the attempt, to be told of its events and its end
      */
     AttemptObserver attemptSent(SentAttempt attempt);
@@ -34,8 +34,8 @@
      * Returns whether the estimates of service times may learn from an upstream. During a rollout they are what the new version
      * is compared with, so they learn neither from it nor from old versions that have lost their load to it.
      *
-     * @param upstream the upstream
-     * @return {@code true} if no rollout of its service is in progress
+     * @param upstream upstream that has given an answer
+     * @return {@code false} for a version under test, and for an old version from the stage after the canary on
      */
     boolean updatesEstimates(Upstream upstream);
 
--- a/src/main/java/org/masticpaddle/membership/MembershipService.java
+++ b/src/main/java/org/masticpaddle/membership/MembershipService.java
@@ -58,7 +58,7 @@
     /**
      * Creates a service that is not started.
      *
-     * @param settings settings
+     * @param settings identity of this process, size of its subsets, intervals of polls and probes
      * @param instanceList instance list
      * @param client HTTP client for probes
      * @param random source of the jitter, used by the duty's thread only
