Split the rollout coordinator into three classes

The choice and the state of one rollout are now in ActiveRollout, the observation of an attempt in AnswerObserver. Code moved; no decision changes.

--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -1,15 +1,11 @@
 package org.masticpaddle.gateway;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -30,14 +26,11 @@
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.rollout.ActiveSessions;
-import org.masticpaddle.rollout.AnswerTiming;
 import org.masticpaddle.rollout.EstablishedVersions;
 import org.masticpaddle.rollout.GatewayActivity;
 import org.masticpaddle.rollout.RolloutCounts;
 import org.masticpaddle.rollout.RouteCounts;
-import org.masticpaddle.rollout.SessionVersions;
 import org.masticpaddle.rollout.VersionRollout;
-import org.masticpaddle.wire.Hashing;
 import org.masticpaddle.wire.Json;
 import org.masticpaddle.wire.MalformedMessageException;
 
@@ -58,8 +51,6 @@
     private static final Duration COUNTS_POLL_INTERVAL = Duration.ofMillis(900);
     /** Shortest interval between two writes of this gateway's counts. */
     private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 900_000_000L;
-    /** Delay of a report of sessions before the canary starts, so that one write reports several. */
-    private static final long SESSION_REPORT_DELAY_NANOS = 200_000_000L;
     /** Interval between two attempts to append a status; longer than the log takes to respond. */
     private static final long STATUS_RETRY_INTERVAL_NANOS = 400_000_000L;
     /** Maximum random delay of the first status, so that the gateways do not all append at once. */
@@ -136,8 +127,8 @@
             startFollowers();
         } else if (operatorRecord instanceof OperatorRecord.RolloutWithdrawn withdrawn) {
             final ActiveRollout removed = rollouts.remove(withdrawn.service());
-            if (removed != null && removed.rollout.progress().equals(Optional.of(RolloutProgress.ROLLED_BACK))) {
-                established(withdrawn.service()).exclude(removed.rollout.version());
+            if (removed != null && removed.rollout().progress().equals(Optional.of(RolloutProgress.ROLLED_BACK))) {
+                established(withdrawn.service()).exclude(removed.rollout().version());
             }
         }
     }
@@ -176,11 +167,12 @@
             final RolloutStatus status = codec.rolloutStatus(keyed);
             statuses.put(status.service(), status);
             final ActiveRollout active = rollouts.get(status.service());
-            if (active != null && active.rollout.order() == status.order()) {
-                final Optional<RolloutProgress> progressBefore = active.rollout.progress();
-                active.rollout.applyProgress(status.progress());
-                if (!progressBefore.equals(active.rollout.progress())) {
-                    logRollout(active.rollout, "agreed");
+            if (active != null && active.rollout().order() == status.order()) {
+                final Optional<RolloutProgress> progressBefore =
+                        active.rollout().progress();
+                active.rollout().applyProgress(status.progress());
+                if (!progressBefore.equals(active.rollout().progress())) {
+                    logRollout(active.rollout(), "agreed");
                 }
             }
         } catch (UndecodableRecordException e) {
@@ -196,9 +188,9 @@
             final RolloutCounts counts = Json.decode(keyed.value(), RolloutCounts.class);
             final ActiveRollout active = rollouts.get(counts.service());
             if (active != null) {
-                active.rollout.mergeCounts(keyed.key(), counts, scheduler.nanos());
-                if (counts.order() == active.rollout.order()) {
-                    active.sessions.merge(counts.sessions());
+                active.rollout().mergeCounts(keyed.key(), counts, scheduler.nanos());
+                if (counts.order() == active.rollout().order()) {
+                    active.sessions().merge(counts.sessions());
                 }
             }
         } catch (MalformedMessageException e) {
@@ -217,21 +209,20 @@
                 .forEach((service, versions) -> established(service).observe(versions, now));
         boolean unfinished = false;
         for (final ActiveRollout active : rollouts.values()) {
-            final VersionRollout rollout = active.rollout;
+            final VersionRollout rollout = active.rollout();
             unfinished |= !active.ended();
             if (active.ended() || !progressKnown()) {
                 continue;
             }
-            List.copyOf(active.observers).forEach(observer -> observer.countIfJudged(now));
+            active.countJudgedAnswers(now);
             final GatewayActivity activity =
                     new GatewayActivity(runningOnOldVersions(rollout), active.lateOnNewVersion(now));
             final double scheduledShare = rollout.scheduledShare();
             final Optional<RolloutProgress> proposed = rollout.step(activity, now);
             if (scheduledShare != rollout.scheduledShare()) {
-                active.nextCountsNanos = now;
+                active.scheduleCounts(now);
             }
-            if (active.loggedShare != rollout.share(now)) {
-                active.loggedShare = rollout.share(now);
+            if (active.shareChanged(now)) {
                 logRollout(rollout, "share");
             }
             proposed.ifPresent(progress -> proposeProgress(active, progress, now));
@@ -253,11 +244,11 @@
     private void proposeProgress(ActiveRollout active, RolloutProgress progress, long now) {
         final OptionalLong position =
                 statusFollower.map(KeyedFollower::position).orElse(OptionalLong.empty());
-        if (position.isEmpty() || now < active.nextStatusNanos) {
+        if (position.isEmpty() || !active.statusDue(now)) {
             return;
         }
-        active.nextStatusNanos = now + STATUS_RETRY_INTERVAL_NANOS;
-        final VersionRollout rollout = active.rollout;
+        active.deferStatus(now + STATUS_RETRY_INTERVAL_NANOS);
+        final VersionRollout rollout = active.rollout();
         sharedLog
                 .append(
                         LogStream.STATUS,
@@ -282,20 +273,20 @@
     }
 
     private void publishCounts(ActiveRollout active, GatewayActivity activity, long now) {
-        if (now < active.nextCountsNanos) {
+        if (!active.countsDue(now)) {
             return;
         }
-        final VersionRollout rollout = active.rollout;
-        final RolloutCounts counts = rollout.counts(activity, active.sessions.report(), now);
-        if (counts.equals(active.publishedCounts)) {
+        final VersionRollout rollout = active.rollout();
+        final RolloutCounts counts = rollout.counts(activity, active.sessions().report(), now);
+        if (active.published(counts)) {
             return;
         }
-        active.nextCountsNanos = now + COUNTS_PUBLISH_INTERVAL_NANOS;
+        active.deferCounts(now + COUNTS_PUBLISH_INTERVAL_NANOS);
         sharedLog
                 .append(LogStream.ROLLOUT_COUNTS, gatewayId, Json.encode(counts), OptionalLong.empty())
                 .whenComplete((offset, error) -> {
                     if (error == null) {
-                        active.publishedCounts = counts;
+                        active.recordPublished(counts);
                     }
                 });
     }
@@ -335,59 +326,14 @@
     @Override
     public EligibleUpstreams eligibleUpstreams(String service, Optional<String> session, String requestId) {
         final long now = scheduler.nanos();
-        final Predicate<Upstream> all = upstream -> true;
         final ActiveRollout active = rollouts.get(service);
-        if (active == null) {
-            final EstablishedVersions establishedVersions = established(service);
-            final Predicate<Upstream> established = upstream -> establishedVersions.contains(upstream.version(), now);
-            return new EligibleUpstreams(established, established, all, Assignment.NO_ROLLOUT, 0);
+        if (active != null) {
+            return active.eligibleUpstreams(
+                    state.registry().members(service), session.orElse(requestId), progressKnown(), now);
         }
-        final VersionRollout rollout = active.rollout;
-        final double share = rollout.share(now);
-        final Predicate<Upstream> newVersion = upstream -> upstream.version().equals(rollout.version());
-        final Predicate<Upstream> oldVersions = newVersion.negate();
-        if (active.ended()) {
-            final Predicate<Upstream> remaining = share > 0 ? newVersion : oldVersions;
-            return new EligibleUpstreams(remaining, remaining, remaining, Assignment.ROLLOUT_ENDED, share);
-        }
-        if (!progressKnown()) {
-            return new EligibleUpstreams(oldVersions, oldVersions, all, Assignment.PROGRESS_UNKNOWN, share);
-        }
-        if (rollout.halted()) {
-            return new EligibleUpstreams(oldVersions, oldVersions, oldVersions, Assignment.OLD_SHARE, share);
-        }
-        final Optional<Boolean> onNewVersion = session.flatMap(active.sessions::staysOnNewVersion);
-        final Predicate<Upstream> canaries = canaries(rollout, share);
-        if (onNewVersion.isPresent() && onNewVersion.get()) {
-            return new EligibleUpstreams(canaries, newVersion, all, Assignment.SESSION_ON_NEW, share);
-        }
-        if (onNewVersion.isPresent() && rollout.keepsSessionsOnOldVersion(now)) {
-            return new EligibleUpstreams(oldVersions, oldVersions, all, Assignment.SESSION_ON_OLD, share);
-        }
-        if (SessionVersions.fraction(session.orElse(requestId)) < share) {
-            return new EligibleUpstreams(canaries, all, all, Assignment.NEW_SHARE, share);
-        }
-        return new EligibleUpstreams(
-                oldVersions,
-                rollout.keepsSessionsOnOldVersion(now) ? oldVersions : all,
-                all,
-                Assignment.OLD_SHARE,
-                share);
-    }
-
-    /**
-     * Returns the upstreams of the new version that the share of the sessions is sent to: as many that each gets about the load
-     * of an old one. On idle upstreams a slow version answers as fast as a sound one under load.
-     */
-    private Predicate<Upstream> canaries(VersionRollout rollout, double share) {
-        final List<String> ids = state.registry().members(rollout.service()).stream()
-                .map(UpstreamState::upstream)
-                .filter(upstream -> upstream.version().equals(rollout.version()))
-                .map(Upstream::id)
-                .sorted(Comparator.comparingLong(Hashing::hash64).thenComparing(Comparator.naturalOrder()))
-                .toList();
-        final Set<String> chosen = Set.copyOf(ids.subList(0, (int) Math.ceil(share * ids.size())));
-        return upstream -> chosen.contains(upstream.id());
+        final EstablishedVersions establishedVersions = established(service);
+        final Predicate<Upstream> established = upstream -> establishedVersions.contains(upstream.version(), now);
+        return new EligibleUpstreams(established, established, upstream -> true, Assignment.NO_ROLLOUT, 0);
     }
 
     private ActiveSessions sessions(String service) {
@@ -402,23 +348,21 @@
     @Override
     public AttemptObserver attemptSent(SentAttempt attempt) {
         final Upstream upstream = attempt.upstream();
-        final long now = scheduler.nanos();
+        final ActiveSessions sessions = sessions(upstream.service());
         final Optional<ActiveRollout> rollout =
                 Optional.ofNullable(rollouts.get(upstream.service())).filter(active -> !active.ended());
         attempt.session().ifPresent(session -> {
-            sessions(upstream.service()).begin(session, upstream.version());
-            rollout.ifPresent(active -> active.recordSession(session, upstream.version(), now));
+            sessions.begin(session, upstream.version());
+            rollout.ifPresent(active -> active.recordSession(session, upstream.version(), scheduler.nanos()));
         });
-        final Observer observer = new Observer(attempt, rollout, now);
-        rollout.ifPresent(active -> active.observers.add(observer));
-        return observer;
+        return new AnswerObserver(attempt, rollout, sessions, scheduler, log);
     }
 
     @Override
     public boolean updatesEstimates(Upstream upstream) {
         return Optional.ofNullable(rollouts.get(upstream.service()))
                 .filter(active -> !active.ended())
-                .map(active -> active.rollout)
+                .map(ActiveRollout::rollout)
                 .map(rollout -> !upstream.version().equals(rollout.version())
                         && rollout.oldVersionsFullyLoaded(scheduler.nanos()))
                 .orElse(true);
@@ -433,129 +377,4 @@
                 .flatMap(Optional::stream)
                 .allMatch(follower -> follower.position().isPresent());
     }
-
-    /** Counts an attempt as soon as it is known whether it is slow, and each failure. */
-    private final class Observer implements AttemptObserver {
-        private final SentAttempt attempt;
-        private final Optional<ActiveRollout> rollout;
-        private final AnswerTiming timing;
-        private boolean counted;
-
-        Observer(SentAttempt attempt, Optional<ActiveRollout> rollout, long sentNanos) {
-            this.attempt = Objects.requireNonNull(attempt, "attempt is null");
-            this.rollout = Objects.requireNonNull(rollout, "rollout is null");
-            timing = new AnswerTiming(sentNanos, attempt.expectedMillis(), attempt.expectedEventMillis());
-        }
-
-        @Override
-        public void onEvents(int events) {
-            final long now = scheduler.nanos();
-            timing.onEvents(events, now);
-            countIfJudged(now);
-        }
-
-        @Override
-        public void onEnd(AttemptEnd end) {
-            final long now = scheduler.nanos();
-            attempt.session()
-                    .ifPresent(session -> sessions(attempt.upstream().service()).end(session, now));
-            rollout.ifPresent(active -> active.observers.remove(this));
-            final boolean slow = timing.pace(now) == AnswerTiming.Pace.SLOW;
-            if (end == AttemptEnd.FAILED) {
-                count(false, slow, now);
-            } else if (end == AttemptEnd.ANSWERED) {
-                countOnce(slow, now);
-            } else if (end == AttemptEnd.CANCELLED) {
-                countIfJudged(now);
-            }
-        }
-
-        void countIfJudged(long now) {
-            final AnswerTiming.Pace pace = timing.pace(now);
-            if (pace == AnswerTiming.Pace.SLOW || pace == AnswerTiming.Pace.ON_TIME) {
-                countOnce(pace == AnswerTiming.Pace.SLOW, now);
-            }
-        }
-
-        boolean lateOnNewVersion(long now) {
-            return !counted && onNewVersion() && timing.pace(now) == AnswerTiming.Pace.LATE;
-        }
-
-        private boolean onNewVersion() {
-            return rollout.filter(active -> attempt.upstream().version().equals(active.rollout.version()))
-                    .isPresent();
-        }
-
-        private void countOnce(boolean slow, long now) {
-            if (!counted) {
-                count(true, slow, now);
-            }
-        }
-
-        private void count(boolean successful, boolean slow, long now) {
-            counted = true;
-            if (rollout.filter(active -> !active.ended()).isEmpty()) {
-                return;
-            }
-            rollout.get().rollout.recordAnswer(onNewVersion(), attempt.route(), successful, slow);
-            log.write(
-                    Decision.ANSWER_OBSERVED,
-                    "request",
-                    attempt.requestId(),
-                    "service",
-                    attempt.upstream().service(),
-                    "route",
-                    attempt.route(),
-                    "version",
-                    attempt.upstream().version(),
-                    "successful",
-                    successful,
-                    "slow",
-                    slow,
-                    "events",
-                    timing.events(),
-                    "ms",
-                    timing.millis(now),
-                    "expected_ms",
-                    attempt.expectedMillis(),
-                    "expected_event_ms",
-                    attempt.expectedEventMillis());
-        }
-    }
-
-    /** A rollout whose order was not withdrawn, with the times of the next writes about it. */
-    private static final class ActiveRollout {
-        private final VersionRollout rollout;
-        private final Set<Observer> observers = new LinkedHashSet<>();
-        private final SessionVersions sessions = new SessionVersions();
-        private long nextStatusNanos;
-        private long nextCountsNanos;
-        private RolloutCounts publishedCounts;
-        private double loggedShare;
-
-        ActiveRollout(VersionRollout rollout, long nextStatusNanos) {
-            this.rollout = rollout;
-            this.nextStatusNanos = nextStatusNanos;
-        }
-
-        /** Records the version of a session. Before the canary starts, the other gateways are told at once. */
-        void recordSession(String session, String version, long now) {
-            final boolean newVersion = version.equals(rollout.version());
-            if ((newVersion || rollout.keepsSessionsOnOldVersion(now))
-                    && sessions.record(session, newVersion, rollout.scheduledShare())
-                    && rollout.share(now) == 0) {
-                nextCountsNanos = Math.min(nextCountsNanos, now + SESSION_REPORT_DELAY_NANOS);
-            }
-        }
-
-        int lateOnNewVersion(long now) {
-            return (int) observers.stream()
-                    .filter(observer -> observer.lateOnNewVersion(now))
-                    .count();
-        }
-
-        boolean ended() {
-            return rollout.progress().filter(RolloutProgress::ended).isPresent();
-        }
-    }
 }
