Split the request forwarder by its jobs

RequestForwarder had 692 lines: the life of a request, the choice of upstreams, what the models need, and the decision lines. The last three are now UpstreamChooser, RequestModels and RequestDecisions, and AdmittedRequest has its own file; 455 lines remain for the attempts of a request up to its final answer. Code moved; no decision changes.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/AdmittedRequest.java
@@ -0,0 +1,56 @@
+package org.masticpaddle.gateway;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.masticpaddle.routes.KeyOwner;
+import org.masticpaddle.routes.Route;
+import org.masticpaddle.routes.RoutingTable;
+
+/**
+ * A request that passed routing and authentication. Immutable, provided that nobody changes the array of the body.
+ *
+ * @param table routing table by which the request was admitted; it applies until the final answer
+ * @param route route that matched
+ * @param keyOwner owner of the API key, empty on routes that need none
+ * @param request request metadata from the headers
+ * @param method HTTP method
+ * @param target path with query, as the caller sent it
+ * @param headers request headers by lower-case name
+ * @param body request body, empty array if there is none
+ * @param receivedNanos arrival time by the scheduler's clock, in nanoseconds
+ */
+record AdmittedRequest(
+        RoutingTable table,
+        Route route,
+        Optional<KeyOwner> keyOwner,
+        InboundRequest request,
+        String method,
+        String target,
+        Map<String, String> headers,
+        byte[] body,
+        long receivedNanos) {
+    /** Checks the arguments and copies the headers. */
+    AdmittedRequest {
+        Objects.requireNonNull(table, "table is null");
+        Objects.requireNonNull(route, "route is null");
+        Objects.requireNonNull(keyOwner, "keyOwner is null");
+        Objects.requireNonNull(request, "request is null");
+        headers = Map.copyOf(headers);
+    }
+
+    /** Returns the time within which the caller must have its final answer, in milliseconds. */
+    long timeoutMillis() {
+        return Math.min(request.timeoutMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+    }
+
+    /** Returns the rank of the caller, or of the route if the caller has none; 0 is the most urgent. */
+    int rank() {
+        return keyOwner.map(KeyOwner::rank)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
+                .orElse(route.rank());
+    }
+}
--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -133,7 +133,7 @@
                 return;
             }
         }
-        final RequestForwarder.AdmittedRequest admitted = new RequestForwarder.AdmittedRequest(
+        final AdmittedRequest admitted = new AdmittedRequest(
                 table,
                 route.get(),
                 keyOwner,
--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -0,0 +1,163 @@
+package org.masticpaddle.gateway;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.masticpaddle.decisions.Decision;
+import org.masticpaddle.fleet.UpstreamState;
+import org.masticpaddle.routes.KeyOwner;
+import org.masticpaddle.routing.UpstreamPlacement;
+
+/** Writes the decisions about one request to the decision log, with their inputs. Used on the event loop only. */
+final class RequestDecisions {
+    private final GatewayContext context;
+    private final AdmittedRequest admitted;
+
+    RequestDecisions(GatewayContext context, AdmittedRequest admitted) {
+        this.context = Objects.requireNonNull(context, "context is null");
+        this.admitted = Objects.requireNonNull(admitted, "admitted is null");
+    }
+
+    /**
+     * What was done for a request. Immutable.
+     *
+     * @param attempts number of attempts that were sent
+     * @param lastAttempt last of them, empty if there was none
+     * @param model name of the last model, empty for plain services
+     * @param events number of events that were relayed, empty if no stream began
+     */
+    record Work(int attempts, Optional<Attempt> lastAttempt, String model, Optional<Integer> events) {}
+
+    /** Writes that an attempt is sent, after it was assigned to its upstream. */
+    void sent(
+            UpstreamPlacement.Choice choice,
+            VersionRouter.EligibleUpstreams eligible,
+            String model,
+            int attempt,
+            OptionalLong resumeAfterEvent,
+            long remainingMillis) {
+        final UpstreamState upstream = choice.member();
+        final InboundRequest request = admitted.request();
+        context.log()
+                .write(
+                        Decision.REQUEST_SENT,
+                        "request",
+                        request.id(),
+                        "route",
+                        admitted.route().name(),
+                        "organisation",
+                        admitted.keyOwner().map(KeyOwner::organisation).orElse(null),
+                        "session",
+                        request.session().orElse(null),
+                        "upstream",
+                        upstream.upstream().id(),
+                        "version",
+                        upstream.upstream().version(),
+                        "assignment",
+                        eligible.assignment(),
+                        "preferred",
+                        eligible.preferred().test(upstream.upstream()),
+                        "share",
+                        eligible.share(),
+                        "model",
+                        model,
+                        "attempt",
+                        attempt,
+                        "resume_after",
+                        resumeAfterEvent.isPresent() ? resumeAfterEvent.getAsLong() : null,
+                        "expected_ms",
+                        choice.expectedMillis(),
+                        "score",
+                        choice.score(),
+                        "body_bytes",
+                        admitted.body().length,
+                        "prompt_tokens",
+                        request.promptTokens(),
+                        "unread_tokens",
+                        choice.uncachedTokens(),
+                        "own",
+                        upstream.inFlight() - 1,
+                        "others",
+                        upstream.inFlightOfOtherGateways(now()),
+                        "load_age_ms",
+                        upstream.reportAgeMillis(now()),
+                        "configuration",
+                        admitted.table().version(),
+                        "left_ms",
+                        remainingMillis);
+    }
+
+    /** Writes that a draft is dropped for a larger model. */
+    void escalated(Attempt draft, String model, String largerModel, int confidence) {
+        context.log()
+                .write(
+                        Decision.REQUEST_ESCALATED,
+                        "request",
+                        admitted.request().id(),
+                        "upstream",
+                        draft.upstream().upstream().id(),
+                        "from",
+                        model,
+                        "to",
+                        largerModel,
+                        "confidence",
+                        confidence);
+    }
+
+    /** Writes that an attempt has ended without a usable answer. */
+    void attemptFailed(Attempt failed, int attempt, String reason, boolean mayHaveRun) {
+        context.log()
+                .write(
+                        Decision.ATTEMPT_FAILED,
+                        "request",
+                        admitted.request().id(),
+                        "upstream",
+                        failed.upstream().upstream().id(),
+                        "attempt",
+                        attempt,
+                        "reason",
+                        reason,
+                        "may_have_run",
+                        mayHaveRun,
+                        "ms",
+                        (now() - failed.sentNanos()) / 1e6);
+    }
+
+    /** Writes the end of the request. */
+    void ended(Decision decision, int status, String reason, Work work) {
+        context.log()
+                .write(
+                        decision,
+                        "request",
+                        admitted.request().id(),
+                        "route",
+                        admitted.route().name(),
+                        "status",
+                        status,
+                        "reason",
+                        reason.isEmpty() ? null : reason,
+                        "attempts",
+                        work.attempts(),
+                        "upstream",
+                        work.lastAttempt()
+                                .map(attempt -> attempt.upstream().upstream().id())
+                                .orElse(null),
+                        "model",
+                        work.model().isEmpty() ? null : work.model(),
+                        "events",
+                        work.events().orElse(null),
+                        "ms",
+                        (now() - admitted.receivedNanos()) / 1e6,
+                        "objective_ms",
+                        admitted.route().objectiveMillis(),
+                        "configuration",
+                        admitted.table().version(),
+                        "configuration_age_ms",
+                        context.state().confirmedAgeMillis(now()).orElse(-1));
+    }
+
+    private long now() {
+        return context.scheduler().nanos();
+    }
+}
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -1,28 +1,19 @@
 package org.masticpaddle.gateway;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.function.Predicate;
-import java.util.stream.Stream;
 
 import org.masticpaddle.admission.RetryAfterPolicy;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.InFlightRequest;
-import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.routes.KeyOwner;
-import org.masticpaddle.routes.Route;
-import org.masticpaddle.routes.RoutingTable;
-import org.masticpaddle.routes.ServicePolicy;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.ServiceTimes;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -49,9 +40,10 @@
     private final AdmittedRequest admitted;
     private final String service;
     private final long deadlineNanos;
-    private final Set<String> triedUpstreams = new HashSet<>();
+    private final RequestModels models;
+    private final UpstreamChooser chooser;
+    private final RequestDecisions decisions;
     private Scheduler.Timer deadlineTimer;
-    private VersionRouter.EligibleUpstreams eligible;
     private Attempt attempt;
     private VersionRouter.AttemptObserver observer;
     private Optional<StreamRelay> relay = Optional.empty();
@@ -61,7 +53,6 @@
     private long firstEventNanos;
     private int eventsBeforeAttempt;
     private boolean mayHaveRun;
-    private boolean preferredVersionFailed;
     private boolean ended;
     private String lastFailure = "no upstream was found";
 
@@ -70,11 +61,13 @@
         this.caller = Objects.requireNonNull(caller, "caller is null");
         this.admitted = Objects.requireNonNull(admitted, "admitted is null");
         service = admitted.route().selectService(context.random().nextDouble());
-        eligible = eligibleUpstreams();
+        models = new RequestModels(context.state(), admitted, service);
+        chooser = new UpstreamChooser(context, admitted, service, models);
+        decisions = new RequestDecisions(context, admitted);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
                 .draftModelIndex(admitted.route().modelsBySize().size());
-        model = modelName(modelIndex);
+        model = models.name(modelIndex);
     }
 
     void start() {
@@ -89,84 +82,23 @@
         if (ended) {
             return;
         }
-        eligible = eligibleUpstreams();
-        final Optional<UpstreamPlacement.Choice> choice = chooseUpstream();
+        final boolean mayWait = remainingMillis() > admitted.timeoutMillis() / 2;
+        final Optional<UpstreamPlacement.Choice> choice = chooser.choose(model, modelIndex, mayWait);
         if (choice.isPresent()) {
             send(choice.get());
-        } else if (sentAttempts == 0 && mayWaitForUpstream()) {
+        } else if (sentAttempts == 0 && mayWait) {
             context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
         } else {
             fail("no upstream is open; last failure: " + lastFailure);
         }
     }
 
-    private VersionRouter.EligibleUpstreams eligibleUpstreams() {
-        return context.versionRouter()
-                .eligibleUpstreams(
-                        service,
-                        admitted.request().session(),
-                        admitted.request().id());
-    }
-
-    private boolean mayWaitForUpstream() {
-        return remainingMillis() > admitted.timeoutMillis() / 2;
-    }
-
-    /**
-     * Chooses the upstream of the next attempt. Prefers upstreams that were not tried yet, those of the preferred version
-     * first unless an attempt on that version has failed; otherwise falls back to upstreams that were tried before.
-     */
-    private Optional<UpstreamPlacement.Choice> chooseUpstream() {
-        final List<UpstreamState> members = context.state().registry().members(service);
-        final UpstreamPlacement.Request request = placementRequest(model, modelIndex);
-        final Predicate<UpstreamState> preferred =
-                member -> eligible.preferred().test(member.upstream());
-        final Predicate<Upstream> permittedVersions = permittedVersions(members);
-        final Predicate<UpstreamState> permitted = member -> permittedVersions.test(member.upstream());
-        final Predicate<UpstreamState> untried =
-                member -> !triedUpstreams.contains(member.upstream().id());
-        final Predicate<UpstreamState> untriedOtherVersions =
-                permitted.and(preferred.negate()).and(untried);
-        return Stream.of(
-                        preferredVersionFailed ? untriedOtherVersions : preferred.and(untried),
-                        preferred.and(untried),
-                        permitted.and(untried),
-                        preferred,
-                        permitted)
-                .map(allowed -> context.placement().choose(request, members, allowed, serviceTimes(), now()))
-                .flatMap(Optional::stream)
-                .findFirst();
-    }
-
-    /**
-     * Returns the versions that may run the request now. Until half of its time has passed, a request waits for an upstream of
-     * its version rather than run on another one, as long as its version has upstreams and has not failed it.
-     */
-    private Predicate<Upstream> permittedVersions(List<UpstreamState> members) {
-        final boolean failed = preferredVersionFailed && eligible.assignment().leavesAfterFailure();
-        final boolean versionHasUpstreams =
-                members.stream().anyMatch(member -> eligible.permitted().test(member.upstream()));
-        return failed || !versionHasUpstreams || !mayWaitForUpstream() ? eligible.lastResort() : eligible.permitted();
-    }
-
-    private UpstreamPlacement.Request placementRequest(String modelName, int index) {
-        final InboundRequest request = admitted.request();
-        final List<PromptSegment> prompt = request.prompt();
-        return new UpstreamPlacement.Request(
-                modelName,
-                relativeCost(index),
-                prompt,
-                request.promptTokens(),
-                prompt.size() < 2 ? "" : prompt.get(prompt.size() - 2).id(),
-                admitted.body().length / 1024.0);
-    }
-
     private void send(UpstreamPlacement.Choice choice) {
         final UpstreamState upstream = choice.member();
         final InboundRequest request = admitted.request();
         final boolean sentWithoutBacklog = upstream.prefillBacklogMillis() == 0;
         final InFlightRequest inFlight = upstream.assign(
-                model, request.prompt(), request.promptTokens(), choice.serviceMillis(), tokenCapacity(), now());
+                model, request.prompt(), request.promptTokens(), choice.serviceMillis(), models.tokenCapacity(), now());
         sentAttempts++;
         attempt = new Attempt(
                 upstream, inFlight, choice.expectedMillis(), choice.serviceMillis(), sentWithoutBacklog, now(), this);
@@ -177,55 +109,11 @@
                         upstream.upstream(),
                         admitted.route().name(),
                         choice.expectedMillis(),
-                        model.isEmpty() ? 0 : serviceTimes().eventIntervalMillis(model, relativeCost(modelIndex))));
+                        model.isEmpty()
+                                ? 0
+                                : serviceTimes().eventIntervalMillis(model, models.relativeCost(modelIndex))));
         context.counters().add(GatewayCounters.Counter.SENT);
-        context.log()
-                .write(
-                        Decision.REQUEST_SENT,
-                        "request",
-                        request.id(),
-                        "route",
-                        admitted.route().name(),
-                        "organisation",
-                        admitted.keyOwner().map(KeyOwner::organisation).orElse(null),
-                        "session",
-                        request.session().orElse(null),
-                        "upstream",
-                        upstream.upstream().id(),
-                        "version",
-                        upstream.upstream().version(),
-                        "assignment",
-                        eligible.assignment(),
-                        "preferred",
-                        eligible.preferred().test(upstream.upstream()),
-                        "share",
-                        eligible.share(),
-                        "model",
-                        model,
-                        "attempt",
-                        sentAttempts,
-                        "resume_after",
-                        resumeAfterEvent().isPresent() ? resumeAfterEvent().getAsLong() : null,
-                        "expected_ms",
-                        choice.expectedMillis(),
-                        "score",
-                        choice.score(),
-                        "body_bytes",
-                        admitted.body().length,
-                        "prompt_tokens",
-                        request.promptTokens(),
-                        "unread_tokens",
-                        choice.uncachedTokens(),
-                        "own",
-                        upstream.inFlight() - 1,
-                        "others",
-                        upstream.inFlightOfOtherGateways(now()),
-                        "load_age_ms",
-                        upstream.reportAgeMillis(now()),
-                        "configuration",
-                        admitted.table().version(),
-                        "left_ms",
-                        remainingMillis());
+        decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
         attempt.send(context.client(), upstreamRequest(upstream.upstream()));
     }
@@ -292,14 +180,13 @@
         lastFailure = verdict + " with status " + failed.status();
         if (verdict.mayHaveRun()) {
             mayHaveRun = true;
-            preferredVersionFailed |=
-                    eligible.preferred().test(failed.upstream().upstream());
+            chooser.onUpstreamFailed(failed.upstream().upstream());
             failed.upstream().onErrorResponse();
         } else if (failed.status() == 421) {
             failed.upstream().tripCircuit(now());
         }
         observer.onEnd(verdict.mayHaveRun() ? VersionRouter.AttemptEnd.FAILED : VersionRouter.AttemptEnd.NOT_RUN);
-        logFailure(failed);
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
         retryOrFail(failed, verdict.mayHaveRun());
     }
 
@@ -337,13 +224,7 @@
         if (modelCount < 2 || sentAttempts >= admitted.route().maxAttempts()) {
             return OptionalInt.empty();
         }
-        final Optional<UpstreamPlacement.Choice> choice = context.placement()
-                .choose(
-                        placementRequest(admitted.route().modelsBySize().get(modelCount - 1), modelCount - 1),
-                        context.state().registry().members(service),
-                        member -> eligible.preferred().test(member.upstream()),
-                        serviceTimes(),
-                        now());
+        final Optional<UpstreamPlacement.Choice> choice = chooser.bestPreferred(modelCount - 1);
         if (choice.isEmpty()) {
             return OptionalInt.empty();
         }
@@ -354,9 +235,10 @@
                 expectedMillis - choice.get().serviceMillis(),
                 expectedMillis,
                 expectedMillis
-                        + expectedEvents()
+                        + models.expectedEvents()
                                 * serviceTimes()
-                                        .eventIntervalMillis(modelName(modelCount - 1), relativeCost(modelCount - 1)));
+                                        .eventIntervalMillis(
+                                                models.name(modelCount - 1), models.relativeCost(modelCount - 1)));
         final OptionalInt largerModelIndex = context.modelCascade()
                 .escalationTarget(modelCount, modelIndex, confidence, admitted.rank(), latencyEstimate);
         return largerModelIndex.isPresent()
@@ -367,36 +249,13 @@
                 : OptionalInt.empty();
     }
 
-    private double expectedEvents() {
-        final InboundRequest request = admitted.request();
-        final int expectedTokens = Math.min(
-                request.maxOutputTokens(), request.estimatedOutputTokens().orElse(request.maxOutputTokens()));
-        return (double) expectedTokens
-                / admitted.table()
-                        .service(service)
-                        .map(ServicePolicy::tokensPerEvent)
-                        .orElse(1);
-    }
-
     private void escalate(Attempt draft, int largerIndex, int confidence) {
         draft.cancel();
         observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
         context.counters().add(GatewayCounters.Counter.ESCALATED);
-        context.log()
-                .write(
-                        Decision.REQUEST_ESCALATED,
-                        "request",
-                        admitted.request().id(),
-                        "upstream",
-                        draft.upstream().upstream().id(),
-                        "from",
-                        model,
-                        "to",
-                        modelName(largerIndex),
-                        "confidence",
-                        confidence);
+        decisions.escalated(draft, model, models.name(largerIndex), confidence);
         modelIndex = largerIndex;
-        model = modelName(largerIndex);
+        model = models.name(largerIndex);
         startAttempt();
     }
 
@@ -465,7 +324,7 @@
                 context.state().retryBudget(service).refundRetry(now());
             }
         }
-        logFailure(failed);
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
         retryOrFail(failed, possiblySent);
     }
 
@@ -477,7 +336,7 @@
         if (ended) {
             return;
         }
-        triedUpstreams.add(failed.upstream().upstream().id());
+        chooser.onTried(failed.upstream().upstream());
         final boolean streamStarted = relay.isPresent() && relay.get().started();
         if (attemptMayHaveRun && !admitted.route().repeatable()
                 || streamStarted
@@ -500,7 +359,8 @@
         final int intervals = relay.get().relayedEvents() - eventsBeforeAttempt - 1;
         if (intervals > 0 && !model.isEmpty() && updatesEstimates(attempt)) {
             serviceTimes()
-                    .recordEventInterval(model, relativeCost(modelIndex), (now() - firstEventNanos) / 1e6 / intervals);
+                    .recordEventInterval(
+                            model, models.relativeCost(modelIndex), (now() - firstEventNanos) / 1e6 / intervals);
         }
     }
 
@@ -510,7 +370,7 @@
             return;
         }
         if (!model.isEmpty() && measured.sentWithoutBacklog()) {
-            serviceTimes().recordPrefill(model, relativeCost(modelIndex), uncachedTokens(measured), millis);
+            serviceTimes().recordPrefill(model, models.relativeCost(modelIndex), uncachedTokens(measured), millis);
         } else if (model.isEmpty()) {
             serviceTimes().recordPlainRequest(millis);
         }
@@ -573,74 +433,12 @@
         ended = true;
         deadlineTimer.cancel();
         context.counters().add(counter);
-        context.log()
-                .write(
-                        decision,
-                        "request",
-                        admitted.request().id(),
-                        "route",
-                        admitted.route().name(),
-                        "status",
-                        status,
-                        "reason",
-                        reason.isEmpty() ? null : reason,
-                        "attempts",
-                        sentAttempts,
-                        "upstream",
-                        attempt == null ? null : attempt.upstream().upstream().id(),
-                        "model",
-                        model.isEmpty() ? null : model,
-                        "events",
-                        relay.map(StreamRelay::relayedEvents).orElse(null),
-                        "ms",
-                        (now() - admitted.receivedNanos()) / 1e6,
-                        "objective_ms",
-                        admitted.route().objectiveMillis(),
-                        "configuration",
-                        admitted.table().version(),
-                        "configuration_age_ms",
-                        context.state().confirmedAgeMillis(now()).orElse(-1));
-    }
-
-    private void logFailure(Attempt failed) {
-        context.log()
-                .write(
-                        Decision.ATTEMPT_FAILED,
-                        "request",
-                        admitted.request().id(),
-                        "upstream",
-                        failed.upstream().upstream().id(),
-                        "attempt",
-                        sentAttempts,
-                        "reason",
-                        lastFailure,
-                        "may_have_run",
-                        mayHaveRun,
-                        "ms",
-                        (now() - failed.sentNanos()) / 1e6);
-    }
-
-    private String modelName(int index) {
-        final List<String> models = admitted.route().modelsBySize();
-        return models.isEmpty() ? admitted.request().model().orElse("") : models.get(index);
-    }
-
-    private double relativeCost(int index) {
-        final Map<String, Double> costs = context.state()
-                .table()
-                .flatMap(table -> table.service(service))
-                .map(ServicePolicy::modelCosts)
-                .orElse(Map.of());
-        final double highestCost =
-                costs.values().stream().mapToDouble(Double::doubleValue).max().orElse(1);
-        return highestCost <= 0 ? 1 : costs.getOrDefault(modelName(index), highestCost) / highestCost;
-    }
-
-    private long tokenCapacity() {
-        return admitted.table()
-                .service(service)
-                .map(ServicePolicy::tokenCapacity)
-                .orElse(0L);
+        decisions.ended(
+                decision,
+                status,
+                reason,
+                new RequestDecisions.Work(
+                        sentAttempts, Optional.ofNullable(attempt), model, relay.map(StreamRelay::relayedEvents)));
     }
 
     private ServiceTimes serviceTimes() {
@@ -654,39 +452,4 @@
     private long remainingMillis() {
         return Math.max(0, (deadlineNanos - now()) / NANOS_PER_MILLI);
     }
-
-    /**
-     * A request that passed routing and authentication. Immutable, provided that nobody changes the array of the body.
-     *
-     * @param table routing table by which the request was admitted; it applies until the final answer
-     * @param route route that matched
-     * @param keyOwner owner of the API key, empty on routes that need none
-     * @param request request metadata from the headers
-     * @param method HTTP method
-     * @param target path with query, as the caller sent it
-     * @param headers request headers by lower-case name
-     * @param body request body, empty array if there is none
-     * @param receivedNanos arrival time by the scheduler's clock, in nanoseconds
-     */
-    record AdmittedRequest(
-            RoutingTable table,
-            Route route,
-            Optional<KeyOwner> keyOwner,
-            InboundRequest request,
-            String method,
-            String target,
-            Map<String, String> headers,
-            byte[] body,
-            long receivedNanos) {
-        long timeoutMillis() {
-            return Math.min(request.timeoutMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
-        }
-
-        int rank() {
-            return keyOwner.map(KeyOwner::rank)
-                    .filter(OptionalInt::isPresent)
-                    .map(OptionalInt::getAsInt)
-                    .orElse(route.rank());
-        }
-    }
 }
