--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -68,6 +68,7 @@
     private volatile GatewayBounds bounds;
     private final HttpServer server;
     private volatile boolean draining;
+    private volatile boolean stopped;
 
     /**
      * Creates a gateway that is not started.
@@ -174,6 +175,7 @@
         await(stopStartNanos + Math.min(MIN_DRAIN.toNanos(), (long) (graceNanos * REJECT_GRACE_SHARE)), false);
         loop.execute(handler::rejectAll);
         await(stopStartNanos + (long) (graceNanos * STOP_GRACE_SHARE), true);
+        stopped = true;
         log.write(Decision.STOPPED, "ms", (System.nanoTime() - stopStartNanos) / 1e6);
         kernel.stop();
     }
@@ -235,6 +237,9 @@
     }
 
     private void tick() {
+        if (stopped) {
+            return;
+        }
         logFollower.removeExpiredUpstreams();
         rollouts.tick();
         client.closeExpired();
