Reject a request at once if its time is too short for an attempt

A request that is held while a gateway reads the log for the first time, up to 0.6 s, was sent to an upstream although the time of its caller was over by then: the limit of 30 ms applied to further attempts only. It now applies to the first one as well, and the caller gets a 503, which says that nothing ran.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -82,6 +82,10 @@
         if (ended) {
             return;
         }
+        if (sentAttempts == 0 && remainingMillis() < MIN_ATTEMPT_MILLIS) {
+            fail("too little time is left for an attempt; last failure: " + lastFailure);
+            return;
+        }
         final boolean mayWait = remainingMillis() > admitted.timeoutMillis() / 2;
         final Optional<UpstreamPlacement.Choice> choice = chooser.choose(model, modelIndex, mayWait);
         if (choice.isPresent()) {
