Log the prompt of an attempt and how far a failed answer had come

Change: request.sent and request.attempt_failed name the prompt's segments; request.attempt_failed also gives the events that the attempt had delivered and the time since its answer began. Result: fields only; estimates use the same times as before. Conclusion: an attempt whose answer had begun without an event is now visible as such.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionException;
 
 import org.masticpaddle.fleet.InFlightRequest;
@@ -35,6 +36,8 @@
     private int status;
     private Map<String, String> headers = Map.of();
     private boolean headReceived;
+    private OptionalLong answerStartNanos = OptionalLong.empty();
+    private int events;
     private boolean ended;
 
     Attempt(
@@ -136,10 +139,26 @@
     }
 
     /** Records that the upstream has begun to answer, so that its backlog no longer includes this prompt. */
-    void markStarted() {
+    void markStarted(long now) {
+        answerStartNanos = OptionalLong.of(now);
         upstream.onAnswerStart(inFlight);
     }
 
+    /** Records the number of complete events that this attempt has delivered so far. */
+    void recordEvents(int count) {
+        events = count;
+    }
+
+    /** Returns the time at which the upstream began to answer with a stream, empty if it has not. */
+    OptionalLong answerStartNanos() {
+        return answerStartNanos;
+    }
+
+    /** Returns the number of complete events that this attempt has delivered. */
+    int events() {
+        return events;
+    }
+
     UpstreamState upstream() {
         return upstream;
     }
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -1,10 +1,13 @@
 package org.masticpaddle.gateway;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 import org.masticpaddle.decisions.Decision;
+import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -72,6 +75,8 @@
                         choice.score(),
                         "body_bytes",
                         admitted.body().length,
+                        "prompt",
+                        segmentIds(),
                         "prompt_tokens",
                         request.promptTokens(),
                         "unread_tokens",
@@ -120,10 +125,24 @@
                         reason,
                         "may_have_run",
                         mayHaveRun,
+                        "prompt",
+                        segmentIds(),
+                        "events",
+                        failed.events(),
+                        "answering_ms",
+                        failed.answerStartNanos().isPresent()
+                                ? (now() - failed.answerStartNanos().getAsLong()) / 1e6
+                                : null,
                         "ms",
                         (now() - failed.sentNanos()) / 1e6);
     }
 
+    /** Returns the identifiers of the prompt's segments in order, {@code null} for a request without a prompt. */
+    private String segmentIds() {
+        final List<PromptSegment> prompt = admitted.request().prompt();
+        return prompt.isEmpty() ? null : prompt.stream().map(PromptSegment::id).collect(Collectors.joining(","));
+    }
+
     /** Writes the end of the request. */
     void ended(Decision decision, int status, String reason, Work work) {
         context.log()
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -50,7 +50,6 @@
     private String model;
     private int modelIndex;
     private int sentAttempts;
-    private long firstEventNanos;
     private int eventsBeforeAttempt;
     private boolean mayHaveRun;
     private boolean ended;
@@ -197,8 +196,7 @@
     private void startStream(Attempt streaming, ResponseMetadata metadata) {
         final double millis = (now() - streaming.sentNanos()) / 1e6;
         recordServiceTime(streaming, millis);
-        streaming.markStarted();
-        firstEventNanos = now();
+        streaming.markStarted(now());
         eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
         if (relay.isPresent() && relay.get().started()) {
             relay.get().resume();
@@ -273,6 +271,7 @@
         relay.get().accept(bytes);
         final int events = relay.get().relayedEvents() - eventsBeforeAttempt;
         if (events > 0) {
+            receiving.recordEvents(events);
             observer.onEvents(events);
         }
         if (relay.get().outOfSequence()) {
@@ -360,11 +359,10 @@
     }
 
     private void recordEventInterval() {
-        final int intervals = relay.get().relayedEvents() - eventsBeforeAttempt - 1;
+        final int intervals = attempt.events() - 1;
         if (intervals > 0 && !model.isEmpty() && updatesEstimates(attempt)) {
-            serviceTimes()
-                    .recordEventInterval(
-                            model, models.relativeCost(modelIndex), (now() - firstEventNanos) / 1e6 / intervals);
+            final long answerNanos = now() - attempt.answerStartNanos().orElseThrow();
+            serviceTimes().recordEventInterval(model, models.relativeCost(modelIndex), answerNanos / 1e6 / intervals);
         }
     }
 
