--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -14,8 +14,6 @@
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.routes.KeyOwner;
-import org.masticpaddle.routing.ModelCascade;
-import org.masticpaddle.routing.ServiceTimes;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
@@ -42,6 +40,8 @@
     private final long deadlineNanos;
     private final RequestModels models;
     private final UpstreamChooser chooser;
+    private final Escalation escalation;
+    private final EstimateRecorder estimates;
     private final RequestDecisions decisions;
     private Scheduler.Timer deadlineTimer;
     private Attempt attempt;
@@ -62,6 +62,8 @@
         service = admitted.route().selectService(context.random().nextDouble());
         models = new RequestModels(context.state(), admitted, service);
         chooser = new UpstreamChooser(context, admitted, service, models);
+        escalation = new Escalation(context, admitted, service, models, chooser);
+        estimates = new EstimateRecorder(context, service, models);
         decisions = new RequestDecisions(context, admitted);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
@@ -114,7 +116,9 @@
                         choice.expectedMillis(),
                         model.isEmpty()
                                 ? 0
-                                : serviceTimes().eventIntervalMillis(model, models.relativeCost(modelIndex))));
+                                : context.state()
+                                        .serviceTimes(service)
+                                        .eventIntervalMillis(model, models.relativeCost(modelIndex))));
         context.counters().add(GatewayCounters.Counter.SENT);
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
@@ -194,17 +198,15 @@
     }
 
     private void startStream(Attempt streaming, ResponseMetadata metadata) {
-        final double millis = (now() - streaming.sentNanos()) / 1e6;
-        recordServiceTime(streaming, millis);
+        estimates.recordAnswerStart(streaming, model, modelIndex, now());
         streaming.markStarted(now());
         eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
         if (relay.isPresent() && relay.get().started()) {
             relay.get().resume();
             return;
         }
-        final double objectiveLeftMillis =
-                admitted.route().objectiveMillis() - (now() - admitted.receivedNanos()) / 1e6;
-        final OptionalInt largerModel = chooseLargerModel(metadata.confidence(), objectiveLeftMillis);
+        final OptionalInt largerModel =
+                escalation.largerModel(modelIndex, metadata.confidence(), sentAttempts, remainingMillis());
         if (largerModel.isPresent()) {
             escalate(streaming, largerModel.getAsInt(), metadata.confidence().orElse(-1));
             return;
@@ -216,41 +218,6 @@
                 admitted.request().lastEventId()));
     }
 
-    /**
-     * Decides whether a draft is dropped for a larger model.
-     *
-     * @return index of the larger model, empty to keep the draft; an escalation takes one retry from the budget
-     */
-    private OptionalInt chooseLargerModel(OptionalInt confidence, double objectiveLeftMillis) {
-        final int modelCount = admitted.route().modelsBySize().size();
-        if (modelCount < 2 || sentAttempts >= admitted.route().maxAttempts()) {
-            return OptionalInt.empty();
-        }
-        final Optional<UpstreamPlacement.Choice> choice = chooser.bestPreferred(modelCount - 1);
-        if (choice.isEmpty()) {
-            return OptionalInt.empty();
-        }
-        final double expectedMillis = choice.get().expectedMillis();
-        final ModelCascade.LatencyEstimate latencyEstimate = new ModelCascade.LatencyEstimate(
-                objectiveLeftMillis,
-                remainingMillis(),
-                expectedMillis - choice.get().serviceMillis(),
-                expectedMillis,
-                expectedMillis
-                        + models.expectedEvents()
-                                * serviceTimes()
-                                        .eventIntervalMillis(
-                                                models.name(modelCount - 1), models.relativeCost(modelCount - 1)));
-        final OptionalInt largerModelIndex = context.modelCascade()
-                .escalationTarget(modelCount, modelIndex, confidence, admitted.rank(), latencyEstimate);
-        return largerModelIndex.isPresent()
-                        && context.state()
-                                .retryBudget(service)
-                                .tryRetryWithReserve(now(), GatewayState.FAILURE_RETRY_RESERVE)
-                ? largerModelIndex
-                : OptionalInt.empty();
-    }
-
     private void escalate(Attempt draft, int largerIndex, int confidence) {
         draft.cancel();
         observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
@@ -285,7 +252,7 @@
     public void onResponseComplete(Attempt completed) {
         if (relay.isPresent()) {
             if (relay.get().completeIfWhole()) {
-                recordEventInterval();
+                estimates.recordAnswerEnd(completed, model, modelIndex, now());
                 observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
                 complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
             } else {
@@ -296,9 +263,8 @@
             }
             return;
         }
-        final double millis = (now() - completed.sentNanos()) / 1e6;
         if (completed.status() < 300) {
-            recordServiceTime(completed, millis);
+            estimates.recordAnswerStart(completed, model, modelIndex, now());
             observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
         } else if (completed.status() >= 500) {
             completed.upstream().onErrorResponse();
@@ -358,34 +324,6 @@
         }
     }
 
-    private void recordEventInterval() {
-        final int intervals = attempt.events() - 1;
-        if (intervals > 0 && !model.isEmpty() && updatesEstimates(attempt)) {
-            final long answerNanos = now() - attempt.answerStartNanos().orElseThrow();
-            serviceTimes().recordEventInterval(model, models.relativeCost(modelIndex), answerNanos / 1e6 / intervals);
-        }
-    }
-
-    private void recordServiceTime(Attempt measured, double millis) {
-        measured.upstream().onSuccess(measured.expectedMillis(), millis);
-        if (!updatesEstimates(measured)) {
-            return;
-        }
-        if (!model.isEmpty() && measured.sentWithoutBacklog()) {
-            serviceTimes().recordPrefill(model, models.relativeCost(modelIndex), uncachedTokens(measured), millis);
-        } else if (model.isEmpty()) {
-            serviceTimes().recordPlainRequest(millis);
-        }
-    }
-
-    private boolean updatesEstimates(Attempt measured) {
-        return context.versionRouter().updatesEstimates(measured.upstream().upstream());
-    }
-
-    private static int uncachedTokens(Attempt sent) {
-        return sent.inFlight().uncachedTokens();
-    }
-
     private void onDeadline() {
         fail("no answer before the deadline; last failure: " + lastFailure, true);
     }
@@ -443,10 +381,6 @@
                         sentAttempts, Optional.ofNullable(attempt), model, relay.map(StreamRelay::relayedEvents)));
     }
 
-    private ServiceTimes serviceTimes() {
-        return context.state().serviceTimes(service);
-    }
-
     private long now() {
         return context.scheduler().nanos();
     }
