Quarantine prompt segments that crash upstreams

Cause: a broken connection counted as a fault of the upstream alone. The request that had caused the crash was sent to the next upstream at once, and other requests with the same prompt segment followed at every gateway; nothing remembered what an upstream was answering when it was lost. The class of fault: a failure is attributed to the place where it shows, and its cause is retried. Change: SegmentQuarantine attributes a crash to the segments of answers that had just begun, less those with an answer that went on within 10 s. Of all gateways' reports, the segment in use at most crashes explains them. After one crash a single request tries the segment, after two it is rejected, apart from trials after a backoff that doubles; tied segments are told apart by a request that has only some of them; an answer that goes on clears its segments. QuarantineCoordinator exchanges reports through the log, after the upstream has refused a connection, and takes its own report over after a restart. A request loses two upstreams at most.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -28,19 +29,16 @@
      * Delay after the first failed request, doubled with each further failure. Rejected requests are billed as well.
      */
     private static final long INITIAL_BACKOFF_MILLIS = 60;
-    /** Maximum delay after a failed request, short compared with the time within which a change must take effect. */
-    private static final long MAX_BACKOFF_MILLIS = 400;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final SharedLog log;
     private final LogStream stream;
-    private final Duration wait;
-    private final Duration pause;
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final Listener listener;
     private final Map<String, Long> lastOffsets = new HashMap<>();
+    private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
     private long listEndOffset;
     private long listStartNanos;
@@ -49,15 +47,15 @@
     private boolean available;
     private boolean stopped;
     private int failures;
+    private long reads;
+    private boolean readInFlight;
 
     /**
      * Creates a follower that is not started.
      *
      * @param log the platform's log
      * @param stream the stream to follow
-     * @param wait long-poll timeout: time for which the log holds a read while there is no record; zero to return at
-     *     once
-     * @param pause mean delay between two reads
+     * @param timing timing of the reads
      * @param scheduler clock and timers of the thread that owns the follower
      * @param random source of jitter
      * @param listener receives the records and the state of the connection to the log
@@ -65,15 +63,13 @@
     public KeyedFollower(
             SharedLog log,
             LogStream stream,
-            Duration wait,
-            Duration pause,
+            ReadTiming timing,
             Scheduler scheduler,
             UniformRandomProvider random,
             Listener listener) {
         this.log = Objects.requireNonNull(log, "log is null");
         this.stream = Objects.requireNonNull(stream, "stream is null");
-        this.wait = Objects.requireNonNull(wait, "wait is null");
-        this.pause = Objects.requireNonNull(pause, "pause is null");
+        this.timing = Objects.requireNonNull(timing, "timing is null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
@@ -89,6 +85,21 @@
         stopped = true;
     }
 
+    /**
+     * Changes the timing of the reads. A read that the log may hold for longer than the new timing permits is replaced by
+     * another one, and its response is ignored.
+     *
+     * @param newTiming timing of the next reads
+     */
+    public void setTiming(ReadTiming newTiming) {
+        final boolean replacesRead =
+                readInFlight && newTiming.longPollTimeout().compareTo(timing.longPollTimeout()) < 0;
+        timing = Objects.requireNonNull(newTiming, "newTiming is null");
+        if (replacesRead && !stopped) {
+            read();
+        }
+    }
+
     /**
      * Returns the position of the follower in the stream.
      *
@@ -114,7 +125,7 @@
             listedKeys = new HashSet<>();
             listStartNanos = scheduler.nanos();
         }
-        handleResponse(log.newest(stream, after), page -> {
+        handleResponse(log.newest(stream, after), () -> true, page -> {
             if (after.isEmpty()) {
                 listEndOffset = page.endOffset();
             }
@@ -144,12 +155,16 @@
 
     private void read() {
         final long sentNanos = scheduler.nanos();
-        handleResponse(log.read(stream, nextOffset, wait), batch -> {
+        final Duration longPollTimeout = timing.longPollTimeout();
+        final long number = ++reads;
+        readInFlight = true;
+        handleResponse(log.read(stream, nextOffset, longPollTimeout), () -> number == reads, batch -> {
+            readInFlight = false;
             batch.records().forEach(this::deliver);
             nextOffset = batch.nextOffset();
             if (batch.complete()) {
                 // The log holds an empty response for the whole wait, so there was no further record until then.
-                listener.onCaughtUp(batch.records().isEmpty() ? sentNanos + wait.toNanos() : sentNanos);
+                listener.onCaughtUp(batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos);
                 scheduler.schedule(jitteredPauseMillis(), this::listOrRead);
             } else {
                 listOrRead();
@@ -159,12 +174,12 @@
 
     /** Returns the pause with a jitter of a tenth, without which the readers of a stream that started together stay in step. */
     private long jitteredPauseMillis() {
-        return Math.round(pause.toMillis() * (0.9 + 0.2 * random.nextDouble()));
+        return Math.round(timing.pause().toMillis() * (0.9 + 0.2 * random.nextDouble()));
     }
 
-    private <T> void handleResponse(CompletableFuture<T> response, Consumer<T> onSuccess) {
+    private <T> void handleResponse(CompletableFuture<T> response, BooleanSupplier expected, Consumer<T> onSuccess) {
         response.whenComplete((value, error) -> {
-            if (stopped) {
+            if (stopped || !expected.getAsBoolean()) {
                 return;
             }
             if (error == null) {
@@ -185,6 +200,7 @@
     }
 
     private void requestFailed(Throwable error) {
+        readInFlight = false;
         final Throwable cause = error instanceof CompletionException ? error.getCause() : error;
         if (cause instanceof SharedLogException logError && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
             requestSucceeded();
@@ -197,7 +213,8 @@
             available = false;
             listener.onUnavailable(String.valueOf(cause.getMessage()));
         }
-        final long maxDelayMillis = Math.min(MAX_BACKOFF_MILLIS, INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
+        final long maxDelayMillis =
+                Math.min(timing.maxBackoff().toMillis(), INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
         failures++;
         scheduler.schedule(maxDelayMillis / 2 + random.nextLong(maxDelayMillis / 2 + 1), this::listOrRead);
     }
--- a/src/main/java/org/masticpaddle/control/LogStream.java
+++ b/src/main/java/org/masticpaddle/control/LogStream.java
@@ -9,5 +9,7 @@
     /** Status of rollouts for the operator, written by gateways. */
     STATUS,
     /** Counts of answers during rollouts, one record per gateway, written and read by gateways. */
-    ROLLOUT_COUNTS
+    ROLLOUT_COUNTS,
+    /** Reports of upstream crashes, one record per gateway that has seen one, written and read by gateways. */
+    CRASH_REPORTS
 }
--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -28,6 +28,8 @@
     ROLLOUT_CHANGED("rollout.changed", Priority.IMPORTANT),
     /** An answer was counted as evidence for or against the version of a rollout. */
     ANSWER_OBSERVED("rollout.observed", Priority.ROUTINE),
+    /** An upstream was lost while it began to answer, or the segments suspected of such crashes changed. */
+    QUARANTINE_CHANGED("quarantine.changed", Priority.IMPORTANT),
     /** A request was queued until an upstream has capacity. */
     REQUEST_QUEUED("request.queued", Priority.ROUTINE),
     /** A request was sent to an upstream. */
--- a/src/main/java/org/masticpaddle/gateway/AnswerObserver.java
+++ b/src/main/java/org/masticpaddle/gateway/AnswerObserver.java
@@ -15,7 +15,7 @@
  *
  * <p>Invariant: an answer is counted once, apart from a failure after it. Used on the event loop only.
  */
-final class AnswerObserver implements VersionRouter.AttemptObserver {
+final class AnswerObserver implements AttemptObserver {
     private final VersionRouter.SentAttempt attempt;
     private final Optional<ActiveRollout> rollout;
     private final ActiveSessions sessions;
@@ -56,17 +56,16 @@
     }
 
     @Override
-    public void onEnd(VersionRouter.AttemptEnd end) {
+    public void onEnd(AttemptEnd end) {
         final long now = scheduler.nanos();
         attempt.session().ifPresent(session -> sessions.end(session, now));
         rollout.ifPresent(active -> active.remove(this));
         final boolean slow = timing.pace(now) == AnswerTiming.Pace.SLOW;
-        if (end == VersionRouter.AttemptEnd.FAILED) {
-            count(false, slow, now);
-        } else if (end == VersionRouter.AttemptEnd.ANSWERED) {
-            countOnce(slow, now);
-        } else if (end == VersionRouter.AttemptEnd.CANCELLED) {
-            countIfJudged(now);
+        switch (end) {
+            case FAILED, LOST -> count(false, slow, now);
+            case ANSWERED, DRAFT_DROPPED -> countOnce(slow, now);
+            case CANCELLED -> countIfJudged(now);
+            default -> {}
         }
     }
 
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -11,6 +11,7 @@
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
+import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.control.UndecodableRecordException;
 import org.masticpaddle.decisions.Decision;
@@ -65,16 +66,14 @@
                 new KeyedFollower(
                         sharedLog,
                         LogStream.OPERATOR,
-                        OPERATOR_LONG_POLL,
-                        Duration.ZERO,
+                        ReadTiming.longPoll(OPERATOR_LONG_POLL),
                         scheduler,
                         random,
                         new OperatorListener()),
                 new KeyedFollower(
                         sharedLog,
                         LogStream.UPSTREAMS,
-                        Duration.ZERO,
-                        UPSTREAM_POLL_INTERVAL,
+                        ReadTiming.periodic(UPSTREAM_POLL_INTERVAL),
                         scheduler,
                         random,
                         new UpstreamListener()));
--- a/src/main/java/org/masticpaddle/gateway/GatewayContext.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayContext.java
@@ -19,6 +19,7 @@
  * @param headerCodec codec of request and response headers
  * @param state state of the gateway
  * @param versionRouter choice of the versions that a request may run on
+ * @param quarantine quarantine of prompt segments that crash upstreams
  * @param placement policy that chooses the upstream
  * @param modelCascade policy that chooses the model on routes with several model sizes
  * @param log decision log
@@ -32,6 +33,7 @@
         HeaderCodec headerCodec,
         GatewayState state,
         VersionRouter versionRouter,
+        QuarantineCoordinator quarantine,
         UpstreamPlacement placement,
         ModelCascade modelCascade,
         DecisionLog log,
@@ -43,5 +45,6 @@
         Objects.requireNonNull(headerCodec, "headerCodec is null");
         Objects.requireNonNull(state, "state is null");
         Objects.requireNonNull(versionRouter, "versionRouter is null");
+        Objects.requireNonNull(quarantine, "quarantine is null");
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -61,6 +61,7 @@
     private final GatewayHandler handler;
     private final ControlLogFollower logFollower;
     private final RolloutCoordinator rollouts;
+    private final QuarantineCoordinator quarantine;
     private final DecisionLog log;
     private final HttpClient client;
     private final GatewayCounters counters = new GatewayCounters();
@@ -97,6 +98,14 @@
                 loop,
                 random,
                 log);
+        quarantine = new QuarantineCoordinator(
+                settings.text(Setting.INSTANCE),
+                sharedLog,
+                client::checkReachable,
+                loop,
+                random,
+                System::currentTimeMillis,
+                log);
         healthProbe = new UpstreamHealthProbe(client, loop, log, UNRESPONSIVE_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
@@ -105,12 +114,14 @@
                 ports.headerCodec(),
                 state,
                 rollouts,
+                quarantine,
                 new UpstreamPlacement(settings.text(Setting.FAILURE_DOMAIN)),
                 new ModelCascade(settings.number(Setting.MIN_DRAFT_CONFIDENCE_PERCENT)),
                 log,
                 counters,
                 random);
-        handler = new GatewayHandler(context, () -> state.started() && rollouts.progressKnown());
+        handler =
+                new GatewayHandler(context, () -> state.started() && rollouts.progressKnown() && quarantine.caughtUp());
         logFollower = new ControlLogFollower(
                 state, sharedLog, ports.recordCodec(), loop, random, log, new ControlLogFollower.ChangeListener() {
                     @Override
@@ -156,6 +167,7 @@
         kernel.start();
         loop.execute(() -> {
             logFollower.start();
+            quarantine.start();
             tick();
         });
         log.write(Decision.STARTED, "role", "gateway");
@@ -242,6 +254,7 @@
         }
         logFollower.removeExpiredUpstreams();
         rollouts.tick();
+        quarantine.tick();
         client.closeExpired();
         state.registry().all().forEach(healthProbe::probeIfUnresponsive);
         loop.schedule(TICK_INTERVAL_MILLIS, this::tick);
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -13,6 +13,7 @@
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
+import org.masticpaddle.quarantine.Admission;
 import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.wire.HttpRequest;
@@ -44,8 +45,9 @@
     private final EstimateRecorder estimates;
     private final RequestDecisions decisions;
     private Scheduler.Timer deadlineTimer;
+    private PromptGuard guard;
     private Attempt attempt;
-    private VersionRouter.AttemptObserver observer;
+    private AttemptObserver observer;
     private Optional<StreamRelay> relay = Optional.empty();
     private String model;
     private int modelIndex;
@@ -75,6 +77,7 @@
         context.counters().add(GatewayCounters.Counter.RECEIVED);
         context.state().retryBudget(service).recordFirstAttempt(now());
         deadlineTimer = context.scheduler().schedule(remainingMillis(), this::onDeadline);
+        guard = context.quarantine().guard(service, models.sharedSegments(), this::onQuarantineChange);
         caller.onDisconnect(this::cancel);
         startAttempt();
     }
@@ -88,9 +91,25 @@
             return;
         }
         final boolean mayWait = remainingMillis() > admitted.timeoutMillis() / 2;
-        final Optional<UpstreamPlacement.Choice> choice = chooser.choose(model, modelIndex, mayWait);
+        final Admission admission = guard.admission();
+        if (admission.outcome() == Admission.Outcome.REJECTED) {
+            failQuarantined(admission);
+        } else if (admission.outcome() == Admission.Outcome.HELD) {
+            if (mayWait) {
+                context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
+            } else {
+                failQuarantined(admission);
+            }
+        } else {
+            startAttempt(admission, mayWait);
+        }
+    }
+
+    private void startAttempt(Admission admission, boolean mayWait) {
+        final Optional<UpstreamPlacement.Choice> choice =
+                chooser.choose(model, modelIndex, mayWait, admission.outcome() == Admission.Outcome.TRIAL);
         if (choice.isPresent()) {
-            send(choice.get());
+            send(choice.get(), admission);
         } else if (sentAttempts == 0 && mayWait) {
             context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
         } else {
@@ -98,7 +117,32 @@
         }
     }
 
-    private void send(UpstreamPlacement.Choice choice) {
+    /** Stops the attempt in flight if it has not begun to be answered and may no longer run. */
+    private void onQuarantineChange() {
+        if (ended
+                || attempt == null
+                || attempt.ended()
+                || attempt.answerStartNanos().isPresent()) {
+            return;
+        }
+        final Admission admission = guard.admission();
+        switch (admission.outcome()) {
+            case TRIAL -> guard.beginTrial();
+            case REJECTED -> failQuarantined(admission);
+            case HELD -> {
+                if (admitted.route().repeatable()) {
+                    attempt.cancel();
+                    observer.onEnd(AttemptEnd.CANCELLED);
+                    mayHaveRun = true;
+                    lastFailure = "another request tries segment " + admission.segment();
+                    retryOrFail(attempt, true);
+                }
+            }
+            default -> {}
+        }
+    }
+
+    private void send(UpstreamPlacement.Choice choice, Admission admission) {
         final UpstreamState upstream = choice.member();
         final InboundRequest request = admitted.request();
         final boolean sentWithoutBacklog = upstream.prefillBacklogMillis() == 0;
@@ -107,7 +151,7 @@
         sentAttempts++;
         attempt = new Attempt(
                 upstream, inFlight, choice.expectedMillis(), choice.serviceMillis(), sentWithoutBacklog, now(), this);
-        observer = context.versionRouter()
+        final AttemptObserver versionObserver = context.versionRouter()
                 .attemptSent(new VersionRouter.SentAttempt(
                         request.id(),
                         request.session(),
@@ -119,6 +163,7 @@
                                 : context.state()
                                         .serviceTimes(service)
                                         .eventIntervalMillis(model, models.relativeCost(modelIndex))));
+        observer = AttemptObserver.both(versionObserver, guard.observe(attempt, admission));
         context.counters().add(GatewayCounters.Counter.SENT);
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
@@ -192,7 +237,7 @@
         } else if (failed.status() == 421) {
             failed.upstream().tripCircuit(now());
         }
-        observer.onEnd(verdict.mayHaveRun() ? VersionRouter.AttemptEnd.FAILED : VersionRouter.AttemptEnd.NOT_RUN);
+        observer.onEnd(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
         decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
         retryOrFail(failed, verdict.mayHaveRun());
     }
@@ -220,7 +265,7 @@
 
     private void escalate(Attempt draft, int largerIndex, int confidence) {
         draft.cancel();
-        observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
+        observer.onEnd(AttemptEnd.DRAFT_DROPPED);
         context.counters().add(GatewayCounters.Counter.ESCALATED);
         decisions.escalated(draft, model, models.name(largerIndex), confidence);
         modelIndex = largerIndex;
@@ -253,7 +298,7 @@
         if (relay.isPresent()) {
             if (relay.get().completeIfWhole()) {
                 estimates.recordAnswerEnd(completed, model, modelIndex, now());
-                observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
+                observer.onEnd(AttemptEnd.ANSWERED);
                 complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
             } else {
                 onAttemptFailed(
@@ -265,12 +310,12 @@
         }
         if (completed.status() < 300) {
             estimates.recordAnswerStart(completed, model, modelIndex, now());
-            observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
+            observer.onEnd(AttemptEnd.ANSWERED);
         } else if (completed.status() >= 500) {
             completed.upstream().onErrorResponse();
-            observer.onEnd(VersionRouter.AttemptEnd.FAILED);
+            observer.onEnd(AttemptEnd.FAILED);
         } else {
-            observer.onEnd(VersionRouter.AttemptEnd.CANCELLED);
+            observer.onEnd(AttemptEnd.CANCELLED);
         }
         if (!ended) {
             complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
@@ -285,9 +330,9 @@
         failed.upstream().onUnreachable(now());
         if (possiblySent) {
             mayHaveRun = true;
-            observer.onEnd(VersionRouter.AttemptEnd.FAILED);
+            observer.onEnd(AttemptEnd.LOST);
         } else {
-            observer.onEnd(VersionRouter.AttemptEnd.NOT_RUN);
+            observer.onEnd(AttemptEnd.UNREACHABLE);
             sentAttempts--;
             if (sentAttempts > 0) {
                 context.state().retryBudget(service).refundRetry(now());
@@ -313,7 +358,9 @@
                                 || admitted.route().modelsBySize().isEmpty()
                                         && !admitted.route().resumable())) {
             fail(lastFailure);
-        } else if (sentAttempts >= admitted.route().maxAttempts() || remainingMillis() < MIN_ATTEMPT_MILLIS) {
+        } else if (sentAttempts >= admitted.route().maxAttempts()
+                || remainingMillis() < MIN_ATTEMPT_MILLIS
+                || guard.exhausted()) {
             fail("no attempt is left; last failure: " + lastFailure);
         } else if (sentAttempts > 0 && !context.state().retryBudget(service).tryRetry(now())) {
             context.counters().add(GatewayCounters.Counter.BUDGET_EMPTY);
@@ -325,14 +372,31 @@
     }
 
     private void onDeadline() {
-        fail("no answer before the deadline; last failure: " + lastFailure, true);
+        fail("no answer before the deadline; last failure: " + lastFailure, 504, backoffSeconds());
     }
 
     private void fail(String reason) {
-        fail(reason, false);
+        fail(reason, 502, backoffSeconds());
+    }
+
+    private void failQuarantined(Admission admission) {
+        context.counters().add(GatewayCounters.Counter.QUARANTINED);
+        final String reason = "segment " + admission.segment() + " is suspected of " + admission.crashes()
+                + " crashes; last failure: " + lastFailure;
+        fail(reason, 502, Math.max(backoffSeconds(), context.quarantine().secondsUntil(admission)));
     }
 
-    private void fail(String reason, boolean deadlinePassed) {
+    private double backoffSeconds() {
+        return RetryAfterPolicy.BACKOFF.delaySeconds(admitted.route().objectiveMillis(), context.random());
+    }
+
+    /**
+     * Ends the request without an answer.
+     *
+     * @param statusIfRun status if the request may have run
+     * @param retryAfterSeconds delay after which the caller may repeat a request that has not run
+     */
+    private void fail(String reason, int statusIfRun, double retryAfterSeconds) {
         if (ended) {
             return;
         }
@@ -340,19 +404,16 @@
         if (inFlight) {
             mayHaveRun = true;
             attempt.cancel();
-            observer.onEnd(VersionRouter.AttemptEnd.CANCELLED);
+            observer.onEnd(AttemptEnd.CANCELLED);
         }
         if (relay.isPresent() && relay.get().started()) {
             complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, 0, reason);
             caller.abort();
         } else if (mayHaveRun) {
-            final int status = deadlinePassed ? 504 : 502;
-            complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, status, reason);
-            caller.respond(status, Map.of(), LocalResponses.errorBody(status, reason));
+            complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, statusIfRun, reason);
+            caller.respond(statusIfRun, Map.of(), LocalResponses.errorBody(statusIfRun, reason));
         } else {
             complete(Decision.REQUEST_REJECTED, GatewayCounters.Counter.REFUSED, 503, reason);
-            final double retryAfterSeconds =
-                    RetryAfterPolicy.BACKOFF.delaySeconds(admitted.route().objectiveMillis(), context.random());
             caller.respond(
                     503, LocalResponses.retryAfterHeader(retryAfterSeconds), LocalResponses.errorBody(503, reason));
         }
@@ -364,7 +425,7 @@
         }
         if (attempt != null && !attempt.ended()) {
             attempt.cancel();
-            observer.onEnd(VersionRouter.AttemptEnd.CANCELLED);
+            observer.onEnd(AttemptEnd.CANCELLED);
         }
         complete(Decision.REQUEST_CANCELLED, GatewayCounters.Counter.CANCELLED, 0, "the caller disconnected");
     }
@@ -372,6 +433,7 @@
     private void complete(Decision decision, GatewayCounters.Counter counter, int status, String reason) {
         ended = true;
         deadlineTimer.cancel();
+        guard.close();
         context.counters().add(counter);
         decisions.ended(
                 decision,
--- a/src/main/java/org/masticpaddle/gateway/RequestModels.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestModels.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.routes.ServicePolicy;
@@ -48,8 +50,21 @@
                 .orElse(0L);
     }
 
-    /** Describes the request for the placement on a model. */
-    UpstreamPlacement.Request placementRequest(String model, int index) {
+    /** Returns the segments of the prompt that other requests may share: all but the last one, which is the request's own. */
+    Set<String> sharedSegments() {
+        final List<PromptSegment> prompt = admitted.request().prompt();
+        return prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .map(PromptSegment::id)
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Describes the request for the placement on a model.
+     *
+     * @param isolated whether the request may crash its upstream
+     */
+    UpstreamPlacement.Request placementRequest(String model, int index, boolean isolated) {
         final InboundRequest request = admitted.request();
         final List<PromptSegment> prompt = request.prompt();
         return new UpstreamPlacement.Request(
@@ -58,7 +73,8 @@
                 prompt,
                 request.promptTokens(),
                 prompt.size() < 2 ? "" : prompt.get(prompt.size() - 2).id(),
-                admitted.body().length / 1024.0);
+                admitted.body().length / 1024.0,
+                isolated);
     }
 
     /** Returns the expected number of events of the answer. */
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -16,6 +16,7 @@
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
+import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.RolloutProgress;
 import org.masticpaddle.control.RolloutStatus;
 import org.masticpaddle.control.SharedLog;
@@ -136,15 +137,19 @@
     private void startFollowers() {
         if (statusFollower.isEmpty()) {
             statusFollower = Optional.of(new KeyedFollower(
-                    sharedLog, LogStream.STATUS, STATUS_LONG_POLL, Duration.ZERO, scheduler, random, this::onStatus));
+                    sharedLog,
+                    LogStream.STATUS,
+                    ReadTiming.longPoll(STATUS_LONG_POLL),
+                    scheduler,
+                    random,
+                    this::onStatus));
             statusFollower.get().start();
         }
         if (countsFollower.isEmpty()) {
             countsFollower = Optional.of(new KeyedFollower(
                     sharedLog,
                     LogStream.ROLLOUT_COUNTS,
-                    Duration.ZERO,
-                    COUNTS_POLL_INTERVAL,
+                    ReadTiming.periodic(COUNTS_POLL_INTERVAL),
                     scheduler,
                     random,
                     this::onCounts));
--- a/src/main/java/org/masticpaddle/gateway/UpstreamChooser.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamChooser.java
@@ -53,7 +53,7 @@
     Optional<UpstreamPlacement.Choice> bestPreferred(int modelIndex) {
         return context.placement()
                 .choose(
-                        models.placementRequest(models.name(modelIndex), modelIndex),
+                        models.placementRequest(models.name(modelIndex), modelIndex, false),
                         context.state().registry().members(service),
                         member -> eligible.preferred().test(member.upstream()),
                         context.state().serviceTimes(service),
@@ -67,16 +67,17 @@
      * @param model name of the model that the attempt runs
      * @param modelIndex index of the model
      * @param mayWait whether the request can still wait for an upstream of its version
+     * @param isolated whether the request may crash its upstream, so that the one with the fewest other requests is preferred
      * @return the choice, empty if no upstream may get the request now
      */
-    Optional<UpstreamPlacement.Choice> choose(String model, int modelIndex, boolean mayWait) {
+    Optional<UpstreamPlacement.Choice> choose(String model, int modelIndex, boolean mayWait, boolean isolated) {
         eligible = context.versionRouter()
                 .eligibleUpstreams(
                         service,
                         admitted.request().session(),
                         admitted.request().id());
         final List<UpstreamState> members = context.state().registry().members(service);
-        final UpstreamPlacement.Request request = models.placementRequest(model, modelIndex);
+        final UpstreamPlacement.Request request = models.placementRequest(model, modelIndex, isolated);
         final Predicate<UpstreamState> preferred =
                 member -> eligible.preferred().test(member.upstream());
         final Predicate<Upstream> permittedVersions = permittedVersions(members, mayWait);
--- a/src/main/java/org/masticpaddle/gateway/VersionRouter.java
+++ b/src/main/java/org/masticpaddle/gateway/VersionRouter.java
@@ -65,35 +65,6 @@
         }
     }
 
-    /** Observes one attempt. Used on the event loop only. */
-    interface AttemptObserver {
-        /**
-         * Called when events of a stream have arrived.
-         *
-         * @param events number of events that the attempt has delivered so far, at least 1
-         */
-        void onEvents(int events);
-
-        /**
-         * Called once when the attempt has ended.
-         *
-         * @param end how it ended
-         */
-        void onEnd(AttemptEnd end);
-    }
-
-    /** How an attempt ended. */
-    enum AttemptEnd {
-        /** The upstream gave a usable answer. */
-        ANSWERED,
-        /** The upstream failed after the request may have run. */
-        FAILED,
-        /** The request did not run. */
-        NOT_RUN,
-        /** The gateway cancelled the attempt for a reason other than a failure of the upstream. */
-        CANCELLED
-    }
-
     /** Reason why a request may run on certain versions. */
     enum Assignment {
         /** No rollout of the service is known. */
--- /dev/null
+++ b/src/main/java/org/masticpaddle/quarantine/SegmentKey.java
@@ -0,0 +1,17 @@
+package org.masticpaddle.quarantine;
+
+import java.util.Objects;
+
+/**
+ * A prompt segment, as requests to the upstreams of one service share it. Immutable.
+ *
+ * @param service name of the service
+ * @param segment identifier of the segment's content
+ */
+public record SegmentKey(String service, String segment) {
+    /** Checks the arguments. */
+    public SegmentKey {
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(segment, "segment is null");
+    }
+}
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -32,6 +32,9 @@
      */
     private static final double AFFINITY_WEIGHT = 0.3;
 
+    /** Penalty for each request in flight at an upstream that gets a request that may crash it; outweighs expected times. */
+    private static final double ENDANGERED_REQUEST_MILLIS = 1_000;
+
     private final String failureDomain;
 
     /**
@@ -91,6 +94,9 @@
                     * AFFINITY_WEIGHT
                     * affinityDistance(request.affinityKey(), member.upstream().id());
         }
+        if (request.isolated()) {
+            score += (member.inFlight() + member.inFlightOfOtherGateways(now)) * ENDANGERED_REQUEST_MILLIS;
+        }
         return new Choice(member, waitMillis + serviceMillis, serviceMillis, uncachedTokens, score);
     }
 
@@ -123,6 +129,7 @@
      * @param affinityKey identifier of the last segment that other requests share, which determines the preferred
      *     upstream; empty if there is none
      * @param kilobytes size of the request in kilobytes
+     * @param isolated whether the request may crash its upstream, so that the one with the fewest other requests is preferred
      */
     public record Request(
             String model,
@@ -130,7 +137,8 @@
             List<PromptSegment> prompt,
             int promptTokens,
             String affinityKey,
-            double kilobytes) {
+            double kilobytes,
+            boolean isolated) {
         /** Checks the arguments and copies the list. */
         public Request {
             Objects.requireNonNull(model, "model is null");
--- a/src/test/java/org/masticpaddle/control/FakeSharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FakeSharedLog.java
@@ -10,10 +10,17 @@
 
 import org.masticpaddle.kernel.FakeScheduler;
 
-/** In-memory log with one keyed stream. Holds empty reads for their wait; can simulate an outage. Not thread-safe. */
+/**
+ * In-memory log with one keyed stream. Holds a read until there is a record or its wait is over; can simulate an outage. Not
+ * thread-safe.
+ */
 public final class FakeSharedLog implements SharedLog {
+    /** Time between an append and the response to a read that waits for it. */
+    private static final long RESPONSE_MILLIS = 5;
+
     private final FakeScheduler scheduler;
     private final List<KeyedRecord> records = new ArrayList<>();
+    private final List<HeldRead> heldReads = new ArrayList<>();
     private long earliestOffset;
     private boolean unavailable;
     private int requests;
@@ -34,7 +41,14 @@
      * @param value value of the key, empty for a tombstone
      */
     public void put(String key, String value) {
-        records.add(new KeyedRecord(records.size(), key, value.getBytes(StandardCharsets.UTF_8)));
+        add(key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void add(String key, byte[] value) {
+        records.add(new KeyedRecord(records.size(), key, value));
+        final List<HeldRead> reads = List.copyOf(heldReads);
+        heldReads.clear();
+        reads.forEach(read -> scheduler.schedule(RESPONSE_MILLIS, read::complete));
     }
 
     /**
@@ -90,9 +104,10 @@
         if (from < records.size() || wait.isZero()) {
             return CompletableFuture.completedFuture(batch(from));
         }
-        final CompletableFuture<LogBatch> response = new CompletableFuture<>();
-        scheduler.schedule(wait.toMillis(), () -> response.complete(batch(from)));
-        return response;
+        final HeldRead read = new HeldRead(from, new CompletableFuture<>());
+        heldReads.add(read);
+        scheduler.schedule(wait.toMillis(), read::complete);
+        return read.response;
     }
 
     private LogBatch batch(long from) {
@@ -108,10 +123,25 @@
         if (expectedOffset.isPresent() && expectedOffset.getAsLong() != records.size()) {
             return failed(SharedLogException.Kind.OFFSET_MISMATCH);
         }
-        records.add(new KeyedRecord(records.size(), key, value));
+        add(key, value);
         return CompletableFuture.completedFuture((long) records.size() - 1);
     }
 
+    /** Read that waits for a record. */
+    private final class HeldRead {
+        private final long from;
+        private final CompletableFuture<LogBatch> response;
+
+        HeldRead(long from, CompletableFuture<LogBatch> response) {
+            this.from = from;
+            this.response = response;
+        }
+
+        void complete() {
+            response.complete(batch(from));
+        }
+    }
+
     private static <T> CompletableFuture<T> failed(SharedLogException.Kind kind) {
         return CompletableFuture.failedFuture(new SharedLogException(kind, kind.toString(), null));
     }
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -25,8 +25,7 @@
     private final KeyedFollower follower = new KeyedFollower(
             log,
             LogStream.OPERATOR,
-            WAIT,
-            Duration.ZERO,
+            ReadTiming.longPoll(WAIT),
             scheduler,
             RandomSource.XO_RO_SHI_RO_128_PP.create(7L),
             new KeyedFollower.Listener() {
@@ -126,4 +125,18 @@
                         .isCompletedExceptionally())
                 .isTrue();
     }
+
+    @Test
+    void shouldReplaceHeldReadWhenReadsBecomeMoreFrequent() {
+        log.put("config", "1");
+        follower.start();
+        follower.setTiming(ReadTiming.longPoll(WAIT.dividedBy(10)));
+        final int requests = log.requests();
+        scheduler.advance(WAIT.toMillis() / 10);
+        assertThat(log.requests()).isEqualTo(requests + 1);
+        scheduler.advance(WAIT.toMillis());
+        log.put("config", "2");
+        scheduler.advance(10);
+        assertThat(events).containsExactly("regained", "config=1", "config=2").inOrder();
+    }
 }
--- a/src/test/java/org/masticpaddle/gateway/FakeStreams.java
+++ b/src/test/java/org/masticpaddle/gateway/FakeStreams.java
@@ -21,6 +21,7 @@
 final class FakeStreams implements SharedLog {
     private final Map<LogStream, FakeSharedLog> logs = new EnumMap<>(LogStream.class);
     private final List<RolloutProgress> writtenStatuses = new ArrayList<>();
+    private int crashReports;
 
     FakeStreams(FakeScheduler scheduler) {
         for (final LogStream stream : LogStream.values()) {
@@ -36,6 +37,11 @@
         return writtenStatuses;
     }
 
+    /** Returns the number of crash reports that gateways wrote. */
+    int crashReports() {
+        return crashReports;
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(LogStream stream, String after) {
         return logs.get(stream).newest(stream, after);
@@ -54,6 +60,7 @@
                     .rolloutStatus(new KeyedRecord(0, key, value))
                     .progress());
         }
+        crashReports += stream == LogStream.CRASH_REPORTS ? 1 : 0;
         return appended;
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -131,7 +131,7 @@
 
     private static void answer(RolloutCoordinator gateway, Upstream upstream, boolean successful) {
         gateway.attemptSent(new VersionRouter.SentAttempt("x", Optional.empty(), upstream, "r", 10, 0))
-                .onEnd(successful ? VersionRouter.AttemptEnd.ANSWERED : VersionRouter.AttemptEnd.FAILED);
+                .onEnd(successful ? AttemptEnd.ANSWERED : AttemptEnd.FAILED);
     }
 
     private static boolean isPermitted(RolloutCoordinator gateway, Upstream upstream) {
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -115,7 +115,7 @@
     }
 
     /** Sends a request of a session. */
-    VersionRouter.AttemptObserver send(int gatewayIndex, String session, Upstream upstream) {
+    AttemptObserver send(int gatewayIndex, String session, Upstream upstream) {
         return gateways.get(gatewayIndex)
                 .attemptSent(new VersionRouter.SentAttempt(
                         "request of " + session, Optional.of(session), upstream, "r", 100, 20));
--- a/src/test/java/org/masticpaddle/gateway/SessionVersionTest.java
+++ b/src/test/java/org/masticpaddle/gateway/SessionVersionTest.java
@@ -65,7 +65,7 @@
     @Test
     void shouldPermitOnlyOldVersionForActiveSessionInFirstHalf() {
         deployment.advance(1_000);
-        deployment.send(0, "a", RolloutDeployment.OLD).onEnd(VersionRouter.AttemptEnd.ANSWERED);
+        deployment.send(0, "a", RolloutDeployment.OLD).onEnd(AttemptEnd.ANSWERED);
         deployment.orderEverywhere();
         deployment.advance(2_500);
         final VersionRouter.EligibleUpstreams eligible =
@@ -114,7 +114,7 @@
         for (final LastRequest request : lastRequests.values()) {
             if (!request.ended && deployment.millis() >= request.endMillis) {
                 request.ended = true;
-                request.observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
+                request.observer.onEnd(AttemptEnd.ANSWERED);
             }
         }
     }
@@ -123,10 +123,10 @@
     private static final class LastRequest {
         private final Upstream upstream;
         private final long endMillis;
-        private final VersionRouter.AttemptObserver observer;
+        private final AttemptObserver observer;
         private boolean ended;
 
-        LastRequest(Upstream upstream, long endMillis, VersionRouter.AttemptObserver observer) {
+        LastRequest(Upstream upstream, long endMillis, AttemptObserver observer) {
             this.upstream = upstream;
             this.endMillis = endMillis;
             this.observer = observer;
--- a/src/test/java/org/masticpaddle/gateway/SlowVersionTest.java
+++ b/src/test/java/org/masticpaddle/gateway/SlowVersionTest.java
@@ -111,13 +111,13 @@
 
     /** Stream of events with a constant time between them. Not thread-safe. */
     private final class Stream {
-        private final VersionRouter.AttemptObserver observer;
+        private final AttemptObserver observer;
         private final long startMillis = deployment.millis();
         private final int slowdown;
         private final int events;
         private long delivered;
 
-        Stream(VersionRouter.AttemptObserver observer, int slowdown, int events) {
+        Stream(AttemptObserver observer, int slowdown, int events) {
             this.observer = observer;
             this.slowdown = slowdown;
             this.events = events;
@@ -133,7 +133,7 @@
                 observer.onEvents((int) delivered);
             }
             if (delivered == events) {
-                observer.onEnd(VersionRouter.AttemptEnd.ANSWERED);
+                observer.onEnd(AttemptEnd.ANSWERED);
             }
             return delivered == events;
         }
