Read crash reports less often after the loss of an upstream

Change: a read is held for 2 s, for 8 s after a loss. Result: the tests of crashing segments pass; a segment that is suspected reaches the other gateways by the held read at once.

--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -44,9 +44,9 @@
     /** Timing of reads while no upstream is lost. */
     private static final ReadTiming CALM = new ReadTiming(Duration.ofSeconds(20), Duration.ZERO, Duration.ofSeconds(2));
     /** Timing of reads after the loss of an upstream; a connection that has gone silent is noticed in time. */
-    private static final ReadTiming ALERT = ReadTiming.longPoll(Duration.ofSeconds(1));
+    private static final ReadTiming ALERT = ReadTiming.longPoll(Duration.ofSeconds(2));
     /** Time for which reads stay frequent after the loss of an upstream. */
-    private static final long ALERT_NANOS = 10_000_000_000L;
+    private static final long ALERT_NANOS = 8_000_000_000L;
     /** Shortest interval between two writes of this gateway's report. */
     private static final long PUBLISH_INTERVAL_NANOS = 100_000_000L;
     /** Delay after a failed write; longer than the log takes to respond. */
