--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -24,6 +24,8 @@
     UPSTREAM_CHANGED("upstream.changed", Priority.IMPORTANT),
     /** An upstream with in-flight requests is unresponsive. */
     UPSTREAM_UNRESPONSIVE("upstream.silent", Priority.IMPORTANT),
+    /** An upstream stated another limit of its requests than before, or none any more. */
+    UPSTREAM_LIMIT_CHANGED("upstream.limit", Priority.IMPORTANT),
     /** A rollout started, progressed or ended. */
     ROLLOUT_CHANGED("rollout.changed", Priority.IMPORTANT),
     /** An answer was counted as evidence for or against the version of a rollout. */
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -38,6 +39,7 @@
     private Upstream upstream;
     private ReportedLoad report = new ReportedLoad(0, 0, 0);
     private long reportNanos = NEVER;
+    private OptionalDouble requestsPerSecond = OptionalDouble.empty();
     private int inFlightAtReport;
     private int consecutiveFailures;
     private long circuitOpenUntilNanos = NEVER;
@@ -69,6 +71,7 @@
             failureRate = 0;
             latencyRatio = 1;
             reportNanos = NEVER;
+            requestsPerSecond = OptionalDouble.empty();
         }
         upstream = newest;
     }
@@ -153,6 +156,18 @@
         inFlightAtReport = inFlightRequests.size();
     }
 
+    /**
+     * Records the limit that the upstream stated with an answer.
+     *
+     * @param limit requests a second that it accepts from all gateways together, empty if it stated no limit
+     * @return whether the limit changed
+     */
+    public boolean onLimitReport(OptionalDouble limit) {
+        final boolean changed = !requestsPerSecond.equals(limit);
+        requestsPerSecond = Objects.requireNonNull(limit, "limit is null");
+        return changed;
+    }
+
     /**
      * Records a successful answer, which closes the circuit.
      *
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -143,6 +143,29 @@
         return prompt.isEmpty() ? null : prompt.stream().map(PromptSegment::id).collect(Collectors.joining(","));
     }
 
+    /** Writes that an upstream stated another limit than before. */
+    void limitChanged(Attempt answered, ResponseMetadata metadata) {
+        context.log()
+                .write(
+                        Decision.UPSTREAM_LIMIT_CHANGED,
+                        "request",
+                        admitted.request().id(),
+                        "upstream",
+                        answered.upstream().upstream().id(),
+                        "requests_per_second",
+                        metadata.requestsPerSecond().isPresent()
+                                ? metadata.requestsPerSecond().getAsDouble()
+                                : null,
+                        "status",
+                        answered.status(),
+                        "signed",
+                        metadata.signed(),
+                        "load",
+                        metadata.load().map(Object::toString).orElse(null),
+                        "own",
+                        answered.upstream().inFlight());
+    }
+
     /** Writes the end of the request. */
     void ended(Decision decision, int status, String reason, Work work) {
         context.log()
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -201,6 +201,9 @@
         upstream.recordActivity(now);
         final ResponseMetadata metadata = context.headerCodec().parseResponse(responding.headers());
         metadata.load().ifPresent(load -> upstream.onLoadReport(load, now));
+        if (upstream.onLimitReport(metadata.requestsPerSecond())) {
+            decisions.limitChanged(responding, metadata);
+        }
         final ResponseVerdict verdict = ResponseVerdict.classify(
                 admitted.route(),
                 admitted.request().id(),
--- a/src/test/java/org/masticpaddle/gateway/ResponseVerdictTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ResponseVerdictTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -58,6 +59,12 @@
 
     private static ResponseMetadata metadata(String id, boolean notRun, boolean signed) {
         return new ResponseMetadata(
-                Optional.of(id), notRun, signed, Optional.empty(), OptionalInt.empty(), OptionalLong.empty());
+                Optional.of(id),
+                notRun,
+                signed,
+                Optional.empty(),
+                OptionalInt.empty(),
+                OptionalDouble.empty(),
+                OptionalLong.empty());
     }
 }
