Keep the limits that upstreams state, over all gateways together

Cause: no type held the limit, and no decision used it. The class of fault: a signal of a dependency that is not decoded, and a limit on a sum that no single process can keep by itself. Change: TrafficShare estimates the gateway's part of the service's requests in flight from the load that answers report, and UpstreamLimits paces each limited upstream at that part of its limit (RequestPacer). While all upstreams are limited, requests wait by rank (PermitQueue) or are rejected at once with the expected time.

--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Registry of upstreams, built by applying the records of the upstream list.
@@ -136,6 +138,20 @@
         return members;
     }
 
+    /**
+     * Returns the services that have upstreams.
+     *
+     * @return names of the services, draining upstreams included
+     */
+    public Set<String> services() {
+        final Set<String> services = new HashSet<>();
+        registrations
+                .values()
+                .forEach(registration ->
+                        services.add(registration.state.upstream().service()));
+        return services;
+    }
+
     /**
      * Finds an upstream by identifier.
      *
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -3,7 +3,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -11,7 +13,7 @@
  * reported load, and a circuit breaker.
  *
  * <p>Invariants: while the circuit is open the upstream gets no request; after that it gets one probe at a time until a
- * response closes the circuit. Health, reported load and estimated cache of an earlier incarnation are discarded. Not
+ * response closes the circuit. While the upstream states a limit, requests are paced. Health, reported load and estimated cache of an earlier incarnation are discarded. Not
  * thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamState {
@@ -40,6 +42,7 @@
     private ReportedLoad report = new ReportedLoad(0, 0, 0);
     private long reportNanos = NEVER;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
+    private Optional<RequestPacer> pacer = Optional.empty();
     private int inFlightAtReport;
     private int consecutiveFailures;
     private long circuitOpenUntilNanos = NEVER;
@@ -71,7 +74,7 @@
             failureRate = 0;
             latencyRatio = 1;
             reportNanos = NEVER;
-            requestsPerSecond = OptionalDouble.empty();
+            onLimitReport(OptionalDouble.empty());
         }
         upstream = newest;
     }
@@ -104,6 +107,7 @@
         if (circuitOpenUntilNanos > NEVER) {
             probeInFlight = true;
         }
+        pacer.ifPresent(each -> each.take(now));
         return request;
     }
 
@@ -165,9 +169,69 @@
     public boolean onLimitReport(OptionalDouble limit) {
         final boolean changed = !requestsPerSecond.equals(limit);
         requestsPerSecond = Objects.requireNonNull(limit, "limit is null");
+        if (limit.isEmpty()) {
+            pacer = Optional.empty();
+        }
         return changed;
     }
 
+    /**
+     * Returns the limit that the upstream stated last.
+     *
+     * @return requests a second that it accepts from all gateways together, empty if it states no limit
+     */
+    public OptionalDouble limit() {
+        return requestsPerSecond;
+    }
+
+    /**
+     * Paces the requests of this gateway while the upstream states a limit.
+     *
+     * @param permitsPerSecond requests a second that this gateway may send
+     * @param phase part of the first permit that is already due, between 0 and 1; used when pacing starts
+     * @param now current time in nanoseconds
+     */
+    public void pace(double permitsPerSecond, double phase, long now) {
+        if (pacer.isEmpty()) {
+            pacer = Optional.of(new RequestPacer(permitsPerSecond, phase, now));
+        } else {
+            pacer.get().setRate(permitsPerSecond, now);
+        }
+    }
+
+    /**
+     * Returns whether the upstream would get a request if its limit permitted one.
+     *
+     * @param now current time in nanoseconds
+     * @return {@code true} if the circuit allows a request and no permit is available
+     */
+    public boolean waitsForPermit(long now) {
+        return circuitAllowsRequest(now) && !permitted(now);
+    }
+
+    /**
+     * Returns the number of requests that the limit permits now.
+     *
+     * @param now current time in nanoseconds
+     * @return number of permits, 0 if the upstream states no limit
+     */
+    public int permits(long now) {
+        return pacer.map(each -> each.available(now)).orElse(0);
+    }
+
+    /**
+     * Returns the rate of permits.
+     *
+     * @return requests a second that this gateway may send, 0 if the upstream states no limit
+     */
+    public double permitsPerSecond() {
+        return pacer.map(RequestPacer::permitsPerSecond).orElse(0.0);
+    }
+
+    private boolean permitted(long now) {
+        return pacer.isEmpty() || pacer.get().available(now) > 0;
+    }
+
     /**
      * Records a successful answer, which closes the circuit.
      *
@@ -220,12 +284,17 @@
     }
 
     /**
-     * Returns whether the circuit allows a request.
+     * Returns whether the upstream may get a request.
      *
      * @param now current time in nanoseconds
-     * @return {@code true} if the circuit is closed, or was open for long enough and no probe is in flight
+     * @return {@code true} if the circuit is closed, or was open for long enough and no probe is in flight, and the limit that
+     *     the upstream states permits a request
      */
     public boolean allowsRequest(long now) {
+        return circuitAllowsRequest(now) && permitted(now);
+    }
+
+    private boolean circuitAllowsRequest(long now) {
         return now >= circuitOpenUntilNanos && !(probeInFlight && circuitOpenUntilNanos > NEVER);
     }
 
@@ -292,6 +361,19 @@
                 : Math.max(0, report.running() + report.waiting() - inFlightAtReport);
     }
 
+    /**
+     * Returns the number of requests in flight from all gateways.
+     *
+     * @param now current time in nanoseconds
+     * @return requests that run or wait by the last load report, the one that was answered with it included; empty without a
+     *     recent report
+     */
+    public OptionalInt inFlightOfAllGateways(long now) {
+        return now - reportNanos > MAX_REPORT_AGE_NANOS
+                ? OptionalInt.empty()
+                : OptionalInt.of(report.running() + report.waiting());
+    }
+
     /**
      * Returns the length of the upstream's queue in the last load report.
      *
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -10,6 +10,12 @@
 
 /** Decides for one request whether a draft is dropped for the answer of a larger model. Used on the event loop only. */
 final class Escalation {
+    /**
+     * Largest part of the remaining time that an answer of the largest model may be expected to take if no draft is made. Events
+     * come more slowly than expected while an upstream gets more requests.
+     */
+    private static final double MAX_ANSWER_FRACTION = 0.5;
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final String service;
@@ -62,13 +68,36 @@
                 : OptionalInt.empty();
     }
 
+    /**
+     * Chooses a limited upstream for the largest model in place of a draft. A draft and its escalation would take two of the
+     * requests that a limited upstream permits.
+     *
+     * @param draft choice for a draft
+     * @param modelIndex index of the model that would make the draft
+     * @param remainingMillis time until the deadline of the request
+     * @return choice for the largest model, empty to make the draft: the chosen upstream is not limited, there is no larger model,
+     *     or its answer would start or end too late
+     */
+    Optional<UpstreamPlacement.Choice> insteadOfDraft(
+            UpstreamPlacement.Choice draft, int modelIndex, long remainingMillis) {
+        final int largestIndex = admitted.route().modelsBySize().size() - 1;
+        if (modelIndex >= largestIndex || draft.member().limit().isEmpty()) {
+            return Optional.empty();
+        }
+        return chooser.bestLimited(largestIndex).filter(choice -> choice.expectedMillis() < objectiveLeftMillis());
+    }
+
+    private double objectiveLeftMillis() {
+        return admitted.route().objectiveMillis() - (now() - admitted.receivedNanos()) / 1e6;
+    }
+
     private ModelCascade.LatencyEstimate latencyEstimate(
             UpstreamPlacement.Choice choice, int modelIndex, long remainingMillis) {
         final ServiceTimes times = context.state().serviceTimes(service);
         final double answerMillis = models.expectedEvents()
                 * times.eventIntervalMillis(models.name(modelIndex), models.relativeCost(modelIndex));
         return new ModelCascade.LatencyEstimate(
-                admitted.route().objectiveMillis() - (now() - admitted.receivedNanos()) / 1e6,
+                objectiveLeftMillis(),
                 remainingMillis,
                 choice.expectedMillis() - choice.serviceMillis(),
                 choice.expectedMillis(),
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -82,9 +82,9 @@
     public GatewayProcess(ProcessSettings settings, GatewayPorts ports, DecisionLog log, Supplier<String> metrics) {
         this.log = Objects.requireNonNull(log, "log is null");
         bounds = GatewayBounds.of(settings);
-        state = new GatewayState(bounds);
-        client = new HttpClient(loop, new ConnectionTimeouts(CONNECT_TIMEOUT, MAX_IDLE_TIME));
         final UniformRandomProvider random = random(settings.text(Setting.INSTANCE));
+        state = new GatewayState(bounds, random);
+        client = new HttpClient(loop, new ConnectionTimeouts(CONNECT_TIMEOUT, MAX_IDLE_TIME));
         final SharedLog sharedLog = ports.log(
                 client,
                 settings.origin(Setting.LOG).orElseThrow(),
@@ -255,6 +255,7 @@
         logFollower.removeExpiredUpstreams();
         rollouts.tick();
         quarantine.tick();
+        state.limits().tick(loop.nanos());
         client.closeExpired();
         state.registry().all().forEach(healthProbe::probeIfUnresponsive);
         loop.schedule(TICK_INTERVAL_MILLIS, this::tick);
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.admission.WindowedRetryBudget;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.routes.RoutingTable;
@@ -35,14 +36,22 @@
 
     private GatewayBounds bounds;
     private final UpstreamRegistry registry = new UpstreamRegistry(OUTAGE_GRACE_NANOS);
+    private final UpstreamLimits limits;
     private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private Optional<RoutingTable> table = Optional.empty();
     private OptionalLong confirmedNanos = OptionalLong.empty();
     private boolean upstreamsListed;
 
-    GatewayState(GatewayBounds bounds) {
+    /**
+     * Creates the state of a gateway that knows nothing yet.
+     *
+     * @param bounds limits in force
+     * @param random source of the times of the first permits at limited upstreams
+     */
+    GatewayState(GatewayBounds bounds, UniformRandomProvider random) {
         this.bounds = Objects.requireNonNull(bounds, "bounds is null");
+        limits = new UpstreamLimits(registry, random);
     }
 
     /** Replaces the limits. Retry budgets that already exist keep the limits that they were created with. */
@@ -94,6 +103,11 @@
         return registry;
     }
 
+    /** Returns the pacing of requests to upstreams that state a limit. */
+    UpstreamLimits limits() {
+        return limits;
+    }
+
     /** Records that the list of upstreams was read from the log. */
     void markUpstreamsListed() {
         upstreamsListed = true;
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -87,6 +87,8 @@
                         upstream.inFlightOfOtherGateways(now()),
                         "load_age_ms",
                         upstream.reportAgeMillis(now()),
+                        "permits_per_second",
+                        upstream.limit().isPresent() ? upstream.permitsPerSecond() : null,
                         "configuration",
                         admitted.table().version(),
                         "left_ms",
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -43,6 +43,7 @@
     private final UpstreamChooser chooser;
     private final Escalation escalation;
     private final EstimateRecorder estimates;
+    private final PermitWait permitWait;
     private final RequestDecisions decisions;
     private Scheduler.Timer deadlineTimer;
     private PromptGuard guard;
@@ -66,6 +67,7 @@
         chooser = new UpstreamChooser(context, admitted, service, models);
         escalation = new Escalation(context, admitted, service, models, chooser);
         estimates = new EstimateRecorder(context, service, models);
+        permitWait = new PermitWait(context.state(), context.scheduler(), service, admitted.rank());
         decisions = new RequestDecisions(context, admitted);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
@@ -108,8 +110,11 @@
     private void startAttempt(Admission admission, boolean mayWait) {
         final Optional<UpstreamPlacement.Choice> choice =
                 chooser.choose(model, modelIndex, mayWait, admission.outcome() == Admission.Outcome.TRIAL);
-        if (choice.isPresent()) {
-            send(choice.get(), admission);
+        if (choice.isPresent() && permitWait.isTurn(choice.get().member())) {
+            permitWait.end();
+            send(skipDraftAtLimitedUpstream(choice.get()), admission);
+        } else if (permitWait.blocked()) {
+            waitForPermit();
         } else if (sentAttempts == 0 && mayWait) {
             context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
         } else {
@@ -117,6 +122,34 @@
         }
     }
 
+    /** Selects the largest model for the first attempt if its upstream is limited. */
+    private UpstreamPlacement.Choice skipDraftAtLimitedUpstream(UpstreamPlacement.Choice choice) {
+        final Optional<UpstreamPlacement.Choice> largest =
+                sentAttempts == 0 ? escalation.insteadOfDraft(choice, modelIndex, remainingMillis()) : Optional.empty();
+        if (largest.isPresent()) {
+            modelIndex = admitted.route().modelsBySize().size() - 1;
+            model = models.name(modelIndex);
+        }
+        return largest.orElse(choice);
+    }
+
+    /** Waits for an upstream whose limit permits the request, or fails at once if that would take too long. */
+    private void waitForPermit() {
+        final double expectedMillis = permitWait.expectedMillis();
+        if (expectedMillis > remainingMillis() - admitted.timeoutMillis() / 2.0) {
+            final double retryAfterSeconds = Math.min(
+                    admitted.timeoutMillis() / 1e3,
+                    expectedMillis / 1e3 * (1 + context.random().nextDouble()));
+            fail(
+                    "no limited upstream permits the request in time; last failure: " + lastFailure,
+                    502,
+                    Math.max(backoffSeconds(), retryAfterSeconds));
+        } else {
+            permitWait.begin();
+            context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
+        }
+    }
+
     /** Stops the attempt in flight if it has not begun to be answered and may no longer run. */
     private void onQuarantineChange() {
         if (ended
@@ -201,7 +234,8 @@
         upstream.recordActivity(now);
         final ResponseMetadata metadata = context.headerCodec().parseResponse(responding.headers());
         metadata.load().ifPresent(load -> upstream.onLoadReport(load, now));
-        if (upstream.onLimitReport(metadata.requestsPerSecond())) {
+        if (metadata.signed() && upstream.onLimitReport(metadata.requestsPerSecond())) {
+            context.state().limits().pace(upstream, now);
             decisions.limitChanged(responding, metadata);
         }
         final ResponseVerdict verdict = ResponseVerdict.classify(
@@ -437,6 +471,7 @@
         ended = true;
         deadlineTimer.cancel();
         guard.close();
+        permitWait.end();
         context.counters().add(counter);
         decisions.ended(
                 decision,
--- a/src/main/java/org/masticpaddle/gateway/UpstreamChooser.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamChooser.java
@@ -51,11 +51,20 @@
 
     /** Returns the best upstream of the preferred version for a model, whether or not it was tried. */
     Optional<UpstreamPlacement.Choice> bestPreferred(int modelIndex) {
+        return best(modelIndex, member -> true);
+    }
+
+    /** Returns the best upstream of the preferred version that states a limit and permits a request. */
+    Optional<UpstreamPlacement.Choice> bestLimited(int modelIndex) {
+        return best(modelIndex, member -> member.limit().isPresent());
+    }
+
+    private Optional<UpstreamPlacement.Choice> best(int modelIndex, Predicate<UpstreamState> allowed) {
         return context.placement()
                 .choose(
                         models.placementRequest(models.name(modelIndex), modelIndex, false),
                         context.state().registry().members(service),
-                        member -> eligible.preferred().test(member.upstream()),
+                        allowed.and(member -> eligible.preferred().test(member.upstream())),
                         context.state().serviceTimes(service),
                         now());
     }
--- /dev/null
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
@@ -0,0 +1,95 @@
+package org.masticpaddle.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.stream.Collectors;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.admission.PermitQueue;
+import org.masticpaddle.admission.TrafficShare;
+import org.masticpaddle.fleet.UpstreamRegistry;
+import org.masticpaddle.fleet.UpstreamState;
+
+/**
+ * Paces the requests to upstreams that state a limit of the requests that they accept from all gateways together.
+ *
+ * <p>Invariant: the rates of all gateways add up to the limit of an upstream, apart from the error of the estimated shares.
+ * Used on the event loop only.
+ */
+final class UpstreamLimits {
+    /** Lowest rate, at which a gateway learns that an upstream with a very low limit states none any more. */
+    private static final double MIN_PERMITS_PER_SECOND = 0.02;
+
+    private final UpstreamRegistry registry;
+    private final UniformRandomProvider random;
+    private final Map<String, TrafficShare> shares = new HashMap<>();
+    private final Map<String, PermitQueue> queues = new HashMap<>();
+
+    /**
+     * Creates a duty without observations.
+     *
+     * @param registry upstreams and the limits that they state
+     * @param random source of the first permit's time
+     */
+    UpstreamLimits(UpstreamRegistry registry, UniformRandomProvider random) {
+        this.registry = Objects.requireNonNull(registry, "registry is null");
+        this.random = Objects.requireNonNull(random, "random is null");
+    }
+
+    /** Updates the estimated shares and the rates. Called about ten times a second. */
+    void tick(long now) {
+        registry.services().forEach(service -> {
+            final List<UpstreamState> members = registry.members(service);
+            observe(service, members, now);
+            members.forEach(member -> pace(member, now));
+        });
+    }
+
+    /** Starts to pace the requests to an upstream if it has stated a limit. */
+    void pace(UpstreamState upstream, long now) {
+        if (upstream.limit().isPresent()) {
+            final String service = upstream.upstream().service();
+            final double share = share(service).share(queue(service).size());
+            upstream.pace(
+                    Math.max(MIN_PERMITS_PER_SECOND, share * upstream.limit().getAsDouble()), random.nextDouble(), now);
+        }
+    }
+
+    /** Returns the requests that wait for a permit of any upstream of a service. */
+    PermitQueue queue(String service) {
+        return queues.computeIfAbsent(service, name -> new PermitQueue());
+    }
+
+    private TrafficShare share(String service) {
+        return shares.computeIfAbsent(service, name -> new TrafficShare());
+    }
+
+    private void observe(String service, List<UpstreamState> members, long now) {
+        final Map<Boolean, List<UpstreamState>> byLimit = members.stream()
+                .collect(Collectors.partitioningBy(member -> member.limit().isPresent()));
+        final OptionalDouble unlimited = reportedMean(byLimit.get(false), now);
+        final OptionalDouble limited = reportedMean(byLimit.get(true), now);
+        if (unlimited.isEmpty() && limited.isEmpty()) {
+            return;
+        }
+        final double total = byLimit.get(false).size() * unlimited.orElseGet(limited::getAsDouble)
+                + byLimit.get(true).size() * limited.orElseGet(unlimited::getAsDouble);
+        share(service)
+                .observe(members.stream().mapToInt(UpstreamState::inFlight).sum(), total, now);
+    }
+
+    /**
+     * Returns the mean number of requests in flight at upstreams, from their recent reports. Limited upstreams and others have
+     * different loads, and a gateway hears less often from limited ones.
+     */
+    private static OptionalDouble reportedMean(List<UpstreamState> upstreams, long now) {
+        return upstreams.stream()
+                .map(upstream -> upstream.inFlightOfAllGateways(now))
+                .flatMapToInt(OptionalInt::stream)
+                .average();
+    }
+}
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -145,7 +145,7 @@
                 name,
                 sharedLog,
                 new TextControlCodec(),
-                new GatewayState(RolloutDeployment.BOUNDS),
+                new GatewayState(RolloutDeployment.BOUNDS, RandomSource.XO_RO_SHI_RO_128_PP.create(1L)),
                 scheduler,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()),
                 new DecisionLog(name, () -> 0, text -> {}));
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -47,7 +47,7 @@
     /** Starts a gateway that knows the upstream of the old version. */
     void addGateway() {
         final String name = "gateway-" + gateways.size();
-        final GatewayState state = new GatewayState(BOUNDS);
+        final GatewayState state = new GatewayState(BOUNDS, RandomSource.XO_RO_SHI_RO_128_PP.create(1L));
         state.registry().applyEntry(OLD, scheduler.nanos());
         registries.add(state.registry());
         gateways.add(new RolloutCoordinator(
