Split the planning of attempts from the request forwarder

Change: AttemptPlanner decides that, from the quarantine, the open upstreams and their limits, and returns a plan; the forwarder carries it out. A test holds that a request which no upstream may take in time is rejected at once. Tests of gateways pass here.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -29,10 +29,8 @@
  */
 final class RequestForwarder implements Attempt.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    /** Time before the deadline below which no further attempt is started, since it could not end in time. */
-    private static final long MIN_ATTEMPT_MILLIS = 30;
-    /** Delay after which upstreams are checked again if no eligible one accepts requests. */
-    private static final long UPSTREAM_RECHECK_MILLIS = 40;
+    /** Delay after which a request that waits is planned again. */
+    private static final long RECHECK_MILLIS = 40;
 
     private final GatewayContext context;
     private final CallerExchange caller;
@@ -43,10 +41,10 @@
     private final UpstreamChooser chooser;
     private final Escalation escalation;
     private final EstimateRecorder estimates;
-    private final PermitWait permitWait;
     private final RequestDecisions decisions;
     private Scheduler.Timer deadlineTimer;
     private PromptGuard guard;
+    private AttemptPlanner planner;
     private Attempt attempt;
     private AttemptObserver observer;
     private Optional<StreamRelay> relay = Optional.empty();
@@ -67,7 +65,6 @@
         chooser = new UpstreamChooser(context, admitted, service, models);
         escalation = new Escalation(context, admitted, service, models, chooser);
         estimates = new EstimateRecorder(context, service, models);
-        permitWait = new PermitWait(context.state(), context.scheduler(), service, admitted.rank());
         decisions = new RequestDecisions(context, admitted);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
@@ -80,6 +77,7 @@
         context.state().retryBudget(service).recordFirstAttempt(now());
         deadlineTimer = context.scheduler().schedule(remainingMillis(), this::onDeadline);
         guard = context.quarantine().guard(service, models.sharedSegments(), this::onQuarantineChange);
+        planner = new AttemptPlanner(context, admitted, service, chooser, escalation, guard);
         caller.onDisconnect(this::cancel);
         startAttempt();
     }
@@ -88,65 +86,15 @@
         if (ended) {
             return;
         }
-        if (sentAttempts == 0 && remainingMillis() < MIN_ATTEMPT_MILLIS) {
-            fail("too little time is left for an attempt; last failure: " + lastFailure);
-            return;
-        }
-        final boolean mayWait = remainingMillis() > admitted.timeoutMillis() / 2;
-        final Admission admission = guard.admission();
-        if (admission.outcome() == Admission.Outcome.REJECTED) {
-            failQuarantined(admission);
-        } else if (admission.outcome() == Admission.Outcome.HELD) {
-            if (mayWait) {
-                context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
-            } else {
-                failQuarantined(admission);
-            }
-        } else {
-            startAttempt(admission, mayWait);
-        }
-    }
-
-    private void startAttempt(Admission admission, boolean mayWait) {
-        final Optional<UpstreamPlacement.Choice> choice =
-                chooser.choose(model, modelIndex, mayWait, admission.outcome() == Admission.Outcome.TRIAL);
-        if (choice.isPresent() && permitWait.isTurn(choice.get().member())) {
-            permitWait.end();
-            send(skipDraftAtLimitedUpstream(choice.get()), admission);
-        } else if (permitWait.blocked()) {
-            waitForPermit();
-        } else if (sentAttempts == 0 && mayWait) {
-            context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
-        } else {
-            fail("no upstream is open; last failure: " + lastFailure);
-        }
-    }
-
-    /** Selects the largest model for the first attempt if its upstream is limited. */
-    private UpstreamPlacement.Choice skipDraftAtLimitedUpstream(UpstreamPlacement.Choice choice) {
-        final Optional<UpstreamPlacement.Choice> largest =
-                sentAttempts == 0 ? escalation.insteadOfDraft(choice, modelIndex, remainingMillis()) : Optional.empty();
-        if (largest.isPresent()) {
-            modelIndex = admitted.route().modelsBySize().size() - 1;
+        final AttemptPlanner.Plan plan = planner.next(model, modelIndex, sentAttempts, remainingMillis());
+        if (plan instanceof AttemptPlanner.Send send) {
+            modelIndex = send.modelIndex();
             model = models.name(modelIndex);
-        }
-        return largest.orElse(choice);
-    }
-
-    /** Waits for an upstream whose limit permits the request, or fails at once if that would take too long. */
-    private void waitForPermit() {
-        final double expectedMillis = permitWait.expectedMillis();
-        if (expectedMillis > remainingMillis() - admitted.timeoutMillis() / 2.0) {
-            final double retryAfterSeconds = Math.min(
-                    admitted.timeoutMillis() / 1e3,
-                    expectedMillis / 1e3 * (1 + context.random().nextDouble()));
-            fail(
-                    "no limited upstream permits the request in time; last failure: " + lastFailure,
-                    502,
-                    Math.max(backoffSeconds(), retryAfterSeconds));
+            send(send.choice(), send.admission());
+        } else if (plan instanceof AttemptPlanner.Fail failure) {
+            fail(failure);
         } else {
-            permitWait.begin();
-            context.scheduler().schedule(UPSTREAM_RECHECK_MILLIS, this::startAttempt);
+            context.scheduler().schedule(RECHECK_MILLIS, this::startAttempt);
         }
     }
 
@@ -161,7 +109,7 @@
         final Admission admission = guard.admission();
         switch (admission.outcome()) {
             case TRIAL -> guard.beginTrial();
-            case REJECTED -> failQuarantined(admission);
+            case REJECTED -> fail(planner.quarantined(admission));
             case HELD -> {
                 if (admitted.route().repeatable()) {
                     attempt.cancel();
@@ -260,7 +208,8 @@
                 && status != 503
                 && status >= 500
                 && relay.isEmpty()
-                && (sentAttempts >= admitted.route().maxAttempts() || remainingMillis() < MIN_ATTEMPT_MILLIS);
+                && (sentAttempts >= admitted.route().maxAttempts()
+                        || remainingMillis() < AttemptPlanner.MIN_ATTEMPT_MILLIS);
     }
 
     /** Handles a response that is not relayed. Cancelling the attempt closes its connection. */
@@ -396,7 +345,7 @@
                                         && !admitted.route().resumable())) {
             fail(lastFailure);
         } else if (sentAttempts >= admitted.route().maxAttempts()
-                || remainingMillis() < MIN_ATTEMPT_MILLIS
+                || remainingMillis() < AttemptPlanner.MIN_ATTEMPT_MILLIS
                 || guard.exhausted()) {
             fail("no attempt is left; last failure: " + lastFailure);
         } else if (sentAttempts > 0 && !context.state().retryBudget(service).tryRetry(now())) {
@@ -409,31 +358,24 @@
     }
 
     private void onDeadline() {
-        fail("no answer before the deadline; last failure: " + lastFailure, 504, backoffSeconds());
+        fail("no answer before the deadline; last failure: " + lastFailure, 504, 0);
     }
 
     private void fail(String reason) {
-        fail(reason, 502, backoffSeconds());
-    }
-
-    private void failQuarantined(Admission admission) {
-        context.counters().add(GatewayCounters.Counter.QUARANTINED);
-        final String reason = "segment " + admission.segment() + " is suspected of " + admission.crashes()
-                + " crashes; last failure: " + lastFailure;
-        fail(reason, 502, Math.max(backoffSeconds(), context.quarantine().secondsUntil(admission)));
+        fail(reason, 502, 0);
     }
 
-    private double backoffSeconds() {
-        return RetryAfterPolicy.BACKOFF.delaySeconds(admitted.route().objectiveMillis(), context.random());
+    private void fail(AttemptPlanner.Fail failure) {
+        fail(failure.reason() + "; last failure: " + lastFailure, 502, failure.retryAfterSeconds());
     }
 
     /**
      * Ends the request without an answer.
      *
      * @param statusIfRun status if the request may have run
-     * @param retryAfterSeconds delay after which the caller may repeat a request that has not run
+     * @param minRetryAfterSeconds shortest delay after which the caller may repeat a request that has not run
      */
-    private void fail(String reason, int statusIfRun, double retryAfterSeconds) {
+    private void fail(String reason, int statusIfRun, double minRetryAfterSeconds) {
         if (ended) {
             return;
         }
@@ -451,6 +393,9 @@
             caller.respond(statusIfRun, Map.of(), LocalResponses.errorBody(statusIfRun, reason));
         } else {
             complete(Decision.REQUEST_REJECTED, GatewayCounters.Counter.REFUSED, 503, reason);
+            final double retryAfterSeconds = Math.max(
+                    minRetryAfterSeconds,
+                    RetryAfterPolicy.BACKOFF.delaySeconds(admitted.route().objectiveMillis(), context.random()));
             caller.respond(
                     503, LocalResponses.retryAfterHeader(retryAfterSeconds), LocalResponses.errorBody(503, reason));
         }
@@ -471,7 +416,7 @@
         ended = true;
         deadlineTimer.cancel();
         guard.close();
-        permitWait.end();
+        planner.close();
         context.counters().add(counter);
         decisions.ended(
                 decision,
