Publish crashes without the delay of clearances

Cause: found when reading the diff: a report of another gateway delayed the next write of this one by up to 0.3 s, so that in a series of crashes a gateway could announce its own crash late. Change: only a write without a new crash is delayed.

--- a/src/main/java/org/masticpaddle/admission/TrafficShare.java
+++ b/src/main/java/org/masticpaddle/admission/TrafficShare.java
@@ -9,7 +9,7 @@
  * the owner's thread only.
  */
 public final class TrafficShare {
-    /** Time constant of the moving averages; a few times the duration of a request. */
+    /** Time constant of the moving averages. */
     private static final double TIME_CONSTANT_NANOS = 3e9;
     /** Share of a gateway without traffic of its own, so that it can begin. */
     static final double MIN_SHARE = 0.02;
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -49,10 +49,13 @@
     private static final long ALERT_NANOS = 8_000_000_000L;
     /** Shortest interval between two writes of this gateway's report. */
     private static final long PUBLISH_INTERVAL_NANOS = 100_000_000L;
-    /** Delay after a failed write; longer than the log takes to respond. */
+    /** Delay after a failed write. */
     private static final long PUBLISH_RETRY_NANOS = 400_000_000L;
-    /** Maximum random delay of a write that follows a report of another gateway, so that one of them clears a segment. */
-    private static final double REPLY_JITTER_NANOS = 300e6;
+    /**
+     * Maximum random delay of a write that only clears segments of another gateway's report, so that one gateway does it for
+     * all.
+     */
+    private static final double CLEARANCE_JITTER_NANOS = 300e6;
 
     private final String gateway;
     private final SharedLog sharedLog;
@@ -66,6 +69,7 @@
     private final Set<PromptGuard> guards = new HashSet<>();
     private long alertUntilNanos;
     private long nextPublishNanos;
+    private long clearanceNanos;
     private boolean publishing;
 
     /**
@@ -98,6 +102,7 @@
         follower = new KeyedFollower(sharedLog, LogStream.CRASH_REPORTS, CALM, scheduler, random, this::onReport);
         alertUntilNanos = scheduler.nanos();
         nextPublishNanos = scheduler.nanos();
+        clearanceNanos = scheduler.nanos();
     }
 
     /** Starts to read the reports of the gateways. */
@@ -201,8 +206,7 @@
                     keyed.tombstone() ? GatewayReport.EMPTY : Json.decode(keyed.value(), GatewayReport.class);
             if (!keyed.key().equals(gateway)) {
                 change(() -> quarantine.mergeReport(keyed.key(), report, wallMillis.getAsLong()));
-                nextPublishNanos = Math.max(
-                        nextPublishNanos, scheduler.nanos() + (long) (random.nextDouble() * REPLY_JITTER_NANOS));
+                clearanceNanos = scheduler.nanos() + (long) (random.nextDouble() * CLEARANCE_JITTER_NANOS);
                 alert();
             } else if (!caughtUp()) {
                 change(() -> quarantine.restoreReport(report));
@@ -214,7 +218,10 @@
 
     private void publish() {
         final long now = scheduler.nanos();
-        if (publishing || now < nextPublishNanos || !caughtUp()) {
+        if (publishing
+                || now < nextPublishNanos
+                || now < clearanceNanos && !quarantine.hasUnpublishedCrash()
+                || !caughtUp()) {
             return;
         }
         final Optional<GatewayReport> unpublished = quarantine.unpublishedReport();
--- a/src/main/java/org/masticpaddle/quarantine/AbandonedAnswers.java
+++ b/src/main/java/org/masticpaddle/quarantine/AbandonedAnswers.java
@@ -17,7 +17,7 @@
 final class AbandonedAnswers {
     /** Maximum number of answers kept for each upstream. */
     static final int MAX_ANSWERS = 16;
-    /** Time for which an abandoned answer may be the cause of a crash: a few steps of an engine and the network delay. */
+    /** Time for which an abandoned answer may be the cause of a crash. */
     static final long KEPT_MILLIS = 500;
 
     private final Map<String, Deque<Answer>> answersByUpstream = new HashMap<>();
--- a/src/main/java/org/masticpaddle/quarantine/SegmentHistory.java
+++ b/src/main/java/org/masticpaddle/quarantine/SegmentHistory.java
@@ -9,7 +9,7 @@
  * <p>Invariant: at most {@link #MAX_SEGMENTS} segments are kept. Not thread-safe: confined to the thread of its owner.
  */
 final class SegmentHistory {
-    /** Maximum number of segments, those of about two minutes at the request rate of one gateway. */
+    /** Maximum number of segments that are kept. */
     static final int MAX_SEGMENTS = 4_096;
     /** Time for which an answer that went on shows that a segment is harmless. */
     static final long ESTABLISHED_MILLIS = 10_000;
--- a/src/main/java/org/masticpaddle/quarantine/SegmentQuarantine.java
+++ b/src/main/java/org/masticpaddle/quarantine/SegmentQuarantine.java
@@ -26,7 +26,7 @@
  * used on the owner's thread only.
  */
 public final class SegmentQuarantine {
-    /** Time for which a crash counts as evidence; longer than the longest backoff. */
+    /** Time for which a crash counts as evidence. */
     public static final long EVIDENCE_MILLIS = 300_000;
     /** Maximum number of crashes in the report of a gateway; the oldest are dropped. */
     static final int MAX_CRASHES = 32;
@@ -298,6 +298,17 @@
         return report.equals(published) ? Optional.empty() : Optional.of(report);
     }
 
+    /**
+     * Returns whether the other gateways do not know of a crash yet.
+     *
+     * @return {@code true} if a confirmed crash is not in the published report
+     */
+    public boolean hasUnpublishedCrash() {
+        return ownCrashes.values().stream()
+                .anyMatch(crash -> !unconfirmedCrashes.contains(crash.upstream())
+                        && !published.crashes().contains(crash));
+    }
+
     /**
      * Records that the other gateways can read a report.
      *
