Make a draft at a limited upstream if the largest model's answer would end late

Change: ModelCascade decides it from the estimate, start and end of the answer both. ModelCascadeTest holds the condition; it failed to compile before.

--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -13,8 +13,8 @@
  * reported load, and a circuit breaker.
  *
  * <p>Invariants: while the circuit is open the upstream gets no request; after that it gets one probe at a time until a
- * response closes the circuit. While the upstream states a limit, requests are paced. Health, reported load and estimated cache of an earlier incarnation are discarded. Not
- * thread-safe: confined to the thread of its owner.
+ * response closes the circuit. While the upstream states a limit, requests are paced. Health, reported load, stated limit and
+ * estimated cache of an earlier incarnation are discarded. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamState {
     /** Age beyond which a load report is ignored, about the duration of a request of the shortest kind. */
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -10,12 +10,6 @@
 
 /** Decides for one request whether a draft is dropped for the answer of a larger model. Used on the event loop only. */
 final class Escalation {
-    /**
-     * Largest part of the remaining time that an answer of the largest model may be expected to take if no draft is made. Events
-     * come more slowly than expected while an upstream gets more requests.
-     */
-    private static final double MAX_ANSWER_FRACTION = 0.5;
-
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final String service;
@@ -84,7 +78,9 @@
         if (modelIndex >= largestIndex || draft.member().limit().isEmpty()) {
             return Optional.empty();
         }
-        return chooser.bestLimited(largestIndex).filter(choice -> choice.expectedMillis() < objectiveLeftMillis());
+        return chooser.bestLimited(largestIndex)
+                .filter(choice -> context.modelCascade()
+                        .startsWithLargest(latencyEstimate(choice, largestIndex, remainingMillis)));
     }
 
     private double objectiveLeftMillis() {
--- a/src/main/java/org/masticpaddle/routing/ModelCascade.java
+++ b/src/main/java/org/masticpaddle/routing/ModelCascade.java
@@ -16,6 +16,12 @@
      */
     private static final double[] MAX_WAIT_MILLIS_BY_RANK = {1_200, 500, 250};
 
+    /**
+     * Largest part of the time to the deadline that an answer without a draft may be expected to take. Its events come more
+     * slowly than expected if its upstream gets more requests meanwhile.
+     */
+    private static final double MAX_ANSWER_FRACTION = 0.5;
+
     private final int confidenceThreshold;
 
     /**
@@ -60,7 +66,19 @@
     }
 
     /**
-     * Latency estimate for an escalation, in milliseconds from now. Immutable.
+     * Decides whether the largest model makes the first answer where the number of requests is limited, so that a draft and an
+     * escalation would take two of them.
+     *
+     * @param estimate latency estimate for the largest model
+     * @return {@code true} if the answer would start in time and end well before the deadline
+     */
+    public boolean startsWithLargest(LatencyEstimate estimate) {
+        return estimate.answerStartMillis() < estimate.objectiveLeftMillis()
+                && estimate.answerEndMillis() < estimate.deadlineLeftMillis() * MAX_ANSWER_FRACTION;
+    }
+
+    /**
+     * Latency estimate for the largest model, in milliseconds from now. Immutable.
      *
      * @param objectiveLeftMillis time left in which the answer must start to meet the latency objective
      * @param deadlineLeftMillis time left in which the answer must end
--- a/src/test/java/org/masticpaddle/routing/ModelCascadeTest.java
+++ b/src/test/java/org/masticpaddle/routing/ModelCascadeTest.java
@@ -56,6 +56,16 @@
                 .isEqualTo(KEEP);
     }
 
+    @Test
+    void shouldStartWithTheLargestModelOnlyIfItsAnswerEndsWellBeforeTheDeadline() {
+        assertThat(cascade.startsWithLargest(new ModelCascade.LatencyEstimate(500, 8_000, 100, 400, 3_900)))
+                .isTrue();
+        assertThat(cascade.startsWithLargest(new ModelCascade.LatencyEstimate(500, 8_000, 100, 400, 4_100)))
+                .isFalse();
+        assertThat(cascade.startsWithLargest(new ModelCascade.LatencyEstimate(500, 8_000, 100, 600, 3_900)))
+                .isFalse();
+    }
+
     private static ModelCascade.LatencyEstimate estimate(
             double objectiveLeftMillis, double waitMillis, double answerStartMillis) {
         return new ModelCascade.LatencyEstimate(
