Do not send requests of callers that have left before they are sent

Cause: a caller's close is reported by the event loop only after the request was read. Change: the client asks its listener before it writes a request; the forwarder reads the caller's connection at that point and cancels the request if the caller has left.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -59,6 +59,11 @@
 
     void send(HttpClient client, HttpRequest request) {
         handle = client.stream(request, new StreamListener() {
+            @Override
+            public boolean mayBeSent() {
+                return !ended && listener.mayBeSent(Attempt.this);
+            }
+
             @Override
             public void onHead(int responseStatus, Map<String, String> responseHeaders) {
                 if (!ended) {
@@ -205,6 +210,9 @@
 
     /** Receives the response to an attempt. */
     interface Listener {
+        /** Returns whether the request is still to be sent, now that the connection to the upstream is open. */
+        boolean mayBeSent(Attempt attempt);
+
         /** Called with the status and headers, before any byte of the body. */
         void onResponseHead(Attempt attempt);
 
--- a/src/main/java/org/masticpaddle/gateway/CallerExchange.java
+++ b/src/main/java/org/masticpaddle/gateway/CallerExchange.java
@@ -34,6 +34,13 @@
     /** Closes the connection without ending the response, so that the caller does not take it for complete. */
     void abort();
 
+    /**
+     * Returns whether the caller has disconnected, also if the event loop has not reported it yet.
+     *
+     * @return {@code true} if the caller waits for no response any more
+     */
+    boolean disconnected();
+
     /**
      * Registers an action for the case that the caller disconnects before the response is complete.
      *
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -175,6 +175,15 @@
                 .orElse(admitted.request().lastEventId());
     }
 
+    @Override
+    public boolean mayBeSent(Attempt opened) {
+        if (caller.disconnected()) {
+            cancel();
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void onResponseHead(Attempt responding) {
         final UpstreamState upstream = responding.upstream();
--- a/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
+++ b/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
@@ -64,6 +64,11 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    @Override
+    public boolean disconnected() {
+        return DisconnectDetector.hasDisconnected(exchange);
+    }
+
     @Override
     public void onDisconnect(Runnable action) {
         CloseListeners.add(exchange, action);
--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -95,6 +95,10 @@
             fail(HttpRequestException.Delivery.NOT_SENT, "connection to " + request.origin() + " was closed", null);
             return;
         }
+        if (!listener.mayBeSent()) {
+            fail(HttpRequestException.Delivery.NOT_SENT, "the request is no longer wanted", null);
+            return;
+        }
         lastByteNanos = System.nanoTime();
         armIdleTimeout();
         sent = true;
--- a/src/main/java/org/masticpaddle/wire/DisconnectDetector.java
+++ b/src/main/java/org/masticpaddle/wire/DisconnectDetector.java
@@ -72,38 +72,80 @@
         }
     }
 
+    /**
+     * Returns whether the peer has closed its sending side or the whole connection. Reads what the operating system has
+     * received, so that a close is found before the event loop reports it; bytes of a next request are kept for it.
+     *
+     * @param exchange exchange whose request has been read completely; the caller runs on its I/O thread
+     * @return {@code true} if the peer does not wait for the response any more
+     */
+    public static boolean hasDisconnected(HttpServerExchange exchange) {
+        if (!exchange.getConnection().isOpen()) {
+            return true;
+        }
+        if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
+            final Input input = read(connection);
+            return input == Input.END || input == Input.RESET;
+        }
+        return false;
+    }
+
     private static void watch(HttpServerExchange exchange, HttpServerConnection connection, HalfClosePolicy policy) {
         final StreamSourceConduit source = connection.getOriginalSourceConduit();
         final ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
         channel.setReadListener(ignored -> {
-            if (exchange.isComplete()) {
+            if (exchange.isComplete() || connection.getExtraBytes() != null) {
+                source.suspendReads();
                 return;
             }
-            final PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-            boolean pushedBack = false;
-            try {
-                final ByteBuffer buffer = pooled.getBuffer();
-                final int count = source.read(buffer);
-                if (count < 0) {
+            switch (read(connection)) {
+                case END -> {
                     source.suspendReads();
                     policy.onHalfClose(exchange, connection);
-                } else if (count > 0) {
-                    source.suspendReads();
-                    buffer.flip();
-                    connection.ungetRequestBytes(pooled);
-                    pushedBack = true;
-                }
-            } catch (IOException e) {
-                IoUtils.safeClose(connection);
-            } finally {
-                if (!pushedBack) {
-                    pooled.close();
                 }
+                case NEXT_REQUEST -> source.suspendReads();
+                case RESET -> IoUtils.safeClose(connection);
+                default -> {}
             }
         });
         source.resumeReads();
     }
 
+    /** Reads the connection without blocking; bytes of a next request are kept for it. */
+    private static Input read(HttpServerConnection connection) {
+        final PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        boolean pushedBack = false;
+        try {
+            final ByteBuffer buffer = pooled.getBuffer();
+            final int count = connection.getOriginalSourceConduit().read(buffer);
+            if (count > 0) {
+                buffer.flip();
+                connection.ungetRequestBytes(pooled);
+                pushedBack = true;
+                return Input.NEXT_REQUEST;
+            }
+            return count < 0 ? Input.END : Input.NOTHING;
+        } catch (IOException e) {
+            return Input.RESET;
+        } finally {
+            if (!pushedBack) {
+                pooled.close();
+            }
+        }
+    }
+
+    /** What was read of a connection whose request is being processed. */
+    private enum Input {
+        /** The peer has sent nothing. */
+        NOTHING,
+        /** The peer has sent bytes of its next request. */
+        NEXT_REQUEST,
+        /** The peer has closed its sending side. */
+        END,
+        /** The connection is broken. */
+        RESET
+    }
+
     /**
      * Tests whether the peer has disconnected or only closed its sending side, by interim responses at regular
      * intervals. A disconnected peer responds with a reset, which the next write reports; one that still reads skips
--- a/src/test/java/org/masticpaddle/gateway/CrashingDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/CrashingDeployment.java
@@ -343,6 +343,11 @@
             guard.close();
         }
 
+        @Override
+        public boolean mayBeSent(Attempt opened) {
+            return true;
+        }
+
         @Override
         public void onResponseHead(Attempt responding) {}
 
--- a/src/test/java/org/masticpaddle/gateway/RecordingCaller.java
+++ b/src/test/java/org/masticpaddle/gateway/RecordingCaller.java
@@ -33,6 +33,11 @@
         received.append("cut;");
     }
 
+    @Override
+    public boolean disconnected() {
+        return false;
+    }
+
     @Override
     public void onDisconnect(Runnable action) {
         disconnectAction = action;
--- a/src/test/java/org/masticpaddle/wire/DisconnectDetectorTest.java
+++ b/src/test/java/org/masticpaddle/wire/DisconnectDetectorTest.java
@@ -11,6 +11,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import org.junit.jupiter.api.Test;
+import org.masticpaddle.standin.Conditions;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -36,6 +37,30 @@
         }
     }
 
+    @Test
+    void shouldFindADisconnectionThatTheEventLoopHasNotReported() throws Exception {
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final CompletableFuture<Boolean> disconnected = new CompletableFuture<>();
+        final CompletableFuture<Void> left = new CompletableFuture<>();
+        final HttpServer server = server(exchange -> {
+            final boolean before = DisconnectDetector.hasDisconnected(exchange);
+            arrived.complete(null);
+            left.join();
+            // Blocks the event loop, which therefore cannot report the close.
+            Conditions.await(() -> DisconnectDetector.hasDisconnected(exchange));
+            disconnected.complete(!before);
+        });
+        try (Socket socket = connect(server)) {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            arrived.get(30, TimeUnit.SECONDS);
+            socket.close();
+            left.complete(null);
+            assertThat(disconnected.get(30, TimeUnit.SECONDS)).isTrue();
+        } finally {
+            server.stop();
+        }
+    }
+
     @Test
     void shouldRespondToPipelinedRequests() throws Exception {
         final Queue<HttpServerExchange> pendingExchanges = new ConcurrentLinkedQueue<>();
