Continue the periodic work if one of its parts throws

Cause: expiry, rollouts, quarantine, limits, idle connections and health probes ran in one function that scheduled itself again at its end; an exception in any part, such as that of a connection to an invalid address, ended all of it for good, and no log line said so. Change: PeriodicTasks runs each part on its own; an exception is logged as process.unexpected_error, counted (metric errors) and the others go on. The client reports an address that no connection can be opened to as a failed request. Dropped log lines are a metric now as well.

--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -112,6 +112,7 @@
         final LazyMetrics metrics = new LazyMetrics(settings);
         final GatewayProcess gateway = new GatewayProcess(settings, ports, log, metrics::page);
         metrics.register(gateway.counters().gauges());
+        metrics.register(log.gauges());
         return gateway;
     }
 
--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -18,6 +18,8 @@
     HISTORY_LOST("log.history_lost", Priority.IMPORTANT),
     /** A record of the shared log is invalid and was ignored. */
     RECORD_IGNORED("log.record_ignored", Priority.IMPORTANT),
+    /** A component failed unexpectedly and goes on; the defect has to be found and mended. */
+    UNEXPECTED_ERROR("process.unexpected_error", Priority.IMPORTANT),
     /** A configuration took effect. */
     CONFIGURATION_APPLIED("configuration.in_force", Priority.IMPORTANT),
     /** The gateway's view of an upstream changed. */
--- a/src/main/java/org/masticpaddle/decisions/DecisionLog.java
+++ b/src/main/java/org/masticpaddle/decisions/DecisionLog.java
@@ -16,6 +16,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import org.masticpaddle.kernel.Service;
+import org.masticpaddle.metrics.Gauge;
 
 /**
  * Writes one JSON line for each decision, on a thread of its own.
@@ -37,6 +38,7 @@
     private final Consumer<String> output;
     private final ArrayBlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong errors = new AtomicLong();
     private final JsonFactory json = new JsonFactory();
     private final Thread writer = new Thread(this::run, "decision-log");
     private volatile boolean stopping;
@@ -89,6 +91,34 @@
         }
     }
 
+    /**
+     * Enqueues a line about an unexpected error, and counts it.
+     *
+     * @param component component that failed
+     * @param error exception that it threw
+     */
+    public void writeError(String component, RuntimeException error) {
+        errors.incrementAndGet();
+        final StackTraceElement[] stack = error.getStackTrace();
+        write(
+                Decision.UNEXPECTED_ERROR,
+                "component",
+                component,
+                "error",
+                error,
+                "at",
+                stack.length == 0 ? null : stack[0]);
+    }
+
+    /**
+     * Returns the number of unexpected errors.
+     *
+     * @return number of calls of {@link #writeError} since the start
+     */
+    public long errorCount() {
+        return errors.get();
+    }
+
     /**
      * Returns the number of dropped lines.
      *
@@ -98,6 +128,17 @@
         return dropped.get();
     }
 
+    /**
+     * Lists what was counted since the start as gauges, which read their values only when they are scraped.
+     *
+     * @return gauges of dropped lines and of unexpected errors
+     */
+    public List<Gauge> gauges() {
+        return List.of(
+                Gauge.of("log.dropped", "lines of the decision log that were dropped", this::droppedCount),
+                Gauge.of("errors", "unexpected errors of components", this::errorCount));
+    }
+
     private void run() {
         boolean finalWrite = false;
         while (!finalWrite) {
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -15,6 +15,7 @@
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.kernel.Kernel;
+import org.masticpaddle.kernel.PeriodicTasks;
 import org.masticpaddle.kernel.Service;
 import org.masticpaddle.kernel.ShutdownDelay;
 import org.masticpaddle.routing.ModelCascade;
@@ -68,8 +69,8 @@
     private final UpstreamHealthProbe healthProbe;
     private volatile GatewayBounds bounds;
     private final HttpServer server;
+    private final PeriodicTasks periodicTasks;
     private volatile boolean draining;
-    private volatile boolean stopped;
 
     /**
      * Creates a gateway that is not started.
@@ -134,6 +135,7 @@
                         rollouts.onOperatorRecord(order, offset);
                     }
                 });
+        periodicTasks = periodicTasks();
         final URI callerOrigin = settings.origin(Setting.CALLER_ORIGIN).orElseThrow();
         final URI operationsOrigin = settings.origin(Setting.OPERATIONS_ORIGIN).orElseThrow();
         server = new HttpServer(
@@ -168,7 +170,7 @@
         loop.execute(() -> {
             logFollower.start();
             quarantine.start();
-            tick();
+            periodicTasks.start();
         });
         log.write(Decision.STARTED, "role", "gateway");
     }
@@ -187,7 +189,7 @@
         await(stopStartNanos + Math.min(MIN_DRAIN.toNanos(), (long) (graceNanos * REJECT_GRACE_SHARE)), false);
         loop.execute(handler::rejectAll);
         await(stopStartNanos + (long) (graceNanos * STOP_GRACE_SHARE), true);
-        stopped = true;
+        loop.execute(periodicTasks::stop);
         log.write(Decision.STOPPED, "ms", (System.nanoTime() - stopStartNanos) / 1e6);
         kernel.stop();
     }
@@ -248,16 +250,13 @@
         return !draining && state.ready(loop.nanos());
     }
 
-    private void tick() {
-        if (stopped) {
-            return;
-        }
-        logFollower.removeExpiredUpstreams();
-        rollouts.tick();
-        quarantine.tick();
-        state.limits().tick(loop.nanos());
-        client.closeExpired();
-        state.registry().all().forEach(healthProbe::probeIfUnresponsive);
-        loop.schedule(TICK_INTERVAL_MILLIS, this::tick);
+    private PeriodicTasks periodicTasks() {
+        return new PeriodicTasks(loop, TICK_INTERVAL_MILLIS, log::writeError)
+                .add("expired upstreams", logFollower::removeExpiredUpstreams)
+                .add("rollouts", rollouts::tick)
+                .add("quarantine", quarantine::tick)
+                .add("stated limits", () -> state.limits().tick(loop.nanos()))
+                .add("idle connections", client::closeExpired)
+                .add("health probe", () -> state.registry().all().forEach(healthProbe::probeIfUnresponsive));
     }
 }
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -176,51 +176,48 @@
                                 HttpRequestException.Delivery.NOT_SENT, "connect timeout to " + origin, null)),
                         timeouts.connectTimeout().toMillis(),
                         TimeUnit.MILLISECONDS);
-        provider.connect(
-                new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientConnection connection) {
-                        IoUtils.safeClose(connection);
-                        reached.complete(null);
-                    }
+        open(origin, OptionMap.EMPTY, new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection connection) {
+                IoUtils.safeClose(connection);
+                reached.complete(null);
+            }
 
-                    @Override
-                    public void failed(IOException e) {
-                        reached.completeExceptionally(new HttpRequestException(
-                                HttpRequestException.Delivery.NOT_SENT, "cannot connect to " + origin, e));
-                    }
-                },
-                origin,
-                worker,
-                null,
-                buffers,
-                OptionMap.EMPTY);
+            @Override
+            public void failed(IOException e) {
+                reached.completeExceptionally(new HttpRequestException(
+                        HttpRequestException.Delivery.NOT_SENT, "cannot connect to " + origin, e));
+            }
+        });
         return reached;
     }
 
     private void connect(HttpRequest request, ActiveRequest active) {
         active.armConnectTimeout(worker.getIoThread(), timeouts.connectTimeout());
-        provider.connect(
-                new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientConnection connection) {
-                        if (Thread.currentThread() == connection.getIoThread()) {
-                            active.sendOn(connection);
-                        } else {
-                            connection.getIoThread().execute(() -> active.sendOn(connection));
-                        }
-                    }
+        open(request.origin(), OptionMap.create(Options.TCP_NODELAY, true), new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection connection) {
+                if (Thread.currentThread() == connection.getIoThread()) {
+                    active.sendOn(connection);
+                } else {
+                    connection.getIoThread().execute(() -> active.sendOn(connection));
+                }
+            }
 
-                    @Override
-                    public void failed(IOException e) {
-                        active.fail(HttpRequestException.Delivery.NOT_SENT, "cannot connect to " + request.origin(), e);
-                    }
-                },
-                request.origin(),
-                worker,
-                null,
-                buffers,
-                OptionMap.create(Options.TCP_NODELAY, true));
+            @Override
+            public void failed(IOException e) {
+                active.fail(HttpRequestException.Delivery.NOT_SENT, "cannot connect to " + request.origin(), e);
+            }
+        });
+    }
+
+    private void open(URI origin, OptionMap options, ClientCallback<ClientConnection> callback) {
+        try {
+            provider.connect(callback, origin, worker, null, buffers, options);
+        } catch (RuntimeException e) {
+            // Thrown for an address that no connection can be opened to, such as one with a port out of range.
+            callback.failed(new IOException(e));
+        }
     }
 
     private ClientConnection takeIdle(URI origin) {
--- a/src/test/java/org/masticpaddle/wire/ClosedConnectionTest.java
+++ b/src/test/java/org/masticpaddle/wire/ClosedConnectionTest.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -42,6 +44,27 @@
         client.stop();
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"http://127.0.0.1:99999", "http://127.0.0.1:0", "http://10.0.0.999:80", "unknown://127.0.0.1:1"})
+    void shouldFailIfTheAddressIsInvalid(String origin) {
+        final HttpClient client = new HttpClient(1);
+        client.start();
+        try {
+            final ExecutionException sendError = assertThrows(
+                    ExecutionException.class,
+                    () -> client.send(HttpRequest.get(URI.create(origin), "/", Duration.ofHours(1)))
+                            .get(30, TimeUnit.SECONDS));
+            assertThat(sendError).hasCauseThat().isInstanceOf(HttpRequestException.class);
+            final ExecutionException probeError = assertThrows(
+                    ExecutionException.class,
+                    () -> client.checkReachable(URI.create(origin)).get(30, TimeUnit.SECONDS));
+            assertThat(probeError).hasCauseThat().isInstanceOf(HttpRequestException.class);
+        } finally {
+            client.stop();
+        }
+    }
+
     private static void resetAll(ServerSocket server) {
         try {
             while (true) {
