Follow a stream on after a record that its listener cannot handle

Cause: only UndecodableRecordException was expected from what is done with a record. Any other exception ended inside the callback of the response, so that no further read was scheduled and the gateway followed the stream no more. Result: KeyedFollowerTest, new case; without the guard it fails with the listener's exception.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -21,8 +21,8 @@
  * again if the log has deleted records that were not read.
  *
  * <p>Invariants: the listener receives the records of a key in the order of their offsets, never an older one after a
- * newer one; all records acknowledged by a time that is passed to {@link Listener#onCaughtUp} have been delivered. All
- * methods and the listener run on the scheduler's thread.
+ * newer one; all records acknowledged by a time that is passed to {@link Listener#onCaughtUp} have been delivered; a listener
+ * that throws does not end the reads. All methods and the listener run on the scheduler's thread.
  */
 public final class KeyedFollower {
     /**
@@ -37,6 +37,7 @@
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final Listener listener;
+    private final Consumer<RuntimeException> errors;
     private final Map<String, Long> lastOffsets = new HashMap<>();
     private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
@@ -59,6 +60,7 @@
      * @param scheduler clock and timers of the thread that owns the follower
      * @param random source of jitter
      * @param listener receives the records and the state of the connection to the log
+     * @param errors receives the exceptions that the listener throws; the record concerned counts as delivered
      */
     public KeyedFollower(
             SharedLog log,
@@ -66,13 +68,15 @@
             ReadTiming timing,
             Scheduler scheduler,
             UniformRandomProvider random,
-            Listener listener) {
+            Listener listener,
+            Consumer<RuntimeException> errors) {
         this.log = Objects.requireNonNull(log, "log is null");
         this.stream = Objects.requireNonNull(stream, "stream is null");
         this.timing = Objects.requireNonNull(timing, "timing is null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.random = Objects.requireNonNull(random, "random is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
+        this.errors = Objects.requireNonNull(errors, "errors is null");
     }
 
     /** Starts to list and read the stream. */
@@ -140,7 +144,7 @@
             deliverMissingTombstones();
             following = true;
             nextOffset = listEndOffset;
-            listener.onCaughtUp(listStartNanos);
+            notifyListener(() -> listener.onCaughtUp(listStartNanos));
             read();
         });
     }
@@ -164,7 +168,9 @@
             nextOffset = batch.nextOffset();
             if (batch.complete()) {
                 // The log holds an empty response for the whole wait, so there was no further record until then.
-                listener.onCaughtUp(batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos);
+                final long caughtUpNanos =
+                        batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos;
+                notifyListener(() -> listener.onCaughtUp(caughtUpNanos));
                 scheduler.schedule(jitteredPauseMillis(), this::listOrRead);
             } else {
                 listOrRead();
@@ -195,7 +201,7 @@
         failures = 0;
         if (!available) {
             available = true;
-            listener.onAvailable();
+            notifyListener(listener::onAvailable);
         }
     }
 
@@ -204,14 +210,14 @@
         final Throwable cause = error instanceof CompletionException ? error.getCause() : error;
         if (cause instanceof SharedLogException logError && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
             requestSucceeded();
-            listener.onHistoryLost();
+            notifyListener(listener::onHistoryLost);
             following = false;
             listOrRead();
             return;
         }
         if (available) {
             available = false;
-            listener.onUnavailable(String.valueOf(cause.getMessage()));
+            notifyListener(() -> listener.onUnavailable(String.valueOf(cause.getMessage())));
         }
         final long maxDelayMillis =
                 Math.min(timing.maxBackoff().toMillis(), INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
@@ -229,7 +235,16 @@
         } else {
             lastOffsets.put(keyedRecord.key(), keyedRecord.offset());
         }
-        listener.onRecord(keyedRecord);
+        notifyListener(() -> listener.onRecord(keyedRecord));
+    }
+
+    /** Calls the listener; an exception must not end the reads. */
+    private void notifyListener(Runnable notification) {
+        try {
+            notification.run();
+        } catch (RuntimeException e) {
+            errors.accept(e);
+        }
     }
 
     /** Receives the records of a stream and changes of the connection to the log. */
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -69,14 +69,16 @@
                         ReadTiming.longPoll(OPERATOR_LONG_POLL),
                         scheduler,
                         random,
-                        new OperatorListener()),
+                        new OperatorListener(),
+                        error -> log.writeError("log/operator", error)),
                 new KeyedFollower(
                         sharedLog,
                         LogStream.UPSTREAMS,
                         ReadTiming.periodic(UPSTREAM_POLL_INTERVAL),
                         scheduler,
                         random,
-                        new UpstreamListener()));
+                        new UpstreamListener(),
+                        error -> log.writeError("log/upstreams", error)));
     }
 
     void start() {
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -99,7 +99,14 @@
         this.wallMillis = Objects.requireNonNull(wallMillis, "wallMillis is null");
         this.log = Objects.requireNonNull(log, "log is null");
         quarantine = new SegmentQuarantine(gateway);
-        follower = new KeyedFollower(sharedLog, LogStream.CRASH_REPORTS, CALM, scheduler, random, this::onReport);
+        follower = new KeyedFollower(
+                sharedLog,
+                LogStream.CRASH_REPORTS,
+                CALM,
+                scheduler,
+                random,
+                this::onReport,
+                error -> log.writeError("log/crashes", error));
         alertUntilNanos = scheduler.nanos();
         nextPublishNanos = scheduler.nanos();
         clearanceNanos = scheduler.nanos();
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -142,7 +142,8 @@
                     ReadTiming.longPoll(STATUS_LONG_POLL),
                     scheduler,
                     random,
-                    this::onStatus));
+                    this::onStatus,
+                    error -> log.writeError("log/status", error)));
             statusFollower.get().start();
         }
         if (countsFollower.isEmpty()) {
@@ -152,7 +153,8 @@
                     ReadTiming.periodic(COUNTS_POLL_INTERVAL),
                     scheduler,
                     random,
-                    this::onCounts));
+                    this::onCounts,
+                    error -> log.writeError("log/counts", error)));
             countsFollower.get().start();
         }
     }
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -31,6 +31,9 @@
             new KeyedFollower.Listener() {
                 @Override
                 public void onRecord(KeyedRecord keyedRecord) {
+                    if (keyedRecord.key().equals("broken")) {
+                        throw new IllegalStateException("broken");
+                    }
                     events.add(keyedRecord.key() + "=" + new String(keyedRecord.value(), StandardCharsets.UTF_8));
                 }
 
@@ -48,7 +51,8 @@
                 public void onAvailable() {
                     events.add("regained");
                 }
-            });
+            },
+            error -> events.add("error: " + error.getMessage()));
 
     @Test
     void shouldReadLaterRecordsAfterListingTheNewestOnes() {
@@ -60,6 +64,21 @@
         assertThat(events).containsExactly("regained", "config=2", "config=3").inOrder();
     }
 
+    @Test
+    void shouldGoOnAfterARecordThatTheListenerCannotHandle() {
+        log.put("broken", "listed");
+        log.put("config", "1");
+        follower.start();
+        log.put("broken", "read");
+        log.put("config", "2");
+        scheduler.advance(10);
+        log.put("config", "3");
+        scheduler.advance(10);
+        assertThat(events)
+                .containsExactly("regained", "error: broken", "config=1", "error: broken", "config=2", "config=3")
+                .inOrder();
+    }
+
     @Test
     void shouldBeCaughtUpWhenAnEmptyReadReturns() {
         log.put("config", "1");
