Do not relay an answer without an identifier on a kept connection

Cause: a response was told apart from a late copy of an earlier one by its identifier only; one without an identifier was taken for the answer to the present request, and its 'not run' was believed. Change: on a connection that may have carried another request, a response without the identifier of the request counts as spoilt, like one with another identifier: it may have run. Before: caller-21 got 'answer to caller-20'. Copies with an identifier, and copies of refusals, could not do harm before either: the connection of a refusal is closed, and requests that must not run twice use a new connection.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -200,7 +200,8 @@
                 admitted.request().id(),
                 responding.status(),
                 responding.headers().containsKey("content-encoding"),
-                metadata);
+                metadata,
+                admitted.route().repeatable());
         if (verdict.failure() && !isFinalFailure(verdict, responding.status(), metadata)) {
             handleFailedResponse(responding, verdict);
             return;
--- a/src/main/java/org/masticpaddle/gateway/ResponseVerdict.java
+++ b/src/main/java/org/masticpaddle/gateway/ResponseVerdict.java
@@ -42,11 +42,18 @@
      * @param status HTTP status
      * @param encoded whether the body has a content encoding, which upstreams never use
      * @param metadata metadata from the response headers
+     * @param connectionKept whether the connection may have carried an earlier request, a copy of whose response may arrive
+     *     in place of this one
      * @return classification of the response
      */
     static ResponseVerdict classify(
-            Route route, String requestId, int status, boolean encoded, ResponseMetadata metadata) {
-        if (metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId)) {
+            Route route,
+            String requestId,
+            int status,
+            boolean encoded,
+            ResponseMetadata metadata,
+            boolean connectionKept) {
+        if (!metadata.requestId().map(requestId::equals).orElse(!connectionKept)) {
             return SPOILT;
         }
         if (metadata.notRun() || status == MISDIRECTED) {
--- a/src/test/java/org/masticpaddle/gateway/ResponseVerdictTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ResponseVerdictTest.java
@@ -27,10 +27,38 @@
         assertThat(verdict(BOOKING, 200, "other", false, true)).isEqualTo(ResponseVerdict.SPOILT);
     }
 
+    @Test
+    void shouldNotBelieveResponseWithoutIdentifierOnKeptConnection() {
+        final ResponseMetadata success = new ResponseMetadata(
+                Optional.empty(),
+                false,
+                true,
+                Optional.empty(),
+                OptionalInt.empty(),
+                OptionalDouble.empty(),
+                OptionalLong.empty());
+        final ResponseMetadata refusal = new ResponseMetadata(
+                Optional.empty(),
+                true,
+                false,
+                Optional.empty(),
+                OptionalInt.empty(),
+                OptionalDouble.empty(),
+                OptionalLong.empty());
+        assertThat(ResponseVerdict.classify(LOOKUP, "id", 200, false, success, true))
+                .isEqualTo(ResponseVerdict.SPOILT);
+        assertThat(ResponseVerdict.classify(LOOKUP, "id", 503, false, refusal, true))
+                .isEqualTo(ResponseVerdict.SPOILT);
+        assertThat(ResponseVerdict.classify(LOOKUP, "id", 200, false, success, false))
+                .isEqualTo(ResponseVerdict.RELAY);
+        assertThat(ResponseVerdict.classify(BOOKING, "id", 503, false, refusal, false))
+                .isEqualTo(ResponseVerdict.NOT_RUN);
+    }
+
     @Test
     void shouldNotRelayUnsignedOrEncodedSuccess() {
         assertThat(verdict(LOOKUP, 200, "id", false, false)).isEqualTo(ResponseVerdict.SPOILT);
-        assertThat(ResponseVerdict.classify(LOOKUP, "id", 200, true, metadata("id", false, true)))
+        assertThat(ResponseVerdict.classify(LOOKUP, "id", 200, true, metadata("id", false, true), true))
                 .isEqualTo(ResponseVerdict.SPOILT);
     }
 
@@ -54,7 +82,7 @@
     }
 
     private static ResponseVerdict verdict(Route route, int status, String id, boolean notRun, boolean signed) {
-        return ResponseVerdict.classify(route, "id", status, false, metadata(id, notRun, signed));
+        return ResponseVerdict.classify(route, "id", status, false, metadata(id, notRun, signed), true);
     }
 
     private static ResponseMetadata metadata(String id, boolean notRun, boolean signed) {
