End a stop within its grace period, also while streams are open

Change: at 0.85 of the grace period requests in flight are ended: a stream by the end of its connection, which its caller can tell, another one by 502 if it may have run and 503 if not. A server on a shared loop then waits 0.2 s at most.

--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
@@ -37,6 +38,7 @@
     private final BooleanSupplier started;
     // Weak references, since an exchange never completes if its connection is closed while it is processed.
     private final Set<HttpServerExchange> activeRequests = Collections.newSetFromMap(new WeakHashMap<>());
+    private final Map<HttpServerExchange, RequestForwarder> forwarders = new WeakHashMap<>();
     private boolean draining;
     private boolean rejecting;
 
@@ -61,6 +63,12 @@
         rejecting = true;
     }
 
+    /** Ends the requests in flight and rejects all further ones. */
+    void endAll() {
+        rejecting = true;
+        List.copyOf(forwarders.values()).forEach(RequestForwarder::stop);
+    }
+
     /** Returns the number of requests in flight on open connections. */
     long activeRequests() {
         return activeRequests.stream()
@@ -74,6 +82,7 @@
         activeRequests.add(exchange);
         exchange.addExchangeCompleteListener((ended, next) -> {
             activeRequests.remove(ended);
+            forwarders.remove(ended);
             next.proceed();
         });
         if (draining) {
@@ -98,6 +107,10 @@
 
     /** Delays requests that arrive between the start of the listener and the first responses of the log. */
     private void admitWhenStarted(HttpServerExchange exchange, byte[] body, long receivedNanos) {
+        if (rejecting) {
+            reject(exchange, 503, "the gateway stops");
+            return;
+        }
         final boolean mayWait = context.scheduler().nanos() - receivedNanos < STARTUP_TIMEOUT_NANOS;
         if (started.getAsBoolean() || !mayWait && context.state().started()) {
             admit(exchange, body, receivedNanos);
@@ -143,7 +156,9 @@
                 headers,
                 body,
                 receivedNanos);
-        new RequestForwarder(context, new UndertowCaller(exchange), admitted).start();
+        final RequestForwarder forwarder = new RequestForwarder(context, new UndertowCaller(exchange), admitted);
+        forwarders.put(exchange, forwarder);
+        forwarder.start();
     }
 
     private void reject(HttpServerExchange exchange, int status, String reason) {
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -45,8 +45,11 @@
     private static final long UNRESPONSIVE_NANOS = 600_000_000L;
     /** Fraction of the grace period after which new requests are rejected, so that those in flight can complete. */
     private static final double REJECT_GRACE_SHARE = 0.37;
-    /** Fraction of the grace period after which the process stops even if requests are in flight. */
-    private static final double STOP_GRACE_SHARE = 0.95;
+    /**
+     * Fraction of the grace period after which requests in flight are ended. The rest is for the last responses, the log and the
+     * end of the process, on a machine with a part of a core and work to do.
+     */
+    private static final double STOP_GRACE_SHARE = 0.85;
     /**
      * Time for which a draining process still accepts requests, unless the grace period is short. The load balancer checks
      * readiness once a second and removes a gateway after two failed checks.
@@ -177,7 +180,8 @@
 
     /**
      * Drains and stops: reports not ready, accepts requests until the load balancer has removed the gateway, rejects further
-     * ones and waits for those in flight within the grace period.
+     * ones and waits for those in flight. Requests that are still in flight near the end of the grace period are ended: with an
+     * error response or, if a stream has begun, with the end of its connection.
      */
     @Override
     public void stop() {
@@ -189,6 +193,7 @@
         await(stopStartNanos + Math.min(MIN_DRAIN.toNanos(), (long) (graceNanos * REJECT_GRACE_SHARE)), false);
         loop.execute(handler::rejectAll);
         await(stopStartNanos + (long) (graceNanos * STOP_GRACE_SHARE), true);
+        loop.execute(handler::endAll);
         loop.execute(periodicTasks::stop);
         log.write(Decision.STOPPED, "ms", (System.nanoTime() - stopStartNanos) / 1e6);
         kernel.stop();
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -82,6 +82,11 @@
         startAttempt();
     }
 
+    /** Ends the request since the process is about to end. */
+    void stop() {
+        fail("the gateway stops", 502, 0);
+    }
+
     private void startAttempt() {
         if (ended) {
             return;
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -25,6 +25,8 @@
     private static final int MAX_HEADERS = 100;
     // Limits how long stop() waits for peers that do not read their response; the requests have been processed by then.
     private static final long STOP_TIMEOUT_NANOS = 2_000_000_000L;
+    // The owner of a shared loop ends the exchanges itself, within the time that it has for its stop.
+    private static final long SHARED_LOOP_STOP_TIMEOUT_NANOS = 200_000_000L;
     // One read of this size holds most requests; on a small heap, Undertow would choose smaller buffers.
     private static final int SHARED_LOOP_BUFFER_BYTES = 16 * 1024;
     private static final long STOP_POLL_INTERVAL_NANOS = 5_000_000L;
@@ -104,10 +106,14 @@
         undertow.start();
     }
 
-    /** Waits up to two seconds until the open exchanges have sent their responses, then closes all connections. */
+    /**
+     * Waits until the open exchanges have sent their responses, for two seconds at most, or for a fifth of a second on a shared
+     * loop; then closes all connections.
+     */
     @Override
     public void stop() {
-        final long deadline = System.nanoTime() + STOP_TIMEOUT_NANOS;
+        final long deadline =
+                System.nanoTime() + (sharedLoop.isPresent() ? SHARED_LOOP_STOP_TIMEOUT_NANOS : STOP_TIMEOUT_NANOS);
         while (hasOpenExchanges() && System.nanoTime() < deadline) {
             LockSupport.parkNanos(STOP_POLL_INTERVAL_NANOS);
         }
