Do not exclude an upstream for good after a probe without a result

Cause: after a failure an upstream gets one probe at a time. A probe that was cancelled, because its caller left or the draft was dropped, or that was answered with 'not run', never ended: the upstream got no request again unless another one in flight happened to succeed. Change: the circuit breaker is a class of its own; the end of a probe makes room for the next one, and any response of the upstream closes the circuit. Result: two new cases of UpstreamStateTest, which failed before.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamCircuit.java
@@ -0,0 +1,84 @@
+package org.masticpaddle.fleet;
+
+import java.util.Optional;
+
+/**
+ * Circuit breaker of one upstream.
+ *
+ * <p>Invariants: while the circuit is open the upstream gets no request; after that it gets one probe at a time until a response
+ * closes the circuit. A probe that ends without a result makes room for the next one. Not thread-safe: confined to the thread of
+ * its owner.
+ */
+final class UpstreamCircuit {
+    /** Time for which the circuit opens at the first failure; doubled at each further consecutive failure. */
+    private static final long INITIAL_OPEN_NANOS = 300_000_000L;
+    /** Longest time for which the circuit opens, within which a recovered upstream gets requests again. */
+    private static final long MAX_OPEN_NANOS = 2_400_000_000L;
+    /** Number of consecutive failures that certain evidence counts for. */
+    private static final int CERTAIN_FAILURES = 3;
+    /** Number of doublings after which the open time has reached its maximum. */
+    private static final int MAX_DOUBLINGS = 6;
+
+    private boolean closed = true;
+    private long openUntilNanos;
+    private int consecutiveFailures;
+    private Optional<InFlightRequest> probe = Optional.empty();
+
+    /** Records a request that is being sent. It is the probe if the circuit is not closed. */
+    void onSent(InFlightRequest request) {
+        if (!closed) {
+            probe = Optional.of(request);
+        }
+    }
+
+    /** Records that a request has ended. */
+    void onEnded(InFlightRequest request) {
+        if (probe.equals(Optional.of(request))) {
+            probe = Optional.empty();
+        }
+    }
+
+    /** Records a successful answer, which closes the circuit. */
+    void onSuccess() {
+        consecutiveFailures = 0;
+        onResponse();
+    }
+
+    /** Records a response that is no answer. The upstream is reachable, so the circuit closes. */
+    void onResponse() {
+        closed = true;
+        probe = Optional.empty();
+    }
+
+    /** Records a request without a response and opens the circuit. */
+    void onUnreachable(long now) {
+        final long openNanos =
+                Math.min(MAX_OPEN_NANOS, INITIAL_OPEN_NANOS << Math.min(consecutiveFailures, MAX_DOUBLINGS));
+        consecutiveFailures++;
+        closed = false;
+        probe = Optional.empty();
+        openUntilNanos = now + openNanos;
+    }
+
+    /** Opens the circuit for at least the time after a third consecutive failure. */
+    void trip(long now) {
+        consecutiveFailures = Math.max(consecutiveFailures, CERTAIN_FAILURES - 1);
+        onUnreachable(now);
+    }
+
+    /** Returns whether the circuit keeps all requests from the upstream now. */
+    boolean open(long now) {
+        return !closed && now < openUntilNanos;
+    }
+
+    /** Returns whether the upstream has to respond to a probe before it gets another request. */
+    boolean probing() {
+        return !closed && probe.isPresent();
+    }
+
+    /** Forgets all failures, since another incarnation has started. */
+    void reset() {
+        consecutiveFailures = 0;
+        onResponse();
+    }
+}
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -12,17 +12,12 @@
  * State that one gateway keeps about one upstream: its entry, the requests in flight from this gateway, the last
  * reported load, and a circuit breaker.
  *
- * <p>Invariants: while the circuit is open the upstream gets no request; after that it gets one probe at a time until a
- * response closes the circuit. While the upstream states a limit, requests are paced. Health, reported load, stated limit and
+ * <p>Invariants: the circuit decides whether the upstream may get a request. While the upstream states a limit, requests are paced. Health, reported load, stated limit and
  * estimated cache of an earlier incarnation are discarded. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamState {
     /** Age beyond which a load report is ignored, about the duration of a request of the shortest kind. */
     private static final long MAX_REPORT_AGE_NANOS = 2_000_000_000L;
-    /** Time for which the circuit opens at the first failure; doubled at each further consecutive failure. */
-    private static final long INITIAL_CIRCUIT_OPEN_NANOS = 300_000_000L;
-    /** Longest time for which the circuit opens, within which a recovered upstream gets requests again. */
-    private static final long MAX_CIRCUIT_OPEN_NANOS = 2_400_000_000L;
     /** Weight of the newest observation in the moving averages of the failure rate and the latency ratio. */
     private static final double SMOOTHING_FACTOR = 0.15;
     /** Lower limit of one observed latency ratio; a lower one is clamped. */
@@ -38,15 +33,13 @@
 
     private final Set<InFlightRequest> inFlightRequests = new HashSet<>();
     private final PrefixCacheEstimate cachedPrefixes = new PrefixCacheEstimate();
+    private final UpstreamCircuit circuit = new UpstreamCircuit();
     private Upstream upstream;
     private ReportedLoad report = new ReportedLoad(0, 0, 0);
     private long reportNanos = NEVER;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
     private Optional<RequestPacer> pacer = Optional.empty();
     private int inFlightAtReport;
-    private int consecutiveFailures;
-    private long circuitOpenUntilNanos = NEVER;
-    private boolean probeInFlight;
     private double failureRate;
     private double latencyRatio = 1;
     private long lastActivityNanos;
@@ -68,9 +61,7 @@
     void update(Upstream newest) {
         if (newest.startMillis() != upstream.startMillis()) {
             cachedPrefixes.clear();
-            consecutiveFailures = 0;
-            circuitOpenUntilNanos = NEVER;
-            probeInFlight = false;
+            circuit.reset();
             failureRate = 0;
             latencyRatio = 1;
             reportNanos = NEVER;
@@ -104,9 +95,7 @@
                 new InFlightRequest(model, uncachedTokens(model, prompt, promptTokens), prefillMillis, now);
         cachedPrefixes.add(model, prompt, capacityTokens);
         inFlightRequests.add(request);
-        if (circuitOpenUntilNanos > NEVER) {
-            probeInFlight = true;
-        }
+        circuit.onSent(request);
         pacer.ifPresent(each -> each.take(now));
         return request;
     }
@@ -118,6 +107,7 @@
      */
     public void release(InFlightRequest request) {
         inFlightRequests.remove(request);
+        circuit.onEnded(request);
     }
 
     /**
@@ -239,9 +229,7 @@
      * @param actualMillis observed time to the start of the answer in milliseconds
      */
     public void onSuccess(double expectedMillis, double actualMillis) {
-        consecutiveFailures = 0;
-        circuitOpenUntilNanos = NEVER;
-        probeInFlight = false;
+        circuit.onSuccess();
         failureRate -= SMOOTHING_FACTOR * failureRate;
         if (expectedMillis > 0) {
             final double ratio =
@@ -253,8 +241,12 @@
     /** Records an error response. The upstream is reachable, so the circuit closes; the failure rate rises. */
     public void onErrorResponse() {
         failureRate += SMOOTHING_FACTOR * (1 - failureRate);
-        probeInFlight = false;
-        circuitOpenUntilNanos = NEVER;
+        circuit.onResponse();
+    }
+
+    /** Records that the upstream answered that it did not run a request. The upstream is reachable, so the circuit closes. */
+    public void onNotRun() {
+        circuit.onResponse();
     }
 
     /**
@@ -265,11 +257,7 @@
      */
     public void onUnreachable(long now) {
         failureRate += SMOOTHING_FACTOR * (1 - failureRate);
-        probeInFlight = false;
-        final long openNanos =
-                Math.min(MAX_CIRCUIT_OPEN_NANOS, INITIAL_CIRCUIT_OPEN_NANOS << Math.min(consecutiveFailures, 6));
-        consecutiveFailures++;
-        circuitOpenUntilNanos = now + openNanos;
+        circuit.onUnreachable(now);
     }
 
     /**
@@ -279,8 +267,8 @@
      * @param now current time in nanoseconds
      */
     public void tripCircuit(long now) {
-        consecutiveFailures = Math.max(consecutiveFailures, 2);
-        onUnreachable(now);
+        failureRate += SMOOTHING_FACTOR * (1 - failureRate);
+        circuit.trip(now);
     }
 
     /**
@@ -295,7 +283,7 @@
     }
 
     private boolean circuitAllowsRequest(long now) {
-        return now >= circuitOpenUntilNanos && !(probeInFlight && circuitOpenUntilNanos > NEVER);
+        return !circuit.open(now) && !circuit.probing();
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -237,6 +237,8 @@
             failed.upstream().onErrorResponse();
         } else if (failed.status() == 421) {
             failed.upstream().tripCircuit(now());
+        } else {
+            failed.upstream().onNotRun();
         }
         observer.onEnd(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
         decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
--- a/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
@@ -27,6 +27,24 @@
         assertThat(state.allowsRequest(SECOND_NANOS)).isTrue();
     }
 
+    @Test
+    void shouldAllowAnotherProbeAfterOneThatEndedWithoutResult() {
+        state.onUnreachable(0);
+        final InFlightRequest cancelled = state.assign("", List.of(), 0, 0, 0, SECOND_NANOS);
+        state.release(cancelled);
+        assertThat(state.allowsRequest(SECOND_NANOS)).isTrue();
+    }
+
+    @Test
+    void shouldCloseTheCircuitWhenTheUpstreamAnswersThatItDidNotRunTheProbe() {
+        state.onUnreachable(0);
+        final InFlightRequest rejected = state.assign("", List.of(), 0, 0, 0, SECOND_NANOS);
+        state.onNotRun();
+        state.release(rejected);
+        state.assign("", List.of(), 0, 0, 0, SECOND_NANOS);
+        assertThat(state.allowsRequest(SECOND_NANOS)).isTrue();
+    }
+
     @Test
     void shouldOpenTheCircuitForLongerWithEachFailure() {
         for (int count = 0; count < 5; count++) {
