Act on what upstreams say of themselves: leaving, and pauses after a rejection

Cause: an upstream that is about to stop says so in all its answers, and one that rejects a request may say for how long it wants none. Neither was read: an upstream whose leaving the list showed late, or not at all while the store was down, got requests to its end, and one that pushed back got the next request at once. Change: SelfReport holds all that an upstream says of itself; UpstreamState.availability is the one place that says whether it may take work and why not. A leaving incarnation never gets a request again, also if it is listed again. A pause excludes the upstream, then it is probed with one request at a time. If all upstreams pause or are limited, requests wait by rank (UpstreamWait, before PermitWait) or are rejected at once with a delay until a place is expected. The availability is asked for again before a request is written. Unreadable values are counted.

--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -28,6 +28,8 @@
     UPSTREAM_UNRESPONSIVE("upstream.silent", Priority.IMPORTANT),
     /** An upstream stated another limit of its requests than before, or none any more. */
     UPSTREAM_LIMIT_CHANGED("upstream.limit", Priority.IMPORTANT),
+    /** An upstream says that it is about to stop, or that it wants no requests for some time. */
+    UPSTREAM_REPORTED("upstream.reported", Priority.IMPORTANT),
     /** A rollout started, progressed or ended. */
     ROLLOUT_CHANGED("rollout.changed", Priority.IMPORTANT),
     /** An answer was counted as evidence for or against the version of a rollout. */
--- a/src/main/java/org/masticpaddle/fleet/UpstreamCircuit.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamCircuit.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 
 /**
- * Circuit breaker of one upstream.
+ * Circuit breaker of one upstream, which opens after failures and when the upstream asks for a pause.
  *
  * <p>Invariants: while the circuit is open the upstream gets no request; after that it gets one probe at a time until a response
- * closes the circuit. A probe that ends without a result makes room for the next one. Not thread-safe: confined to the thread of
+ * closes the circuit. No response ends the pause that an upstream asked for before its time. A probe that ends without a result makes room for the next one. Not thread-safe: confined to the thread of
  * its owner.
  */
 final class UpstreamCircuit {
@@ -21,12 +21,14 @@
 
     private boolean closed = true;
     private long openUntilNanos;
+    private boolean pushedBack;
+    private long notBeforeNanos;
     private int consecutiveFailures;
     private Optional<InFlightRequest> probe = Optional.empty();
 
     /** Records a request that is being sent. It is the probe if the circuit is not closed. */
     void onSent(InFlightRequest request) {
-        if (!closed) {
+        if (recovering()) {
             probe = Optional.of(request);
         }
     }
@@ -39,15 +41,47 @@
     }
 
     /** Records a successful answer, which closes the circuit. */
-    void onSuccess() {
+    void onSuccess(long now) {
         consecutiveFailures = 0;
-        onResponse();
+        onResponse(now);
     }
 
     /** Records a response that is no answer. The upstream is reachable, so the circuit closes. */
-    void onResponse() {
+    void onResponse(long now) {
         closed = true;
-        probe = Optional.empty();
+        if (now >= notBeforeNanos) {
+            pushedBack = false;
+        }
+        if (!pushedBack) {
+            probe = Optional.empty();
+        }
+    }
+
+    /**
+     * Keeps all requests from the upstream until a time, since it asked for that; then it is probed before it gets more.
+     *
+     * @return whether this is later than before
+     */
+    boolean pushBack(long untilNanos) {
+        final boolean later = !pushedBack || untilNanos > notBeforeNanos;
+        notBeforeNanos = later ? untilNanos : notBeforeNanos;
+        pushedBack = true;
+        return later;
+    }
+
+    /** Returns whether the next request probes the upstream. */
+    boolean recovering() {
+        return !closed || pushedBack;
+    }
+
+    /** Returns whether the upstream has asked for no request now. */
+    boolean pushedBack(long now) {
+        return pushedBack && now < notBeforeNanos;
+    }
+
+    /** Returns the time from which the upstream accepts requests again, if it has pushed back. */
+    long notBeforeNanos() {
+        return notBeforeNanos;
     }
 
     /** Records a request without a response and opens the circuit. */
@@ -73,12 +107,14 @@
 
     /** Returns whether the upstream has to respond to a probe before it gets another request. */
     boolean probing() {
-        return !closed && probe.isPresent();
+        return recovering() && probe.isPresent();
     }
 
     /** Forgets all failures, since another incarnation has started. */
     void reset() {
         consecutiveFailures = 0;
-        onResponse();
+        closed = true;
+        pushedBack = false;
+        probe = Optional.empty();
     }
 }
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -12,14 +13,28 @@
 /**
  * Registry of upstreams, built by applying the records of the upstream list.
  *
- * <p>Invariants: an upstream that is draining or was removed is not a member of its service. An entry that is removed
+ * <p>Invariants: an upstream that is draining, says that it is about to stop, or was removed, is not a member of its service; an
+ * incarnation that has said so never becomes a member again, whatever the list says. An entry that is removed
  * during an outage of the list, or within the grace period after it, has lapsed: a live upstream may only have been
  * unable to renew it, so it stays a member until the grace period ends. An entry of an earlier incarnation never
  * replaces one of a later incarnation. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamRegistry {
+    /** Largest number of removed upstreams that are remembered as leaving. */
+    private static final int MAX_REMEMBERED = 4_096;
+    /** Lower than the start time of any upstream. */
+    private static final long NO_START = Long.MIN_VALUE;
+
     private final long gracePeriodNanos;
     private final Map<String, Registration> registrations = new HashMap<>();
+    /** Start times of removed incarnations that were leaving, by identifier. */
+    private final Map<String, Long> leavingStarts = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_REMEMBERED;
+        }
+    };
+
     private long outageEndNanos = Long.MIN_VALUE / 2;
     private boolean outage;
 
@@ -44,7 +59,11 @@
         Objects.requireNonNull(upstream, "upstream is null");
         final Registration registration = registrations.get(upstream.id());
         if (registration == null) {
-            registrations.put(upstream.id(), new Registration(new UpstreamState(upstream, now)));
+            final UpstreamState state = new UpstreamState(upstream, now);
+            if (leavingStarts.getOrDefault(upstream.id(), NO_START) >= upstream.startMillis()) {
+                state.markLeaving();
+            }
+            registrations.put(upstream.id(), new Registration(state));
             return upstream.draining() ? RegistryChange.LEAVING : RegistryChange.ADDED;
         }
         final Upstream previous = registration.state.upstream();
@@ -80,7 +99,7 @@
             registration.lapsed = true;
             return RegistryChange.LAPSED;
         }
-        registrations.remove(id);
+        remove(id);
         return RegistryChange.REMOVED;
     }
 
@@ -117,12 +136,20 @@
                 expired.add(id);
             }
         });
-        expired.forEach(registrations::remove);
+        expired.forEach(this::remove);
         return expired;
     }
 
+    /** Removes an upstream; keeps in mind that it is leaving, since its entry may be listed again. */
+    private void remove(String id) {
+        final UpstreamState state = registrations.remove(id).state;
+        if (state.leaving()) {
+            leavingStarts.put(id, state.upstream().startMillis());
+        }
+    }
+
     /**
-     * Returns the members of a service: its upstreams that are not draining, lapsed ones included.
+     * Returns the members of a service: its upstreams that are not about to stop, lapsed ones included.
      *
      * @param service name of the service
      * @return states of the members, in no particular order
@@ -131,7 +158,7 @@
         final List<UpstreamState> members = new ArrayList<>();
         for (final Registration registration : registrations.values()) {
             final Upstream upstream = registration.state.upstream();
-            if (upstream.service().equals(service) && !upstream.draining()) {
+            if (upstream.service().equals(service) && !registration.state.leaving()) {
                 members.add(registration.state);
             }
         }
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.fleet;
 
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -30,6 +31,9 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
+    /** Longest pause that an upstream is granted; beyond it the upstream is probed. */
+    private static final double MAX_PAUSE_SECONDS = 600;
 
     private final Set<InFlightRequest> inFlightRequests = new HashSet<>();
     private final PrefixCacheEstimate cachedPrefixes = new PrefixCacheEstimate();
@@ -39,6 +43,7 @@
     private long reportNanos = NEVER;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
     private Optional<RequestPacer> pacer = Optional.empty();
+    private boolean leaving;
     private int inFlightAtReport;
     private double failureRate;
     private double latencyRatio = 1;
@@ -65,7 +70,8 @@
             failureRate = 0;
             latencyRatio = 1;
             reportNanos = NEVER;
-            onLimitReport(OptionalDouble.empty());
+            leaving = false;
+            setLimit(OptionalDouble.empty());
         }
         upstream = newest;
     }
@@ -139,26 +145,50 @@
     }
 
     /**
-     * Records the load that the upstream reported with an answer.
+     * Applies what the upstream says of itself in a response.
      *
-     * @param load reported load
+     * @param selfReport values of the response's headers
+     * @param signed whether the response has a signature; only signed ones state limits
+     * @param rejected whether the response rejects a request; only rejections push back
      * @param now current time in nanoseconds
+     * @return what changed; a renewed pause that ends no later is no change
      */
-    public void onLoadReport(ReportedLoad load, long now) {
-        report = Objects.requireNonNull(load, "load is null");
-        reportNanos = now;
-        inFlightAtReport = inFlightRequests.size();
+    public Set<ReportChange> onReport(SelfReport selfReport, boolean signed, boolean rejected, long now) {
+        final Set<ReportChange> changes = EnumSet.noneOf(ReportChange.class);
+        selfReport.load().ifPresent(load -> {
+            report = load;
+            reportNanos = now;
+            inFlightAtReport = inFlightRequests.size();
+        });
+        if (signed && setLimit(selfReport.requestsPerSecond())) {
+            changes.add(ReportChange.LIMIT);
+        }
+        if (selfReport.leaving() && markLeaving()) {
+            changes.add(ReportChange.LEAVING);
+        }
+        final double pauseSeconds = rejected ? selfReport.notBeforeSeconds().orElse(0) : 0;
+        if (pauseSeconds > 0
+                && circuit.pushBack(now + (long) (Math.min(pauseSeconds, MAX_PAUSE_SECONDS) * NANOS_PER_SECOND))) {
+            changes.add(ReportChange.PUSHED_BACK);
+        }
+        return changes;
     }
 
-    /**
-     * Records the limit that the upstream stated with an answer.
-     *
-     * @param limit requests a second that it accepts from all gateways together, empty if it stated no limit
-     * @return whether the limit changed
-     */
-    public boolean onLimitReport(OptionalDouble limit) {
+    /** Returns whether the upstream is about to stop, as its entry or the upstream itself says. */
+    boolean leaving() {
+        return leaving || upstream.draining();
+    }
+
+    /** Excludes this incarnation from further requests; returns whether that is new. */
+    boolean markLeaving() {
+        final boolean changed = !leaving;
+        leaving = true;
+        return changed;
+    }
+
+    private boolean setLimit(OptionalDouble limit) {
         final boolean changed = !requestsPerSecond.equals(limit);
-        requestsPerSecond = Objects.requireNonNull(limit, "limit is null");
+        requestsPerSecond = limit;
         if (limit.isEmpty()) {
             pacer = Optional.empty();
         }
@@ -190,23 +220,20 @@
     }
 
     /**
-     * Returns whether the upstream would get a request if its limit permitted one.
-     *
-     * @param now current time in nanoseconds
-     * @return {@code true} if the circuit allows a request and no permit is available
-     */
-    public boolean waitsForPermit(long now) {
-        return circuitAllowsRequest(now) && !permitted(now);
-    }
-
-    /**
-     * Returns the number of requests that the limit permits now.
+     * Returns the number of requests that may be sent to the upstream now.
      *
      * @param now current time in nanoseconds
-     * @return number of permits, 0 if the upstream states no limit
+     * @return 0 if it is not available, the number of permits if it states a limit, 1 after a pause until it has responded, and
+     *     the largest number otherwise
      */
-    public int permits(long now) {
-        return pacer.map(each -> each.available(now)).orElse(0);
+    public int places(long now) {
+        if (!allowsRequest(now)) {
+            return 0;
+        }
+        if (circuit.recovering()) {
+            return 1;
+        }
+        return pacer.map(each -> each.available(now)).orElse(Integer.MAX_VALUE);
     }
 
     /**
@@ -227,9 +254,10 @@
      *
      * @param expectedMillis expected time to the start of the answer in milliseconds, 0 if unknown
      * @param actualMillis observed time to the start of the answer in milliseconds
+     * @param now current time in nanoseconds
      */
-    public void onSuccess(double expectedMillis, double actualMillis) {
-        circuit.onSuccess();
+    public void onSuccess(double expectedMillis, double actualMillis, long now) {
+        circuit.onSuccess(now);
         failureRate -= SMOOTHING_FACTOR * failureRate;
         if (expectedMillis > 0) {
             final double ratio =
@@ -238,15 +266,23 @@
         }
     }
 
-    /** Records an error response. The upstream is reachable, so the circuit closes; the failure rate rises. */
-    public void onErrorResponse() {
+    /**
+     * Records an error response. The upstream is reachable, so the circuit closes; the failure rate rises.
+     *
+     * @param now current time in nanoseconds
+     */
+    public void onErrorResponse(long now) {
         failureRate += SMOOTHING_FACTOR * (1 - failureRate);
-        circuit.onResponse();
+        circuit.onResponse(now);
     }
 
-    /** Records that the upstream answered that it did not run a request. The upstream is reachable, so the circuit closes. */
-    public void onNotRun() {
-        circuit.onResponse();
+    /**
+     * Records that the upstream answered that it did not run a request. The upstream is reachable, so the circuit closes.
+     *
+     * @param now current time in nanoseconds
+     */
+    public void onNotRun(long now) {
+        circuit.onResponse(now);
     }
 
     /**
@@ -271,19 +307,57 @@
         circuit.trip(now);
     }
 
+    /**
+     * Returns whether the upstream may get a request now and, if not, why.
+     *
+     * @param now current time in nanoseconds
+     * @return {@link Availability#AVAILABLE}, or the reason that will hold longest
+     */
+    public Availability availability(long now) {
+        if (leaving()) {
+            return Availability.LEAVING;
+        }
+        if (circuit.pushedBack(now)) {
+            return Availability.PUSHED_BACK;
+        }
+        if (circuit.open(now)) {
+            return Availability.CIRCUIT_OPEN;
+        }
+        if (circuit.probing()) {
+            return Availability.PROBED;
+        }
+        return permitted(now) ? Availability.AVAILABLE : Availability.NO_PERMIT;
+    }
+
     /**
      * Returns whether the upstream may get a request.
      *
      * @param now current time in nanoseconds
-     * @return {@code true} if the circuit is closed, or was open for long enough and no probe is in flight, and the limit that
-     *     the upstream states permits a request
+     * @return whether it is {@linkplain #availability available}
      */
     public boolean allowsRequest(long now) {
-        return circuitAllowsRequest(now) && permitted(now);
+        return availability(now) == Availability.AVAILABLE;
+    }
+
+    /**
+     * Returns whether a request that was assigned to the upstream before may still be written.
+     *
+     * @param now current time in nanoseconds
+     * @return {@code false} if the upstream has since said that it wants no requests, now or any more
+     */
+    public boolean acceptsAssigned(long now) {
+        final Availability availability = availability(now);
+        return availability != Availability.LEAVING && availability != Availability.PUSHED_BACK;
     }
 
-    private boolean circuitAllowsRequest(long now) {
-        return !circuit.open(now) && !circuit.probing();
+    /**
+     * Returns the time until the pause ends that the upstream asked for.
+     *
+     * @param now current time in nanoseconds
+     * @return time in nanoseconds, 0 if it has asked for none or the pause has ended
+     */
+    public long pauseNanos(long now) {
+        return circuit.pushedBack(now) ? circuit.notBeforeNanos() - now : 0;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -8,7 +8,7 @@
 
 /**
  * Decides whether the next attempt of one request starts now, and where: by the quarantine of its prompt segments, the upstreams
- * that are open, and the limits that they state.
+ * that are open, the limits that they state and the pauses that they ask for.
  *
  * <p>Invariant: a request that waits is planned again soon; one that cannot start in time fails at once. Used on the event loop
  * only.
@@ -16,7 +16,7 @@
 final class AttemptPlanner {
     /** Time before the deadline below which no first attempt is started, since it could not end in time. */
     static final long MIN_ATTEMPT_MILLIS = 30;
-    /** Longest delay after which a caller is asked to repeat a request that waits for permits. */
+    /** Longest delay after which a caller is asked to repeat a request that no upstream has a place for. */
     private static final double MAX_RETRY_AFTER_SECONDS = 60;
 
     private final GatewayContext context;
@@ -24,7 +24,7 @@
     private final UpstreamChooser chooser;
     private final Escalation escalation;
     private final PromptGuard guard;
-    private final PermitWait permitWait;
+    private final UpstreamWait upstreamWait;
 
     AttemptPlanner(
             GatewayContext context,
@@ -38,7 +38,7 @@
         this.chooser = Objects.requireNonNull(chooser, "chooser is null");
         this.escalation = Objects.requireNonNull(escalation, "escalation is null");
         this.guard = Objects.requireNonNull(guard, "guard is null");
-        permitWait = new PermitWait(context.state(), context.scheduler(), service, admitted.rank());
+        upstreamWait = new UpstreamWait(context.state(), context.scheduler(), service, admitted.rank());
     }
 
     /**
@@ -64,16 +64,18 @@
         }
         final Optional<UpstreamPlacement.Choice> choice =
                 chooser.choose(model, modelIndex, mayWait, admission.outcome() == Admission.Outcome.TRIAL);
-        if (choice.isPresent() && permitWait.isTurn(choice.get().member())) {
-            permitWait.end();
+        if (choice.isPresent() && upstreamWait.isTurn(choice.get().member())) {
+            upstreamWait.end();
             return sentAttempts == 0
                     ? withoutDraft(choice.get(), admission, modelIndex, remainingMillis)
                     : new Send(choice.get(), admission, modelIndex);
         }
-        if (permitWait.blocked()) {
-            return waitForPermit(remainingMillis);
+        if (upstreamWait.blocked()) {
+            return waitForUpstream(remainingMillis);
         }
-        return sentAttempts == 0 && mayWait ? Recheck.INSTANCE : new Fail("no upstream is open", 0);
+        return sentAttempts == 0 && mayWait
+                ? Recheck.INSTANCE
+                : new Fail("no upstream is open: " + upstreamWait.reasons(), 0);
     }
 
     /** Returns the end of a request that the quarantine does not admit. */
@@ -86,7 +88,7 @@
 
     /** Ends the wait of a request that has ended. */
     void close() {
-        permitWait.end();
+        upstreamWait.end();
     }
 
     /** Selects the largest model at once if the upstream is limited and the answer would come in time. */
@@ -99,16 +101,17 @@
                 .orElseGet(() -> new Send(draft, admission, modelIndex));
     }
 
-    private Plan waitForPermit(long remainingMillis) {
-        final double expectedMillis = permitWait.expectedMillis();
+    private Plan waitForUpstream(long remainingMillis) {
+        final double expectedMillis = upstreamWait.expectedMillis();
         if (expectedMillis > remainingMillis - admitted.timeoutMillis() / 2.0) {
             // The random part spreads the returns of requests that are rejected together.
             final double delaySeconds =
                     expectedMillis / 1e3 * (1 + context.random().nextDouble());
             return new Fail(
-                    "no limited upstream permits the request in time", Math.min(MAX_RETRY_AFTER_SECONDS, delaySeconds));
+                    "no upstream has a place in time: " + upstreamWait.reasons(),
+                    Math.min(MAX_RETRY_AFTER_SECONDS, delaySeconds));
         }
-        permitWait.begin();
+        upstreamWait.begin();
         return Recheck.INSTANCE;
     }
 
--- a/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
+++ b/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
@@ -19,7 +19,7 @@
     /** Records the time to the start of a stream, or to a complete plain answer. */
     void recordAnswerStart(Attempt attempt, String model, int modelIndex, long now) {
         final double millis = (now - attempt.sentNanos()) / 1e6;
-        attempt.upstream().onSuccess(attempt.expectedMillis(), millis);
+        attempt.upstream().onSuccess(attempt.expectedMillis(), millis, now);
         if (!updatesEstimates(attempt)) {
             return;
         }
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -53,6 +53,7 @@
         ESCALATED("escalated", "drafts dropped for a larger model"),
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
+        UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
         STORE_CALLS("store_calls", "calls to the shared log"),
         STORE_FAILURES("store_failures", "calls to the shared log that failed");
 
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -8,6 +8,8 @@
 
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.PromptSegment;
+import org.masticpaddle.fleet.ReportChange;
+import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -145,25 +147,32 @@
         return prompt.isEmpty() ? null : prompt.stream().map(PromptSegment::id).collect(Collectors.joining(","));
     }
 
-    /** Writes that an upstream stated another limit than before. */
-    void limitChanged(Attempt answered, ResponseMetadata metadata) {
+    /** Writes a change of what an upstream says of itself. */
+    void upstreamReported(Attempt answered, ResponseMetadata metadata, ReportChange change) {
+        final SelfReport report = metadata.self();
         context.log()
                 .write(
-                        Decision.UPSTREAM_LIMIT_CHANGED,
+                        change == ReportChange.LIMIT ? Decision.UPSTREAM_LIMIT_CHANGED : Decision.UPSTREAM_REPORTED,
                         "request",
                         admitted.request().id(),
                         "upstream",
                         answered.upstream().upstream().id(),
+                        "change",
+                        change,
                         "requests_per_second",
-                        metadata.requestsPerSecond().isPresent()
-                                ? metadata.requestsPerSecond().getAsDouble()
+                        report.requestsPerSecond().isPresent()
+                                ? report.requestsPerSecond().getAsDouble()
+                                : null,
+                        "not_before_s",
+                        change == ReportChange.PUSHED_BACK
+                                ? report.notBeforeSeconds().orElseThrow()
                                 : null,
                         "status",
                         answered.status(),
                         "signed",
                         metadata.signed(),
                         "load",
-                        metadata.load().map(Object::toString).orElse(null),
+                        report.load().map(Object::toString).orElse(null),
                         "own",
                         answered.upstream().inFlight());
     }
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -6,10 +6,12 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.masticpaddle.admission.RetryAfterPolicy;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.InFlightRequest;
+import org.masticpaddle.fleet.ReportChange;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
@@ -31,6 +33,10 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Delay after which a request that waits is planned again. */
     private static final long RECHECK_MILLIS = 40;
+    /** HTTP status of an instance that is not the one that the request names. */
+    private static final int MISDIRECTED = 421;
+    /** HTTP status of an upstream that rejects a request. */
+    private static final int UNAVAILABLE = 503;
 
     private final GatewayContext context;
     private final CallerExchange caller;
@@ -186,7 +192,25 @@
             cancel();
             return false;
         }
-        return true;
+        if (opened.upstream().acceptsAssigned(now())) {
+            return true;
+        }
+        withdraw(opened);
+        return false;
+    }
+
+    /** Takes back an attempt whose upstream has said, since it was chosen, that it wants no requests. */
+    private void withdraw(Attempt chosen) {
+        lastFailure = "the upstream is " + chosen.upstream().availability(now());
+        chosen.cancel();
+        observer.onEnd(AttemptEnd.NOT_RUN);
+        sentAttempts--;
+        if (sentAttempts > 0) {
+            context.state().retryBudget(service).refundRetry(now());
+        }
+        decisions.attemptFailed(chosen, sentAttempts, lastFailure, mayHaveRun);
+        // The connection is still being set up in this call.
+        context.scheduler().schedule(0, () -> retryOrFail(chosen, false));
     }
 
     @Override
@@ -195,11 +219,7 @@
         final long now = now();
         upstream.recordActivity(now);
         final ResponseMetadata metadata = context.headerCodec().parseResponse(responding.headers());
-        metadata.load().ifPresent(load -> upstream.onLoadReport(load, now));
-        if (metadata.signed() && upstream.onLimitReport(metadata.requestsPerSecond())) {
-            context.state().limits().pace(upstream, now);
-            decisions.limitChanged(responding, metadata);
-        }
+        applySelfReport(responding, metadata);
         final ResponseVerdict verdict = ResponseVerdict.classify(
                 admitted.route(),
                 admitted.request().id(),
@@ -216,11 +236,31 @@
         }
     }
 
+    /** Applies what the upstream says of itself, unless another instance has answered in its place. */
+    private void applySelfReport(Attempt responding, ResponseMetadata metadata) {
+        if (responding.status() == MISDIRECTED) {
+            return;
+        }
+        final UpstreamState upstream = responding.upstream();
+        final Set<ReportChange> changes =
+                upstream.onReport(metadata.self(), metadata.signed(), responding.status() == UNAVAILABLE, now());
+        if (changes.contains(ReportChange.LIMIT)) {
+            context.state().limits().pace(upstream, now());
+        }
+        if (changes.contains(ReportChange.LEAVING)) {
+            context.client().closeIdle(upstream.upstream().origin());
+        }
+        changes.forEach(change -> decisions.upstreamReported(responding, metadata, change));
+        for (int count = 0; count < metadata.self().unreadableValues(); count++) {
+            context.counters().add(GatewayCounters.Counter.UNREADABLE_VALUES);
+        }
+    }
+
     /** Returns whether an upstream's failure is relayed to the caller because no further attempt is possible. */
     private boolean isFinalFailure(ResponseVerdict verdict, int status, ResponseMetadata metadata) {
         return verdict == ResponseVerdict.FAILED
                 && metadata.signed()
-                && status != 503
+                && status != UNAVAILABLE
                 && status >= 500
                 && relay.isEmpty()
                 && (sentAttempts >= admitted.route().maxAttempts()
@@ -234,11 +274,11 @@
         if (verdict.mayHaveRun()) {
             mayHaveRun = true;
             chooser.onUpstreamFailed(failed.upstream().upstream());
-            failed.upstream().onErrorResponse();
-        } else if (failed.status() == 421) {
+            failed.upstream().onErrorResponse(now());
+        } else if (failed.status() == MISDIRECTED) {
             failed.upstream().tripCircuit(now());
         } else {
-            failed.upstream().onNotRun();
+            failed.upstream().onNotRun(now());
         }
         observer.onEnd(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
         decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
@@ -315,7 +355,7 @@
             estimates.recordAnswerStart(completed, model, modelIndex, now());
             observer.onEnd(AttemptEnd.ANSWERED);
         } else if (completed.status() >= 500) {
-            completed.upstream().onErrorResponse();
+            completed.upstream().onErrorResponse(now());
             observer.onEnd(AttemptEnd.FAILED);
         } else {
             observer.onEnd(AttemptEnd.CANCELLED);
--- a/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
@@ -77,6 +77,18 @@
         assertThat(state.uncachedTokens("m", prompt, 100)).isEqualTo(100);
     }
 
+    @Test
+    void shouldExcludeAnIncarnationThatIsLeavingAlsoIfItIsListedAgain() {
+        registry.applyEntry(upstream("a", 5, false), 0);
+        registry.find("a").orElseThrow().markLeaving();
+        assertThat(registry.members("s")).isEmpty();
+        registry.applyRemoval("a", 1);
+        registry.applyEntry(upstream("a", 5, false), 2);
+        assertThat(registry.members("s")).isEmpty();
+        registry.applyEntry(upstream("a", 6, false), 3);
+        assertThat(registry.members("s")).hasSize(1);
+    }
+
     static Upstream upstream(String id, long startMillis, boolean draining) {
         return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, draining, startMillis);
     }
--- a/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
@@ -1,6 +1,9 @@
 package org.masticpaddle.fleet;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +26,7 @@
         final InFlightRequest probe = state.assign("", List.of(), 0, 0, 0, SECOND_NANOS);
         assertThat(state.allowsRequest(SECOND_NANOS)).isFalse();
         state.release(probe);
-        state.onSuccess(0, 0);
+        state.onSuccess(0, 0, SECOND_NANOS);
         assertThat(state.allowsRequest(SECOND_NANOS)).isTrue();
     }
 
@@ -39,7 +42,7 @@
     void shouldCloseTheCircuitWhenTheUpstreamAnswersThatItDidNotRunTheProbe() {
         state.onUnreachable(0);
         final InFlightRequest rejected = state.assign("", List.of(), 0, 0, 0, SECOND_NANOS);
-        state.onNotRun();
+        state.onNotRun(SECOND_NANOS);
         state.release(rejected);
         state.assign("", List.of(), 0, 0, 0, SECOND_NANOS);
         assertThat(state.allowsRequest(SECOND_NANOS)).isTrue();
@@ -66,7 +69,7 @@
     @Test
     void shouldEstimateTheRequestsOfOtherGatewaysFromARecentReport() {
         state.assign("", List.of(), 0, 0, 0, 0);
-        state.onLoadReport(new ReportedLoad(4, 2, 8), 0);
+        state.onReport(load(4, 2), true, false, 0);
         assertThat(state.inFlightOfOtherGateways(1)).isEqualTo(5);
         assertThat(state.inFlightOfOtherGateways(3 * SECOND_NANOS)).isEqualTo(0);
     }
@@ -79,4 +82,68 @@
         state.recordActivity(3 * SECOND_NANOS);
         assertThat(state.unresponsiveNanos(3 * SECOND_NANOS)).isEqualTo(0);
     }
+
+    @Test
+    void shouldNeverGetARequestAgainOnceItIsLeaving() {
+        assertThat(state.onReport(report(true, 0), false, false, 0)).containsExactly(ReportChange.LEAVING);
+        assertThat(state.availability(SECOND_NANOS)).isEqualTo(Availability.LEAVING);
+        assertThat(state.acceptsAssigned(SECOND_NANOS)).isFalse();
+        assertThat(state.onReport(report(false, 0), true, false, 2 * SECOND_NANOS))
+                .isEmpty();
+        state.update(UpstreamRegistryTest.upstream("a", 1, false));
+        assertThat(state.availability(3 * SECOND_NANOS)).isEqualTo(Availability.LEAVING);
+        state.update(UpstreamRegistryTest.upstream("a", 2, false));
+        assertThat(state.availability(3 * SECOND_NANOS)).isEqualTo(Availability.AVAILABLE);
+    }
+
+    @Test
+    void shouldGetNoRequestInAPauseAndOneAtATimeAfterIt() {
+        final InFlightRequest earlier = state.assign("", List.of(), 0, 0, 0, 0);
+        assertThat(state.onReport(report(false, 1.5), false, true, 0)).containsExactly(ReportChange.PUSHED_BACK);
+        state.onNotRun(0);
+        assertThat(state.availability(SECOND_NANOS)).isEqualTo(Availability.PUSHED_BACK);
+        // An answer to a request that was sent before does not end the pause.
+        state.onSuccess(0, 0, SECOND_NANOS);
+        state.release(earlier);
+        assertThat(state.availability(SECOND_NANOS)).isEqualTo(Availability.PUSHED_BACK);
+        assertThat(state.pauseNanos(SECOND_NANOS)).isEqualTo(SECOND_NANOS / 2);
+        final long after = 3 * SECOND_NANOS / 2;
+        assertThat(state.places(after)).isEqualTo(1);
+        state.assign("", List.of(), 0, 0, 0, after);
+        assertThat(state.availability(after)).isEqualTo(Availability.PROBED);
+        state.onSuccess(0, 0, after + 1);
+        assertThat(state.places(after + 1)).isEqualTo(Integer.MAX_VALUE);
+    }
+
+    @Test
+    void shouldIgnoreAPauseOfZeroAndBoundAVeryLongOne() {
+        assertThat(state.onReport(report(false, 0), false, true, 0)).isEmpty();
+        assertThat(state.availability(0)).isEqualTo(Availability.AVAILABLE);
+        // Only a rejection asks for a pause.
+        assertThat(state.onReport(report(false, 5), true, false, 0)).isEmpty();
+        state.onReport(report(false, 1e300), false, true, 0);
+        assertThat(state.pauseNanos(0)).isEqualTo(600 * SECOND_NANOS);
+        assertThat(state.onReport(report(false, 3), false, true, 0)).isEmpty();
+        assertThat(state.pauseNanos(0)).isEqualTo(600 * SECOND_NANOS);
+    }
+
+    private static SelfReport report(boolean leaving, double notBeforeSeconds) {
+        return new SelfReport(
+                Optional.empty(),
+                OptionalDouble.empty(),
+                leaving,
+                OptionalDouble.of(notBeforeSeconds),
+                OptionalLong.empty(),
+                0);
+    }
+
+    private static SelfReport load(int running, int waiting) {
+        return new SelfReport(
+                Optional.of(new ReportedLoad(running, waiting, 8)),
+                OptionalDouble.empty(),
+                false,
+                OptionalDouble.empty(),
+                OptionalLong.empty(),
+                0);
+    }
 }
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.ReportedLoad;
+import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
@@ -166,11 +168,11 @@
     private final class Request {
         private final Gateway gateway;
         private final long startMillis = millis();
-        private final PermitWait wait;
+        private final UpstreamWait wait;
 
         Request(Gateway gateway) {
             this.gateway = gateway;
-            wait = new PermitWait(gateway.state, scheduler, SERVICE, 1);
+            wait = new UpstreamWait(gateway.state, scheduler, SERVICE, 1);
         }
 
         void tryStart() {
@@ -215,8 +217,14 @@
 
         private void answer(Engine engine, UpstreamState member, InFlightRequest inFlight) {
             final long now = scheduler.nanos();
-            member.onLoadReport(new ReportedLoad(engine.running, 0, 64), now);
-            if (member.onLimitReport(engine.limit)) {
+            final SelfReport report = new SelfReport(
+                    Optional.of(new ReportedLoad(engine.running, 0, 64)),
+                    engine.limit,
+                    false,
+                    OptionalDouble.empty(),
+                    OptionalLong.empty(),
+                    0);
+            if (!member.onReport(report, true, false, now).isEmpty()) {
                 gateway.state.limits().pace(member, now);
                 gateway.toldMillis[engine.index] = engine.limit.isPresent() ? millis() : Long.MAX_VALUE / 2;
             }
--- a/src/test/java/org/masticpaddle/gateway/ResponseVerdictTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ResponseVerdictTest.java
@@ -2,11 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
+import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.routes.RequestKind;
 import org.masticpaddle.routes.Route;
 
@@ -29,22 +28,10 @@
 
     @Test
     void shouldNotBelieveResponseWithoutIdentifierOnKeptConnection() {
-        final ResponseMetadata success = new ResponseMetadata(
-                Optional.empty(),
-                false,
-                true,
-                Optional.empty(),
-                OptionalInt.empty(),
-                OptionalDouble.empty(),
-                OptionalLong.empty());
-        final ResponseMetadata refusal = new ResponseMetadata(
-                Optional.empty(),
-                true,
-                false,
-                Optional.empty(),
-                OptionalInt.empty(),
-                OptionalDouble.empty(),
-                OptionalLong.empty());
+        final ResponseMetadata success =
+                new ResponseMetadata(Optional.empty(), false, true, OptionalInt.empty(), SelfReport.NONE);
+        final ResponseMetadata refusal =
+                new ResponseMetadata(Optional.empty(), true, false, OptionalInt.empty(), SelfReport.NONE);
         assertThat(ResponseVerdict.classify(LOOKUP, "id", 200, false, success, true))
                 .isEqualTo(ResponseVerdict.SPOILT);
         assertThat(ResponseVerdict.classify(LOOKUP, "id", 503, false, refusal, true))
@@ -86,13 +73,6 @@
     }
 
     private static ResponseMetadata metadata(String id, boolean notRun, boolean signed) {
-        return new ResponseMetadata(
-                Optional.of(id),
-                notRun,
-                signed,
-                Optional.empty(),
-                OptionalInt.empty(),
-                OptionalDouble.empty(),
-                OptionalLong.empty());
+        return new ResponseMetadata(Optional.of(id), notRun, signed, OptionalInt.empty(), SelfReport.NONE);
     }
 }
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -3,12 +3,16 @@
 import java.net.URI;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.fleet.ReportedLoad;
+import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.fleet.UpstreamState;
@@ -83,7 +87,7 @@
         register("b", "near");
         final UpstreamState failing = registry.find("a").orElseThrow();
         for (int count = 0; count < 3; count++) {
-            failing.onErrorResponse();
+            failing.onErrorResponse(0);
         }
         assertThat(choose(plainRequest()).member()).isNotSameInstanceAs(failing);
     }
@@ -93,7 +97,17 @@
         register("a", "near");
         register("b", "near");
         final UpstreamState busy = registry.find("a").orElseThrow();
-        busy.onLoadReport(new ReportedLoad(8, 4, 8), 0);
+        busy.onReport(
+                new SelfReport(
+                        Optional.of(new ReportedLoad(8, 4, 8)),
+                        OptionalDouble.empty(),
+                        false,
+                        OptionalDouble.empty(),
+                        OptionalLong.empty(),
+                        0),
+                true,
+                false,
+                0);
         assertThat(choose(plainRequest()).member()).isNotSameInstanceAs(busy);
     }
 
