Do not take a peer for unreachable while the event loop itself is late

Cause: a connect timeout that became due while the loop was busy or the process suspended ran before the event that the connection was open. A gateway that woke up, or had too much to do, took all its upstreams for unreachable at once, opened their circuits and gave up the requests in flight there.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -75,14 +75,11 @@
     }
 
     void armConnectTimeout(XnioIoThread thread, Duration timeout) {
-        thread.executeAfter(
-                () -> {
-                    if (connection == null) {
-                        fail(HttpRequestException.Delivery.NOT_SENT, "connect timeout to " + request.origin(), null);
-                    }
-                },
-                timeout.toMillis(),
-                TimeUnit.MILLISECONDS);
+        LoopTimeout.start(
+                thread,
+                timeout,
+                () -> connection != null || finished.isDone(),
+                () -> fail(HttpRequestException.Delivery.NOT_SENT, "connect timeout to " + request.origin(), null));
     }
 
     void sendOn(ClientConnection opened) {
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -170,12 +169,12 @@
      */
     public CompletableFuture<Void> checkReachable(URI origin) {
         final CompletableFuture<Void> reached = new CompletableFuture<>();
-        worker.getIoThread()
-                .executeAfter(
-                        () -> reached.completeExceptionally(new HttpRequestException(
-                                HttpRequestException.Delivery.NOT_SENT, "connect timeout to " + origin, null)),
-                        timeouts.connectTimeout().toMillis(),
-                        TimeUnit.MILLISECONDS);
+        LoopTimeout.start(
+                worker.getIoThread(),
+                timeouts.connectTimeout(),
+                reached::isDone,
+                () -> reached.completeExceptionally(new HttpRequestException(
+                        HttpRequestException.Delivery.NOT_SENT, "connect timeout to " + origin, null)));
         open(origin, OptionMap.EMPTY, new ClientCallback<>() {
             @Override
             public void completed(ClientConnection connection) {
