Give up an upstream only after several failed connections

Cause: one failed test connection, because of a lost packet for instance, cancelled all attempts in flight at an upstream that had been silent for 0.6 s, and restarted them elsewhere. Change: three test connections start 100 ms apart; all have to fail, and no byte may have arrived meanwhile. Result: UpstreamHealthProbeTest in virtual time; the constructor changed, so that it does not compile against the code before, which has one connection and no second look at the activity. A dark upstream is now found 0.2 s later.

--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -110,7 +110,7 @@
                 random,
                 System::currentTimeMillis,
                 log);
-        healthProbe = new UpstreamHealthProbe(client, loop, log, UNRESPONSIVE_NANOS);
+        healthProbe = new UpstreamHealthProbe(client::checkReachable, client::closeIdle, loop, log, UNRESPONSIVE_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
                 client,
--- /dev/null
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamHealthProbeTest.java
@@ -0,0 +1,97 @@
+package org.masticpaddle.gateway;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.decisions.DecisionLog;
+import org.masticpaddle.fleet.Upstream;
+import org.masticpaddle.fleet.UpstreamRegistry;
+import org.masticpaddle.fleet.UpstreamState;
+import org.masticpaddle.kernel.FakeScheduler;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against running work that is given up because an upstream is silent for a while or one packet is lost. */
+class UpstreamHealthProbeTest {
+    private static final URI ORIGIN = URI.create("http://127.0.0.1:1");
+    private static final long UNRESPONSIVE_MILLIS = 600;
+
+    private final FakeScheduler scheduler = new FakeScheduler();
+    private final List<CompletableFuture<Void>> connections = new ArrayList<>();
+    private final List<URI> closed = new ArrayList<>();
+    private final UpstreamRegistry registry = new UpstreamRegistry(0);
+    private final UpstreamHealthProbe probe = new UpstreamHealthProbe(
+            origin -> {
+                final CompletableFuture<Void> connection = new CompletableFuture<>();
+                connections.add(connection);
+                return connection;
+            },
+            closed::add,
+            scheduler,
+            new DecisionLog("g", () -> 0, text -> {}),
+            UNRESPONSIVE_MILLIS * 1_000_000);
+    private UpstreamState upstream;
+
+    @BeforeEach
+    void start() {
+        registry.applyEntry(new Upstream("a", "s", ORIGIN, "d", "v1", 8, false, 1), 0);
+        upstream = registry.find("a").orElseThrow();
+        upstream.assign("", List.of(), 0, 0, 0, 0);
+    }
+
+    @Test
+    void shouldNotGiveUpASilentUpstreamThatAcceptsConnections() {
+        startProbe();
+        connections.get(0).complete(null);
+        scheduler.advance(1_000);
+        assertThat(closed).isEmpty();
+        assertThat(upstream.unresponsiveNanos(scheduler.nanos())).isLessThan(scheduler.nanos());
+    }
+
+    @Test
+    void shouldNotGiveUpAnUpstreamAfterOneFailedConnection() {
+        startProbe();
+        fail(connections.get(0));
+        scheduler.advance(100);
+        fail(connections.get(1));
+        scheduler.advance(100);
+        connections.get(2).complete(null);
+        assertThat(closed).isEmpty();
+        assertThat(upstream.allowsRequest(scheduler.nanos())).isTrue();
+    }
+
+    @Test
+    void shouldGiveUpAnUpstreamThatAcceptsNoConnection() {
+        startProbe();
+        scheduler.advance(300);
+        connections.forEach(UpstreamHealthProbeTest::fail);
+        assertThat(closed).containsExactly(ORIGIN);
+        assertThat(upstream.allowsRequest(scheduler.nanos())).isFalse();
+    }
+
+    @Test
+    void shouldNotGiveUpAnUpstreamThatSendsWhileItIsProbed() {
+        startProbe();
+        scheduler.advance(300);
+        upstream.recordActivity(scheduler.nanos());
+        connections.forEach(UpstreamHealthProbeTest::fail);
+        assertThat(closed).isEmpty();
+    }
+
+    private void startProbe() {
+        probe.probeIfUnresponsive(upstream);
+        assertThat(connections).isEmpty();
+        scheduler.advance(UNRESPONSIVE_MILLIS);
+        probe.probeIfUnresponsive(upstream);
+        scheduler.advance(0);
+        assertThat(connections).hasSize(1);
+    }
+
+    private static void fail(CompletableFuture<Void> connection) {
+        connection.completeExceptionally(new IllegalStateException("no connection"));
+    }
+}
