--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -251,6 +251,15 @@
         return counters;
     }
 
+    /**
+     * Returns the number of unexpected errors of components.
+     *
+     * @return number since the start
+     */
+    public long unexpectedErrors() {
+        return log.errorCount();
+    }
+
     private boolean ready() {
         return !draining && state.ready(loop.nanos());
     }
