Place prompts by the engines that all gateways expect to hold their shared segments

Cause: a gateway knew only the segments that it had sent to an engine itself. Change: SegmentHolders derives the same order of the engines from the last shared segment in all gateways; the first ones count as holders with a probability each, earlier segments as held everywhere. The expected prefill, weighted for what it takes from others, competes with the queue, so that a loaded holder spills over to the next one. In place of the affinity penalty.

--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -9,6 +9,8 @@
 import java.util.OptionalInt;
 import java.util.Set;
 
+import org.masticpaddle.wire.Hashing;
+
 /**
  * State that one gateway keeps about one upstream: its entry, the requests in flight from this gateway, the last
  * reported load, and a circuit breaker.
@@ -38,6 +40,7 @@
     private final Set<InFlightRequest> inFlightRequests = new HashSet<>();
     private final PrefixCacheEstimate cachedPrefixes = new PrefixCacheEstimate();
     private final UpstreamCircuit circuit = new UpstreamCircuit();
+    private final long idHash;
     private Upstream upstream;
     private ReportedLoad report = new ReportedLoad(0, 0, 0);
     private long reportNanos = NEVER;
@@ -51,6 +54,7 @@
 
     UpstreamState(Upstream upstream, long now) {
         this.upstream = Objects.requireNonNull(upstream, "upstream is null");
+        idHash = Hashing.hash64(upstream.id());
         lastActivityNanos = now;
     }
 
@@ -63,6 +67,15 @@
         return upstream;
     }
 
+    /**
+     * Returns a hash of the upstream's identifier.
+     *
+     * @return uniformly distributed hash, equal in all gateways
+     */
+    public long idHash() {
+        return idHash;
+    }
+
     void update(Upstream newest) {
         if (newest.startMillis() != upstream.startMillis()) {
             cachedPrefixes.clear();
@@ -81,7 +94,7 @@
      *
      * @param model model that runs it; empty for plain services
      * @param prompt segments of its prompt
-     * @param promptTokens length of its prompt in tokens
+     * @param uncachedTokens prompt tokens that the upstream is expected to prefill
      * @param prefillMillis expected prefill time in milliseconds
      * @param capacityTokens capacity of the engine's KV cache in tokens
      * @param now current time in nanoseconds
@@ -90,15 +103,14 @@
     public InFlightRequest assign(
             String model,
             List<PromptSegment> prompt,
-            int promptTokens,
+            int uncachedTokens,
             double prefillMillis,
             long capacityTokens,
             long now) {
         if (inFlightRequests.isEmpty()) {
             lastActivityNanos = now;
         }
-        final InFlightRequest request =
-                new InFlightRequest(model, uncachedTokens(model, prompt, promptTokens), prefillMillis, now);
+        final InFlightRequest request = new InFlightRequest(model, uncachedTokens, prefillMillis, now);
         cachedPrefixes.add(model, prompt, capacityTokens);
         inFlightRequests.add(request);
         circuit.onSent(request);
@@ -379,15 +391,14 @@
     }
 
     /**
-     * Estimates the number of prompt tokens that the upstream has to prefill.
+     * Returns the number of prompt tokens that are in the prefix cache by the prompts that this gateway has sent.
      *
      * @param model model that would run the prompt
      * @param prompt segments of the prompt
-     * @param promptTokens length of the whole prompt in tokens
-     * @return tokens that are probably not in the prefix cache, at least 1
+     * @return tokens of the longest known prefix, 0 if none is known
      */
-    public int uncachedTokens(String model, List<PromptSegment> prompt, int promptTokens) {
-        return Math.max(1, promptTokens - cachedPrefixes.cachedTokens(model, prompt));
+    public int cachedTokens(String model, List<PromptSegment> prompt) {
+        return cachedPrefixes.cachedTokens(model, prompt);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -139,7 +139,12 @@
         final InboundRequest request = admitted.request();
         final boolean sentWithoutBacklog = upstream.prefillBacklogMillis() == 0;
         final InFlightRequest inFlight = upstream.assign(
-                model, request.prompt(), request.promptTokens(), choice.serviceMillis(), models.tokenCapacity(), now());
+                model,
+                request.prompt(),
+                choice.uncachedTokens(),
+                choice.serviceMillis(),
+                models.tokenCapacity(),
+                now());
         sentAttempts++;
         attempt = new Attempt(
                 upstream, inFlight, choice.expectedMillis(), choice.serviceMillis(), sentWithoutBacklog, now(), this);
--- a/src/main/java/org/masticpaddle/gateway/RequestModels.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestModels.java
@@ -66,13 +66,11 @@
      */
     UpstreamPlacement.Request placementRequest(String model, int index, boolean isolated) {
         final InboundRequest request = admitted.request();
-        final List<PromptSegment> prompt = request.prompt();
         return new UpstreamPlacement.Request(
                 model,
                 relativeCost(index),
-                prompt,
+                request.prompt(),
                 request.promptTokens(),
-                prompt.size() < 2 ? "" : prompt.get(prompt.size() - 2).id(),
                 admitted.body().length / 1024.0,
                 isolated);
     }
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -8,7 +8,6 @@
 
 import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.fleet.UpstreamState;
-import org.masticpaddle.wire.Hashing;
 
 /**
  * Places a request of a gateway on the upstream with the lowest score: the expected time to the start of the answer
@@ -27,10 +26,10 @@
     /** Expected delay per request that the engine reported as waiting. */
     private static final double WAITING_REQUEST_MILLIS = 40;
     /**
-     * Largest affinity penalty as a share of the prefill time. It applies to upstreams that have none of the prompt
-     * cached, so that all gateways tend to send a new shared prompt to the same upstream.
+     * Weight of the expected prefill time. Prefill delays not only this request but all that run beside it, and takes memory
+     * from the prompts that others need.
      */
-    private static final double AFFINITY_WEIGHT = 0.3;
+    private static final double PREFILL_WEIGHT = 1.5;
 
     /** Penalty for each request in flight at an upstream that gets a request that may crash it; outweighs expected times. */
     private static final double ENDANGERED_REQUEST_MILLIS = 1_000;
@@ -62,12 +61,13 @@
             Predicate<UpstreamState> allowed,
             ServiceTimes times,
             long now) {
+        final List<UpstreamState> candidates = members.stream()
+                .filter(member -> member.allowsRequest(now) && allowed.test(member))
+                .toList();
+        final SegmentHolders holders = new SegmentHolders(request.model(), request.prompt(), candidates);
         Choice lowestScored = null;
-        for (final UpstreamState member : members) {
-            if (!member.allowsRequest(now) || !allowed.test(member)) {
-                continue;
-            }
-            final Choice choice = score(request, member, times, now);
+        for (final UpstreamState member : candidates) {
+            final Choice choice = score(request, member, holders, times, now);
             if (lowestScored == null || choice.score() < lowestScored.score()) {
                 lowestScored = choice;
             }
@@ -75,25 +75,19 @@
         return Optional.ofNullable(lowestScored);
     }
 
-    private Choice score(Request request, UpstreamState member, ServiceTimes times, long now) {
-        final int uncachedTokens = request.model().isEmpty()
-                ? 0
-                : member.uncachedTokens(request.model(), request.prompt(), request.promptTokens());
-        final double serviceMillis = request.model().isEmpty()
-                ? times.plainRequestMillis()
-                : times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens);
-        final double waitMillis =
-                request.model().isEmpty() ? plainServiceWaitMillis(member, times, now) : engineWaitMillis(member, now);
-        final double expectedMillis = (waitMillis + serviceMillis) * Math.max(1, member.latencyRatio());
-        double score = expectedMillis + member.failureRate() * FAILURE_PENALTY_MILLIS;
+    private Choice score(Request request, UpstreamState member, SegmentHolders holders, ServiceTimes times, long now) {
+        final boolean engine = !request.model().isEmpty();
+        final int uncachedTokens = engine ? uncachedTokens(request, member, holders) : 0;
+        final double serviceMillis = engine
+                ? times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens)
+                : times.plainRequestMillis();
+        final double waitMillis = engine ? engineWaitMillis(member, now) : plainServiceWaitMillis(member, times, now);
+        final double latencyRatio = Math.max(1, member.latencyRatio());
+        double score = (waitMillis + serviceMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
+                + member.failureRate() * FAILURE_PENALTY_MILLIS;
         if (!member.upstream().failureDomain().equals(failureDomain)) {
             score += request.kilobytes() * CROSS_DOMAIN_MILLIS_PER_KILOBYTE;
         }
-        if (!request.affinityKey().isEmpty() && uncachedTokens >= request.promptTokens()) {
-            score += serviceMillis
-                    * AFFINITY_WEIGHT
-                    * affinityDistance(request.affinityKey(), member.upstream().id());
-        }
         if (request.isolated()) {
             score += (member.inFlight() + member.inFlightOfOtherGateways(now)) * ENDANGERED_REQUEST_MILLIS;
         }
@@ -114,9 +108,11 @@
         return requestsAhead <= 0 ? requestsAhead * 0.1 : requestsAhead * times.plainRequestMillis() / member.slots();
     }
 
-    /** Returns the distance of an upstream from a prompt's preferred one, between 0 and 1 and equal in all gateways. */
-    private static double affinityDistance(String affinityKey, String upstreamId) {
-        return 1 - (Hashing.rendezvousWeight(affinityKey, upstreamId) >>> 11) * 0x1.0p-53;
+    /** Returns the prompt tokens that an engine is expected to prefill, at least 1. */
+    private static int uncachedTokens(Request request, UpstreamState member, SegmentHolders holders) {
+        final double cachedTokens =
+                Math.max(member.cachedTokens(request.model(), request.prompt()), holders.expectedTokens(member));
+        return (int) Math.max(1, Math.round(request.promptTokens() - cachedTokens));
     }
 
     /**
@@ -124,10 +120,8 @@
      *
      * @param model model to run; empty for plain services
      * @param relativeCost ratio of the model's price to that of the most expensive model
-     * @param prompt segments of the prompt
+     * @param prompt segments of the prompt; all but the last one may be shared by other requests
      * @param promptTokens length of the prompt in tokens
-     * @param affinityKey identifier of the last segment that other requests share, which determines the preferred
-     *     upstream; empty if there is none
      * @param kilobytes size of the request in kilobytes
      * @param isolated whether the request may crash its upstream, so that the one with the fewest other requests is preferred
      */
@@ -136,13 +130,11 @@
             double relativeCost,
             List<PromptSegment> prompt,
             int promptTokens,
-            String affinityKey,
             double kilobytes,
             boolean isolated) {
         /** Checks the arguments and copies the list. */
         public Request {
             Objects.requireNonNull(model, "model is null");
-            Objects.requireNonNull(affinityKey, "affinityKey is null");
             prompt = List.copyOf(prompt);
         }
     }
--- a/src/main/java/org/masticpaddle/wire/Hashing.java
+++ b/src/main/java/org/masticpaddle/wire/Hashing.java
@@ -34,6 +34,21 @@
         return XXH3.hashBytes((key + '\n' + member).getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Returns the weight of a member for a key in rendezvous hashing, from hashes that are computed once.
+     *
+     * @param keyHash hash of the key to assign to a member
+     * @param memberHash hash of the candidate's identifier
+     * @return weight, to be compared as an unsigned number
+     */
+    public static long rendezvousWeight(long keyHash, long memberHash) {
+        // Finaliser of SplitMix64, which spreads each bit of the combined hashes over the whole result.
+        long mixed = keyHash ^ Long.rotateLeft(memberHash, 32);
+        mixed = (mixed ^ mixed >>> 30) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
+        return mixed ^ mixed >>> 31;
+    }
+
     /**
      * Returns a cryptographic, collision-resistant hash.
      *
--- a/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
@@ -72,9 +72,9 @@
         final UpstreamState state = registry.find("a").orElseThrow();
         final java.util.List<PromptSegment> prompt = java.util.List.of(new PromptSegment("p", 100));
         state.assign("m", prompt, 100, 10, 10_000, 0);
-        assertThat(state.uncachedTokens("m", prompt, 100)).isEqualTo(1);
+        assertThat(state.cachedTokens("m", prompt)).isEqualTo(100);
         assertThat(registry.applyEntry(upstream("a", 6, false), 1)).isEqualTo(RegistryChange.REBORN);
-        assertThat(state.uncachedTokens("m", prompt, 100)).isEqualTo(100);
+        assertThat(state.cachedTokens("m", prompt)).isEqualTo(0);
     }
 
     @Test
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -60,7 +60,7 @@
                     final List<PromptSegment> prompt =
                             List.of(new PromptSegment("s" + number, 500), new PromptSegment("o" + number, 500));
                     final UpstreamPlacement.Choice choice =
-                            choose(new UpstreamPlacement.Request("m", 1, prompt, 1_000, "s" + number, 2, false));
+                            choose(new UpstreamPlacement.Request("m", 1, prompt, 1_000, 2, false));
                     choice.member().assign("m", prompt, 1_000, choice.serviceMillis(), 1_000_000, 0);
                     return choice.member().upstream().id();
                 })
@@ -118,11 +118,11 @@
     }
 
     private static UpstreamPlacement.Request engineRequest() {
-        return new UpstreamPlacement.Request("m", 1, PROMPT, 5_500, "subject", 10, false);
+        return new UpstreamPlacement.Request("m", 1, PROMPT, 5_500, 10, false);
     }
 
     private static UpstreamPlacement.Request plainRequest() {
-        return new UpstreamPlacement.Request("", 1, List.of(), 0, "", 1, false);
+        return new UpstreamPlacement.Request("", 1, List.of(), 0, 1, false);
     }
 
     private void register(String id, String failureDomain) {
