Read the shared log as often as the deployment's bounds need, not by constants

Change: StoreCadence derives the holds and pauses from the bounds on revoked keys, draining and settling after a disturbance (new setting settling_ms); its class doc has the arithmetic. After a failure a read that returns at once confirms the state, so that a long hold does not delay it. After the loss of an upstream the list is read every 0.6 s for 8 s. Rollout counts are read every 1.3 s after the canary's start (0.9 s before, since sessions must be known by then) and written every 1.8 s, or 0.9 s if they hold new failures. Result: StoreCadenceTest over the bounds of the deployments; two new cases of KeyedFollowerTest. SessionVersionTest failed with counts read every 1.3 s before the canary, hence the two intervals.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -50,6 +51,7 @@
     private int failures;
     private long reads;
     private boolean readInFlight;
+    private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
 
     /**
      * Creates a follower that is not started.
@@ -91,14 +93,19 @@
 
     /**
      * Changes the timing of the reads. A read that the log may hold for longer than the new timing permits is replaced by
-     * another one, and its response is ignored.
+     * another one, and its response is ignored; a longer pause is replaced by the new one.
      *
      * @param newTiming timing of the next reads
      */
     public void setTiming(ReadTiming newTiming) {
         final boolean replacesRead =
                 readInFlight && newTiming.longPollTimeout().compareTo(timing.longPollTimeout()) < 0;
+        final boolean endsPause = pauseEnd.isPresent() && newTiming.pause().compareTo(timing.pause()) < 0;
         timing = Objects.requireNonNull(newTiming, "newTiming is null");
+        if (endsPause) {
+            pauseEnd.get().cancel();
+            pause();
+        }
         if (replacesRead && !stopped) {
             read();
         }
@@ -159,7 +166,8 @@
 
     private void read() {
         final long sentNanos = scheduler.nanos();
-        final Duration longPollTimeout = timing.longPollTimeout();
+        // After a failure, a read that returns at once confirms that nothing was missed.
+        final Duration longPollTimeout = failures > 0 ? Duration.ZERO : timing.longPollTimeout();
         final long number = ++reads;
         readInFlight = true;
         handleResponse(log.read(stream, nextOffset, longPollTimeout), () -> number == reads, batch -> {
@@ -171,16 +179,20 @@
                 final long caughtUpNanos =
                         batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos;
                 notifyListener(() -> listener.onCaughtUp(caughtUpNanos));
-                scheduler.schedule(jitteredPauseMillis(), this::listOrRead);
+                pause();
             } else {
                 listOrRead();
             }
         });
     }
 
-    /** Returns the pause with a jitter of a tenth, without which the readers of a stream that started together stay in step. */
-    private long jitteredPauseMillis() {
-        return Math.round(timing.pause().toMillis() * (0.9 + 0.2 * random.nextDouble()));
+    /** Pauses with a jitter of a tenth, without which the readers of a stream that started together stay in step. */
+    private void pause() {
+        final long millis = Math.round(timing.pause().toMillis() * (0.9 + 0.2 * random.nextDouble()));
+        pauseEnd = Optional.of(scheduler.schedule(millis, () -> {
+            pauseEnd = Optional.empty();
+            listOrRead();
+        }));
     }
 
     private <T> void handleResponse(CompletableFuture<T> response, BooleanSupplier expected, Consumer<T> onSuccess) {
--- a/src/main/java/org/masticpaddle/gateway/ActiveRollout.java
+++ b/src/main/java/org/masticpaddle/gateway/ActiveRollout.java
@@ -12,6 +12,7 @@
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.rollout.RolloutCounts;
+import org.masticpaddle.rollout.RouteCounts;
 import org.masticpaddle.rollout.SessionVersions;
 import org.masticpaddle.rollout.VersionRollout;
 import org.masticpaddle.wire.Hashing;
@@ -32,7 +33,8 @@
     private final SessionVersions sessions = new SessionVersions();
     private long nextStatusNanos;
     private long nextCountsNanos;
-    private RolloutCounts publishedCounts;
+    private long publishedNanos;
+    private Optional<RolloutCounts> publishedCounts = Optional.empty();
     private double loggedShare;
 
     /**
@@ -172,8 +174,27 @@
         return now >= nextCountsNanos;
     }
 
-    void deferCounts(long untilNanos) {
-        nextCountsNanos = untilNanos;
+    /** Records that counts are written now; the next ones are due after an interval. */
+    void deferCounts(long now, long intervalNanos) {
+        publishedNanos = now;
+        nextCountsNanos = now + intervalNanos;
+    }
+
+    /** Returns the time at which counts were written last. */
+    long publishedNanos() {
+        return publishedNanos;
+    }
+
+    /** Returns whether counts hold more answers that speak against the new version than those that were written last. */
+    boolean hasNewFailures(RolloutCounts counts) {
+        return failures(counts) > publishedCounts.map(ActiveRollout::failures).orElse(0.0);
+    }
+
+    private static double failures(RolloutCounts counts) {
+        return counts.routes().values().stream()
+                .map(RouteCounts::after)
+                .mapToDouble(after -> after.errors() + after.slow())
+                .sum();
     }
 
     /** Makes the counts due at a time, unless they are due earlier. */
@@ -182,10 +203,10 @@
     }
 
     boolean published(RolloutCounts counts) {
-        return counts.equals(publishedCounts);
+        return publishedCounts.equals(Optional.of(counts));
     }
 
     void recordPublished(RolloutCounts counts) {
-        publishedCounts = counts;
+        publishedCounts = Optional.of(counts);
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -2,7 +2,6 @@
 
 import java.net.URI;
 import java.time.Duration;
-import java.util.List;
 import java.util.Objects;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -13,6 +12,7 @@
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.SharedLog;
+import org.masticpaddle.control.StoreCadence;
 import org.masticpaddle.control.UndecodableRecordException;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
@@ -26,17 +26,16 @@
  * <p>Invariant: a record that cannot be decoded affects its own key only. Runs on the event loop.
  */
 final class ControlLogFollower {
-    /** Long-poll time of reads of the operators' stream; limits the time for which an unresponsive connection goes unnoticed. */
-    private static final Duration OPERATOR_LONG_POLL = Duration.ofMillis(1_000);
-    /** Interval between reads of the upstreams, short compared with the time after which a draining one must get no requests. */
-    private static final Duration UPSTREAM_POLL_INTERVAL = Duration.ofMillis(600);
+    /** Pause between two reads of the list after the loss of an upstream, whose successor may be listed soon. */
+    private static final ReadTiming ALERT = ReadTiming.periodic(Duration.ofMillis(600));
 
     private final GatewayState state;
     private final ControlCodec codec;
     private final Scheduler scheduler;
     private final DecisionLog log;
     private final ChangeListener listener;
-    private final List<KeyedFollower> followers;
+    private final KeyedFollower operatorFollower;
+    private final KeyedFollower upstreamFollower;
 
     /**
      * Creates a follower that is not started.
@@ -62,31 +61,41 @@
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.log = Objects.requireNonNull(log, "log is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
-        followers = List.of(
-                new KeyedFollower(
-                        sharedLog,
-                        LogStream.OPERATOR,
-                        ReadTiming.longPoll(OPERATOR_LONG_POLL),
-                        scheduler,
-                        random,
-                        new OperatorListener(),
-                        error -> log.writeError("log/operator", error)),
-                new KeyedFollower(
-                        sharedLog,
-                        LogStream.UPSTREAMS,
-                        ReadTiming.periodic(UPSTREAM_POLL_INTERVAL),
-                        scheduler,
-                        random,
-                        new UpstreamListener(),
-                        error -> log.writeError("log/upstreams", error)));
+        final StoreCadence cadence = state.bounds().storeCadence();
+        operatorFollower = new KeyedFollower(
+                sharedLog,
+                LogStream.OPERATOR,
+                cadence.operatorStream(),
+                scheduler,
+                random,
+                new OperatorListener(),
+                error -> log.writeError("log/operator", error));
+        upstreamFollower = new KeyedFollower(
+                sharedLog,
+                LogStream.UPSTREAMS,
+                cadence.upstreamList(),
+                scheduler,
+                random,
+                new UpstreamListener(),
+                error -> log.writeError("log/upstreams", error));
     }
 
     void start() {
-        followers.forEach(KeyedFollower::start);
+        operatorFollower.start();
+        upstreamFollower.start();
     }
 
-    void stop() {
-        followers.forEach(KeyedFollower::stop);
+    /**
+     * Adapts the timing of the reads to the limits in force.
+     *
+     * @param upstreamLost whether an upstream was lost a short time ago
+     */
+    void updateTiming(boolean upstreamLost) {
+        final StoreCadence cadence = state.bounds().storeCadence();
+        operatorFollower.setTiming(cadence.operatorStream());
+        final boolean alert =
+                upstreamLost && ALERT.pause().compareTo(cadence.upstreamList().pause()) < 0;
+        upstreamFollower.setTiming(alert ? ALERT : cadence.upstreamList());
     }
 
     /** Removes upstreams whose entries were not renewed within the grace period after an outage of the log. */
--- a/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 
+import org.masticpaddle.control.StoreCadence;
 import org.masticpaddle.settings.ProcessSettings;
 import org.masticpaddle.settings.Setting;
 
@@ -11,6 +12,7 @@
  *
  * @param keyRevocation time after which a revoked API key must not be accepted, even if the log is unreachable
  * @param drain time after which a draining upstream must get no requests
+ * @param settling time after a disturbance, such as a broken connection, within which a gateway must know all changes again
  * @param grace time between the request to stop and the end of the process
  * @param retryShare retries of all gateways together, as a fraction of their requests
  * @param retrySlack retries in a window beyond that fraction, of all gateways together
@@ -22,6 +24,7 @@
 public record GatewayBounds(
         Duration keyRevocation,
         Duration drain,
+        Duration settling,
         Duration grace,
         double retryShare,
         double retrySlack,
@@ -33,6 +36,7 @@
     public GatewayBounds {
         Objects.requireNonNull(keyRevocation, "keyRevocation is null");
         Objects.requireNonNull(drain, "drain is null");
+        Objects.requireNonNull(settling, "settling is null");
         Objects.requireNonNull(grace, "grace is null");
         Objects.requireNonNull(retryWindow, "retryWindow is null");
         Objects.requireNonNull(session, "session is null");
@@ -48,6 +52,7 @@
         return new GatewayBounds(
                 settings.millis(Setting.KEY_REVOCATION_MS),
                 settings.millis(Setting.UPSTREAM_DRAIN_MS),
+                settings.millis(Setting.SETTLING_MS),
                 settings.decimalSeconds(Setting.GRACE_SECONDS),
                 settings.decimal(Setting.RETRY_SHARE),
                 settings.decimal(Setting.RETRY_SLACK),
@@ -56,4 +61,9 @@
                 settings.decimal(Setting.EXPOSURE_SLACK),
                 settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS));
     }
+
+    /** Returns the timing of the reads of the shared log that these limits permit. */
+    StoreCadence storeCadence() {
+        return StoreCadence.of(keyRevocation, drain, settling);
+    }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -267,6 +267,7 @@
     private PeriodicTasks periodicTasks() {
         return new PeriodicTasks(loop, TICK_INTERVAL_MILLIS, log::writeError)
                 .add("expired upstreams", logFollower::removeExpiredUpstreams)
+                .add("log cadence", () -> logFollower.updateTiming(quarantine.alert(loop.nanos())))
                 .add("rollouts", rollouts::tick)
                 .add("quarantine", quarantine::tick)
                 .add("stated limits", () -> state.limits().tick(loop.nanos()))
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -122,10 +122,15 @@
         return follower.position().isPresent();
     }
 
+    /** Returns whether an upstream was lost a short time ago. */
+    boolean alert(long now) {
+        return now < alertUntilNanos;
+    }
+
     /** Forgets old evidence and publishes changes. Called about ten times a second. */
     void tick() {
         change(() -> quarantine.expire(wallMillis.getAsLong()));
-        follower.setTiming(scheduler.nanos() < alertUntilNanos ? ALERT : CALM);
+        follower.setTiming(alert(scheduler.nanos()) ? ALERT : CALM);
         publish();
     }
 
@@ -170,7 +175,7 @@
 
     /** Records that a connection to an upstream could not be opened. */
     void onUnreachable() {
-        alert();
+        startAlert();
     }
 
     /**
@@ -186,7 +191,7 @@
         if (candidates.isEmpty()) {
             return;
         }
-        alert();
+        startAlert();
         logStep("lost", guard.service(), candidates, lost);
         if (!checking && quarantine.unconfirmed(lost)) {
             reachability.apply(upstream.origin()).whenComplete((ignored, error) -> onChecked(lost, error != null));
@@ -202,7 +207,7 @@
         }
     }
 
-    private void alert() {
+    private void startAlert() {
         alertUntilNanos = scheduler.nanos() + ALERT_NANOS;
         follower.setTiming(ALERT);
     }
@@ -214,7 +219,7 @@
             if (!keyed.key().equals(gateway)) {
                 change(() -> quarantine.mergeReport(keyed.key(), report, wallMillis.getAsLong()));
                 clearanceNanos = scheduler.nanos() + (long) (random.nextDouble() * CLEARANCE_JITTER_NANOS);
-                alert();
+                startAlert();
             } else if (!caughtUp()) {
                 change(() -> quarantine.restoreReport(report));
             }
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -46,12 +46,14 @@
  * Runs on the event loop.
  */
 final class RolloutCoordinator implements VersionRouter {
-    /** Long-poll time of reads of the status, which rarely changes. */
-    private static final Duration STATUS_LONG_POLL = Duration.ofMillis(1_500);
-    /** Interval between reads of the other gateways' counts. */
-    private static final Duration COUNTS_POLL_INTERVAL = Duration.ofMillis(900);
-    /** Shortest interval between two writes of this gateway's counts. */
-    private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 900_000_000L;
+    /** Reads of the other gateways' counts before the canary starts, by when all have to know the active sessions. */
+    private static final ReadTiming EARLY_COUNTS_READS = ReadTiming.periodic(Duration.ofMillis(900));
+    /** Reads of the other gateways' counts from then on; the pause is short compared with the notice of a stage. */
+    private static final ReadTiming COUNTS_READS = ReadTiming.periodic(Duration.ofMillis(1_300));
+    /** Interval between two writes of this gateway's counts. */
+    private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 1_800_000_000L;
+    /** Interval between two writes if the counts hold further evidence against the new version. */
+    private static final long BAD_COUNTS_PUBLISH_INTERVAL_NANOS = 900_000_000L;
     /** Interval between two attempts to append a status; longer than the log takes to respond. */
     private static final long STATUS_RETRY_INTERVAL_NANOS = 400_000_000L;
     /** Maximum random delay of the first status, so that the gateways do not all append at once. */
@@ -139,7 +141,7 @@
             statusFollower = Optional.of(new KeyedFollower(
                     sharedLog,
                     LogStream.STATUS,
-                    ReadTiming.longPoll(STATUS_LONG_POLL),
+                    state.bounds().storeCadence().rolloutStatus(),
                     scheduler,
                     random,
                     this::onStatus,
@@ -150,7 +152,7 @@
             countsFollower = Optional.of(new KeyedFollower(
                     sharedLog,
                     LogStream.ROLLOUT_COUNTS,
-                    ReadTiming.periodic(COUNTS_POLL_INTERVAL),
+                    EARLY_COUNTS_READS,
                     scheduler,
                     random,
                     this::onCounts,
@@ -238,6 +240,9 @@
         if (!unfinished && statusFollower.isPresent()) {
             stopFollowers();
         }
+        final boolean early = rollouts.values().stream()
+                .anyMatch(active -> !active.ended() && active.rollout().share(now) == 0);
+        countsFollower.ifPresent(follower -> follower.setTiming(early ? EARLY_COUNTS_READS : COUNTS_READS));
     }
 
     private int runningOnOldVersions(VersionRollout rollout) {
@@ -280,15 +285,15 @@
     }
 
     private void publishCounts(ActiveRollout active, GatewayActivity activity, long now) {
-        if (!active.countsDue(now)) {
-            return;
-        }
         final VersionRollout rollout = active.rollout();
         final RolloutCounts counts = rollout.counts(activity, active.sessions().report(), now);
-        if (active.published(counts)) {
+        if (active.hasNewFailures(counts)) {
+            active.scheduleCounts(active.publishedNanos() + BAD_COUNTS_PUBLISH_INTERVAL_NANOS);
+        }
+        if (!active.countsDue(now) || active.published(counts)) {
             return;
         }
-        active.deferCounts(now + COUNTS_PUBLISH_INTERVAL_NANOS);
+        active.deferCounts(now, COUNTS_PUBLISH_INTERVAL_NANOS);
         sharedLog
                 .append(LogStream.ROLLOUT_COUNTS, gatewayId, Json.encode(counts), OptionalLong.empty())
                 .whenComplete((offset, error) -> {
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -192,6 +192,13 @@
             SettingType.POSITIVE_INTEGER,
             "2000",
             "time after which a draining upstream receives no more requests"),
+    /** Time within which a gateway knows all changes again after a disturbance. */
+    SETTLING_MS(
+            "gateway",
+            "settling_ms",
+            SettingType.POSITIVE_INTEGER,
+            "3000",
+            "time after a disturbance within which a gateway must know all changes again"),
     /** Grace period of a gateway's shutdown. */
     GRACE_SECONDS(
             "gateway", "grace_seconds", SettingType.NON_NEGATIVE_DECIMAL, "8", "time between SIGTERM and SIGKILL"),
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -145,6 +145,35 @@
                 .isTrue();
     }
 
+    @Test
+    void shouldConfirmThePresentStateSoonAfterAFailure() {
+        log.put("config", "1");
+        follower.start();
+        follower.setTiming(ReadTiming.longPoll(WAIT.multipliedBy(30)));
+        scheduler.advance(WAIT.toMillis());
+        log.setUnavailable(true);
+        follower.setTiming(ReadTiming.longPoll(WAIT.multipliedBy(20)));
+        scheduler.advance(500);
+        log.setUnavailable(false);
+        scheduler.advance(500);
+        assertThat(caughtUpMillis).isGreaterThan(WAIT.toMillis() + 500);
+        assertThat(caughtUpMillis).isAtMost(WAIT.toMillis() + 1_000);
+    }
+
+    @Test
+    void shouldEndAPauseThatIsLongerThanTheNewTiming() {
+        log.put("config", "1");
+        follower.start();
+        follower.setTiming(new ReadTiming(Duration.ZERO, Duration.ofSeconds(60), WAIT));
+        scheduler.advance(10);
+        log.put("config", "2");
+        scheduler.advance(1_000);
+        assertThat(events).doesNotContain("config=2");
+        follower.setTiming(ReadTiming.periodic(Duration.ofMillis(100)));
+        scheduler.advance(200);
+        assertThat(events).contains("config=2");
+    }
+
     @Test
     void shouldReplaceHeldReadWhenReadsBecomeMoreFrequent() {
         log.put("config", "1");
--- /dev/null
+++ b/src/test/java/org/masticpaddle/control/StoreCadenceTest.java
@@ -0,0 +1,50 @@
+package org.masticpaddle.control;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against reads of the log that are too rare for a bound of the deployment, or more frequent than the bounds need. */
+class StoreCadenceTest {
+    private static final long RESPONSE_TIMEOUT_MILLIS = 700;
+    private static final long CONFIRMATION_MILLIS = 400;
+    private static final long SLOW_RESPONSE_MILLIS = 250;
+    private static final long CONNECT_MILLIS = 400;
+
+    @ParameterizedTest
+    @CsvSource({"5000,2000,3000", "5000,3000,4000", "5000,4000,5000", "3000,1500,2500", "9000,8000,10000"})
+    void shouldKeepTheBoundsAlsoIfAReadIsLost(long keyRevocation, long drain, long settling) {
+        final StoreCadence cadence = cadence(keyRevocation, drain, settling);
+        final long hold = cadence.operatorStream().longPollTimeout().toMillis();
+        final long noticedMillis = hold + RESPONSE_TIMEOUT_MILLIS + CONFIRMATION_MILLIS;
+        assertThat(noticedMillis).isAtMost(settling);
+        assertThat(noticedMillis).isAtMost(keyRevocation - CONNECT_MILLIS);
+        final double pauseMillis = cadence.upstreamList().pause().toMillis() * 1.1;
+        assertThat(pauseMillis + SLOW_RESPONSE_MILLIS + CONNECT_MILLIS).isAtMost((double) drain);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5000,2000,3000,1.7", "5000,3000,4000,1.1", "5000,4000,5000,0.8"})
+    void shouldReadSeldomIfTheBoundsAreWide(long keyRevocation, long drain, long settling, double maxCallsPerSecond) {
+        final StoreCadence cadence = cadence(keyRevocation, drain, settling);
+        final double callsPerSecond =
+                1e3 / cadence.operatorStream().longPollTimeout().toMillis()
+                        + 1e3 / cadence.upstreamList().pause().toMillis();
+        assertThat(callsPerSecond).isAtMost(maxCallsPerSecond);
+    }
+
+    @Test
+    void shouldReadAtAPositiveIntervalIfTheBoundsAreVeryNarrow() {
+        final StoreCadence cadence = cadence(1, 1, 1);
+        assertThat(cadence.operatorStream().longPollTimeout()).isGreaterThan(Duration.ofMillis(100));
+        assertThat(cadence.upstreamList().pause()).isGreaterThan(Duration.ofMillis(100));
+    }
+
+    private static StoreCadence cadence(long keyRevocation, long drain, long settling) {
+        return StoreCadence.of(Duration.ofMillis(keyRevocation), Duration.ofMillis(drain), Duration.ofMillis(settling));
+    }
+}
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -21,6 +21,7 @@
     static final GatewayBounds BOUNDS = new GatewayBounds(
             Duration.ofSeconds(5),
             Duration.ofSeconds(2),
+            Duration.ofSeconds(3),
             Duration.ofSeconds(8),
             0.9,
             54,
