--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -245,7 +245,7 @@
             "gateway",
             "doubt_below",
             SettingType.NON_NEGATIVE_INTEGER,
-            "60",
+            "50",
             "confidence in percent below which a draft is discarded"),
     /** Address of the OpenTelemetry collector that metrics are pushed to. */
     OTLP("metrics", "otlp", SettingType.ORIGIN, "", "origin of an OpenTelemetry collector; empty for none");
