Keep sums over gateways by their shares of the traffic, whatever their number

Cause: each gateway used 0.08 of the retry slack, so that 33 gateways together could use 2.6 times the slack; gateways without traffic counted with 0.02 each, 300 of them with 6 times the whole. Change: TrafficShare is the one source of a gateway's part. Its floor is a tenth of a request in flight, so that idle gateways add up to little. The retry budget's slack follows the share; MAX_SUM, the bound on the sum of the shares, is what the slack is divided by, so that the sum holds with the errors of the estimates. Not changed: exposures are shares of sessions by their hash, which add up by themselves. The slack of exposures is not used.

--- a/src/main/java/org/masticpaddle/admission/TrafficShare.java
+++ b/src/main/java/org/masticpaddle/admission/TrafficShare.java
@@ -4,17 +4,23 @@
  * Estimates the share of one gateway in the traffic of a service from requests in flight: its own, and those that the upstreams
  * report for all gateways together.
  *
- * <p>The gateways divide the limit of an upstream by these shares without talking to each other. The shares add up to 1 apart
- * from the error of the estimates, however many gateways there are and whenever one starts or stops. Not thread-safe: used on
- * the owner's thread only.
+ * <p>The one source of a gateway's part in each sum that holds for all gateways together: stated limits, the slack of the retry
+ * budget. The gateways divide them by these shares without talking to each other. Law: the shares add up to about 1, and to
+ * {@link #MAX_SUM} at most, however many gateways there are, also while gateways start, end, are cut off or suspended, or traffic
+ * moves between them. Not thread-safe: used on the owner's thread only.
  */
 public final class TrafficShare {
     /** Time constant of the moving averages. */
     private static final double TIME_CONSTANT_NANOS = 3e9;
-    /** Share of a gateway without traffic of its own, so that it can begin. */
-    static final double MIN_SHARE = 0.02;
-    /** Share if the upstreams report no load. */
-    static final double UNKNOWN_SHARE = 0.1;
+    /** Largest sum of the shares of all gateways, with the errors of their estimates. */
+    public static final double MAX_SUM = 1.4;
+    /**
+     * Requests in flight that count as a gateway's own if it has fewer, so that it can begin. Small, since all gateways without
+     * traffic have this part.
+     */
+    private static final double MIN_IN_FLIGHT = 0.1;
+    /** Share if no upstream reports its load; the sum is kept by up to 50 gateways. */
+    static final double UNKNOWN_SHARE = 0.02;
     /** Part of the requests in flight by which requests that wait for a permit may raise the share. */
     private static final double WAITING_FRACTION = 0.1;
 
@@ -46,14 +52,13 @@
      *
      * @param waiting requests of this gateway that wait for a permit. A few of them count as traffic, so that a gateway that
      *     has just started gets its share although it has little traffic in flight
-     * @return share between {@link #MIN_SHARE} and 1
+     * @return share, more than 0 and at most 1
      */
     public double share(int waiting) {
         if (!observed) {
             return UNKNOWN_SHARE;
         }
-        final double counted = Math.min(waiting, 1 + WAITING_FRACTION * own);
-        final double all = Math.max(total, own) + counted;
-        return all <= 0 ? MIN_SHARE : Math.max(MIN_SHARE, (own + counted) / all);
+        final double counted = Math.max(MIN_IN_FLIGHT, own) + Math.min(waiting, 1 + WAITING_FRACTION * own);
+        return Math.min(1, counted / Math.max(1 + total, counted));
     }
 }
--- a/src/main/java/org/masticpaddle/admission/WindowedRetryBudget.java
+++ b/src/main/java/org/masticpaddle/admission/WindowedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.function.DoubleSupplier;
 
 /**
  * Retry budget proportional to the first attempts within a sliding window.
@@ -18,7 +19,7 @@
     private static final int SLICE_COUNT = SLICES_PER_WINDOW + 1;
 
     private final double retriesPerFirstAttempt;
-    private final double allowance;
+    private final DoubleSupplier allowance;
     private final long sliceNanos;
     private final int[] firstAttempts = new int[SLICE_COUNT];
     private final int[] retries = new int[SLICE_COUNT];
@@ -28,12 +29,12 @@
      * Creates a budget without recorded attempts.
      *
      * @param retriesPerFirstAttempt retries allowed for each first attempt
-     * @param allowance retries allowed in a window in addition to those of its first attempts
+     * @param allowance supplies the present number of retries allowed in a window in addition to those of its first attempts
      * @param window length of the window
      */
-    public WindowedRetryBudget(double retriesPerFirstAttempt, double allowance, Duration window) {
+    public WindowedRetryBudget(double retriesPerFirstAttempt, DoubleSupplier allowance, Duration window) {
         this.retriesPerFirstAttempt = retriesPerFirstAttempt;
-        this.allowance = allowance;
+        this.allowance = Objects.requireNonNull(allowance, "allowance is null");
         this.sliceNanos =
                 Math.max(1, Objects.requireNonNull(window, "window is null").toNanos() / SLICES_PER_WINDOW);
     }
@@ -68,7 +69,8 @@
     public boolean tryRetryWithReserve(long now, double reserve) {
         final int currentIndex = advanceTo(now);
         final int oldestFirstAttempts = firstAttempts[(currentIndex + 1) % SLICE_COUNT];
-        final double windowBudget = allowance + retriesPerFirstAttempt * (sum(firstAttempts) - oldestFirstAttempts);
+        final double windowBudget =
+                allowance.getAsDouble() + retriesPerFirstAttempt * (sum(firstAttempts) - oldestFirstAttempts);
         if (sum(retries) + 1 > windowBudget * (1 - reserve)) {
             return false;
         }
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.admission.TrafficShare;
 import org.masticpaddle.admission.WindowedRetryBudget;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.routes.RoutingTable;
@@ -29,8 +30,8 @@
      * different window.
      */
     private static final double RETRY_SHARE_FACTOR = 0.95;
-    /** Fraction of the shared retry slack that one gateway may use, since the other gateways may use theirs at the same time. */
-    private static final double RETRY_SLACK_FACTOR = 0.08;
+    /** Fraction of the shared retry slack that the gateways use together, so that errors of their shares do not exceed it. */
+    private static final double RETRY_SLACK_FACTOR = 1 / TrafficShare.MAX_SUM;
     /** Fraction of the retry budget that escalations leave for requests whose attempt failed. */
     static final double FAILURE_RETRY_RESERVE = 0.3;
 
@@ -54,7 +55,7 @@
         limits = new UpstreamLimits(registry, random);
     }
 
-    /** Replaces the limits. Retry budgets that already exist keep the limits that they were created with. */
+    /** Replaces the limits. Retry budgets that already exist keep their ratio and window. */
     void updateBounds(GatewayBounds newBounds) {
         bounds = Objects.requireNonNull(newBounds, "newBounds is null");
     }
@@ -132,7 +133,7 @@
                 service,
                 name -> new WindowedRetryBudget(
                         RETRY_SHARE_FACTOR * bounds.retryShare(),
-                        RETRY_SLACK_FACTOR * bounds.retrySlack(),
+                        () -> RETRY_SLACK_FACTOR * bounds.retrySlack() * limits.trafficShare(service),
                         bounds.retryWindow()));
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
@@ -64,6 +64,11 @@
         return queues.computeIfAbsent(service, name -> new PermitQueue());
     }
 
+    /** Returns the part of this gateway in the traffic of a service. */
+    double trafficShare(String service) {
+        return share(service).share(0);
+    }
+
     private TrafficShare share(String service) {
         return shares.computeIfAbsent(service, name -> new TrafficShare());
     }
