Count the calls to the shared log by stream and kind

Cause: calls to the store are the largest price at 33 gateways, and nothing said which stream they concern. Change: CountedSharedLog decorates the log of a gateway; a gauge with the labels stream and call, and a summary in process.stopped. No change of behaviour.

--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -111,7 +111,7 @@
                 new DecisionLog(settings.text(Setting.INSTANCE), System::currentTimeMillis, System.out::print);
         final LazyMetrics metrics = new LazyMetrics(settings);
         final GatewayProcess gateway = new GatewayProcess(settings, ports, log, metrics::page);
-        metrics.register(gateway.counters().gauges());
+        metrics.register(gateway.gauges());
         metrics.register(log.gauges());
         return gateway;
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -2,22 +2,25 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.control.CountedSharedLog;
 import org.masticpaddle.control.OperatorRecord;
-import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.kernel.Kernel;
 import org.masticpaddle.kernel.PeriodicTasks;
 import org.masticpaddle.kernel.Service;
 import org.masticpaddle.kernel.ShutdownDelay;
+import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.settings.ProcessSettings;
@@ -69,6 +72,7 @@
     private final DecisionLog log;
     private final HttpClient client;
     private final GatewayCounters counters = new GatewayCounters();
+    private final CountedSharedLog sharedLog;
     private final UpstreamHealthProbe healthProbe;
     private volatile GatewayBounds bounds;
     private final HttpServer server;
@@ -89,11 +93,11 @@
         final UniformRandomProvider random = random(settings.text(Setting.INSTANCE));
         state = new GatewayState(bounds, random);
         client = new HttpClient(loop, new ConnectionTimeouts(CONNECT_TIMEOUT, MAX_IDLE_TIME));
-        final SharedLog sharedLog = ports.log(
+        sharedLog = new CountedSharedLog(ports.log(
                 client,
                 settings.origin(Setting.LOG).orElseThrow(),
                 succeeded -> counters.add(
-                        succeeded ? GatewayCounters.Counter.STORE_CALLS : GatewayCounters.Counter.STORE_FAILURES));
+                        succeeded ? GatewayCounters.Counter.STORE_CALLS : GatewayCounters.Counter.STORE_FAILURES)));
         rollouts = new RolloutCoordinator(
                 settings.text(Setting.INSTANCE) + "/" + System.currentTimeMillis(),
                 sharedLog,
@@ -195,7 +199,8 @@
         await(stopStartNanos + (long) (graceNanos * STOP_GRACE_SHARE), true);
         loop.execute(handler::endAll);
         loop.execute(periodicTasks::stop);
-        log.write(Decision.STOPPED, "ms", (System.nanoTime() - stopStartNanos) / 1e6);
+        log.write(
+                Decision.STOPPED, "ms", (System.nanoTime() - stopStartNanos) / 1e6, "store_calls", sharedLog.summary());
         kernel.stop();
     }
 
@@ -243,12 +248,13 @@
     }
 
     /**
-     * Returns the counters of this gateway.
+     * Lists the counters of requests, and of calls to the shared log by stream and kind.
      *
-     * @return live counters, starting at zero when the gateway was created
+     * @return gauges that read live counters, which start at zero when the gateway is created
      */
-    public GatewayCounters counters() {
-        return counters;
+    public List<Gauge> gauges() {
+        return Stream.concat(counters.gauges().stream(), Stream.of(sharedLog.gauge()))
+                .toList();
     }
 
     /**
