Accept settings and times with all the digits of computed figures

Callers would have seen: nothing at all. Any deployment whose figures are quotients is concerned. Change: decimals take up to 40 digits and an exponent, and are checked by their value; times in milliseconds are decimals, rounded.

--- a/src/main/java/org/masticpaddle/settings/ProcessSettings.java
+++ b/src/main/java/org/masticpaddle/settings/ProcessSettings.java
@@ -194,13 +194,13 @@
     }
 
     /**
-     * Returns the value of a setting that is given in whole milliseconds as a duration.
+     * Returns the value of a setting that is given in milliseconds as a duration.
      *
-     * @param setting setting whose type is a whole number
-     * @return configured value or the default
+     * @param setting setting whose type is a number
+     * @return configured value or the default, rounded to milliseconds
      */
     public Duration millis(Setting setting) {
-        return Duration.ofMillis(Long.parseLong(text(setting)));
+        return Duration.ofMillis(Math.round(decimal(setting)));
     }
 
     /**
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -182,21 +182,21 @@
     KEY_REVOCATION_MS(
             "gateway",
             "key_revocation_ms",
-            SettingType.POSITIVE_INTEGER,
+            SettingType.POSITIVE_DECIMAL,
             "5000",
             "time after which a revoked key is no longer accepted, also while the log is unavailable"),
     /** Time after which a draining upstream receives no more requests. */
     UPSTREAM_DRAIN_MS(
             "gateway",
             "upstream_drain_ms",
-            SettingType.POSITIVE_INTEGER,
+            SettingType.POSITIVE_DECIMAL,
             "2000",
             "time after which a draining upstream receives no more requests"),
     /** Time within which a gateway knows all changes again after a disturbance. */
     SETTLING_MS(
             "gateway",
             "settling_ms",
-            SettingType.POSITIVE_INTEGER,
+            SettingType.POSITIVE_DECIMAL,
             "3000",
             "time after a disturbance within which a gateway must know all changes again"),
     /** Grace period of a gateway's shutdown. */
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -1,8 +1,9 @@
 package org.masticpaddle.settings;
 
+import java.util.function.DoublePredicate;
 import java.util.regex.Pattern;
 
-/** Type of the value of a {@link Setting}, with the pattern that valid values match. */
+/** Type of the value of a {@link Setting}, with the pattern and the range of valid values. */
 enum SettingType {
     /** Text without whitespace, possibly empty. */
     NAME("a name without whitespace", "\\S*"),
@@ -11,9 +12,11 @@
     /** Integer from 1 to 999,999,999. */
     POSITIVE_INTEGER("a whole number of at least 1", "0*[1-9]\\d{0,8}"),
     /** Decimal number from 0 to 1. */
-    FRACTION("a number from 0 to 1", "0(\\.\\d{1,9})?|1(\\.0{1,9})?"),
-    /** Decimal number of at least 0. */
-    NON_NEGATIVE_DECIMAL("a number of at least 0", "\\d{1,9}(\\.\\d{1,9})?"),
+    FRACTION("a number from 0 to 1", Decimals.PATTERN, 0, 1),
+    /** Decimal number from 0 to 999,999,999. */
+    NON_NEGATIVE_DECIMAL("a number of at least 0", Decimals.PATTERN, 0, Decimals.MAX),
+    /** Decimal number from 1 to 999,999,999. */
+    POSITIVE_DECIMAL("a number of at least 1", Decimals.PATTERN, 1, Decimals.MAX),
     /** Origin of an HTTP server, possibly empty. */
     ORIGIN("an origin, for example http://127.0.0.1:8080", "(http://[A-Za-z0-9.:\\[\\]-]+:\\d{1,5})?"),
     /** Comma-separated list, possibly empty. */
@@ -25,10 +28,18 @@
 
     private final String expected;
     private final Pattern pattern;
+    private final DoublePredicate range;
 
     SettingType(String expected, String pattern) {
         this.expected = expected;
         this.pattern = Pattern.compile(pattern);
+        range = null;
+    }
+
+    SettingType(String expected, String pattern, double min, double max) {
+        this.expected = expected;
+        this.pattern = Pattern.compile(pattern);
+        range = value -> value >= min && value <= max;
     }
 
     String expected() {
@@ -36,6 +47,12 @@
     }
 
     boolean accepts(String value) {
-        return pattern.matcher(value).matches();
+        return pattern.matcher(value).matches() && (range == null || range.test(Double.parseDouble(value)));
+    }
+
+    /** Decimal numbers with all digits, and the exponent, that a platform may print for a computed figure. */
+    private static final class Decimals {
+        static final String PATTERN = "\\d{1,9}(\\.\\d{1,40})?([eE][+-]?\\d{1,2})?";
+        static final double MAX = 999_999_999;
     }
 }
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.settings;
 
+import java.time.Duration;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -24,6 +25,17 @@
             session_keys = a-key-of-16-characters
             """;
 
+    private static final String GATEWAY = """
+            [process]
+            role = gateway
+            instance = gateway-0
+            region = r
+            failure_domain = d
+            [platform]
+            log = http://127.0.0.1:1
+            [gateway]
+            """;
+
     @Test
     void shouldAcceptAByteOrderMarkAndCarriageReturns() {
         final ProcessSettings settings = ProcessSettings.parse("f", "\uFEFF" + ENTRY.replace("\n", "\r\n"));
@@ -88,6 +100,43 @@
                         "f: [sidecar] upstream: required for role sidecar, found no value");
     }
 
+    /** Guards against a gateway that does not start where the platform computes its figures. */
+    @Test
+    void shouldReadNumbersAsPlatformsPrintThem() {
+        final ProcessSettings settings = ProcessSettings.parse("f", GATEWAY + """
+                key_revocation_ms = 4166.666666666667
+                upstream_drain_ms = 2000.0
+                retry_share = 0.8999999999999999
+                retry_slack = 44.16666666666667
+                exposure_share = 9.75e-02
+                exposure_slack = 1E+1
+                grace_seconds = 7.999999999999999
+                """);
+        assertThat(settings.millis(Setting.KEY_REVOCATION_MS)).isEqualTo(Duration.ofMillis(4_167));
+        assertThat(settings.millis(Setting.UPSTREAM_DRAIN_MS)).isEqualTo(Duration.ofMillis(2_000));
+        assertThat(settings.decimal(Setting.RETRY_SHARE)).isWithin(1e-9).of(0.9);
+        assertThat(settings.decimal(Setting.RETRY_SLACK)).isWithin(1e-9).of(44.1666666667);
+        assertThat(settings.share(Setting.EXPOSURE_SHARE)).isWithin(1e-9).of(0.0975);
+        assertThat(settings.decimal(Setting.EXPOSURE_SLACK)).isWithin(1e-9).of(10);
+        assertThat(settings.decimalSeconds(Setting.GRACE_SECONDS)).isEqualTo(Duration.ofSeconds(8));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "exposure_share = 1.0000000001|expected a number from 0 to 1, found \"1.0000000001\"",
+                "exposure_share = -0.1|expected a number from 0 to 1, found \"-0.1\"",
+                "retry_slack = 1e40|expected a number of at least 0, found \"1e40\"",
+                "retry_slack = Infinity|expected a number of at least 0, found \"Infinity\"",
+                "settling_ms = 0.2|expected a number of at least 1, found \"0.2\"",
+                "settling_ms = 1e12|expected a number of at least 1, found \"1e12\""
+            })
+    void shouldRejectNumbersOutOfRange(String line, String message) {
+        final String key = line.substring(0, line.indexOf(' '));
+        assertThat(problems(GATEWAY + line + "\n")).containsExactly("f:9: [gateway] " + key + ": " + message);
+    }
+
     private static List<String> problems(String text) {
         return assertThrows(SettingsException.class, () -> ProcessSettings.parse("f", text))
                 .problems();
