Expect upstreams without a recent load report to be as loaded as the others

Callers saw: long waits in the queues of some engines while others were free. Cause: with 25 gateways and more, most reports are older than 2 s when the next request is placed, and an unknown load was 0, the most attractive of all. Change: ExpectedLoads: a report fades over 2 s into the mean of the recent ones, in which an idle upstream has the weight of half a report. A request in flight counts 10 ms instead of 3. UpstreamPlacementTest, which failed before.

--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -434,6 +434,16 @@
                 : Math.max(0, report.running() + report.waiting() - inFlightAtReport);
     }
 
+    /**
+     * Returns how much the last load report still says about the present load.
+     *
+     * @param now current time in nanoseconds
+     * @return 1 for a new report, falling to 0 at the age beyond which reports are ignored, and 0 without a report
+     */
+    public double reportFreshness(long now) {
+        return reportNanos == NEVER ? 0 : Math.max(0, 1 - (double) (now - reportNanos) / MAX_REPORT_AGE_NANOS);
+    }
+
     /**
      * Returns the number of requests in flight from all gateways.
      *
--- /dev/null
+++ b/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
@@ -0,0 +1,57 @@
+package org.masticpaddle.routing;
+
+import java.util.Collection;
+
+import org.masticpaddle.fleet.UpstreamState;
+
+/**
+ * Loads of the upstreams of one service as one gateway expects them at one time.
+ *
+ * <p>Load pattern: with many gateways and upstreams most load reports are old. An upstream that was not heard of for some time is
+ * expected to be as loaded as the others, not idle: if it counted as idle, the gateways would send most of their requests to the
+ * upstreams that they know least about. Immutable and thread-safe.
+ */
+final class ExpectedLoads {
+    /** Weight of an idle upstream in the mean, so that upstreams that nothing is known of are tried. */
+    private static final double IDLE_WEIGHT = 0.5;
+
+    private final long now;
+    private final double meanInFlight;
+    private final double meanWaiting;
+
+    /**
+     * Computes the mean of the reports, each by its freshness.
+     *
+     * @param members upstreams of the service
+     * @param now current time in nanoseconds
+     */
+    ExpectedLoads(Collection<UpstreamState> members, long now) {
+        this.now = now;
+        double weights = IDLE_WEIGHT;
+        double inFlight = 0;
+        double waiting = 0;
+        for (final UpstreamState member : members) {
+            final double weight = member.reportFreshness(now);
+            weights += weight;
+            inFlight += weight * member.inFlightOfOtherGateways(now);
+            waiting += weight * member.waiting(now);
+        }
+        meanInFlight = inFlight / weights;
+        meanWaiting = waiting / weights;
+    }
+
+    /** Returns the expected number of requests in flight from other gateways at an upstream. */
+    double inFlightOfOtherGateways(UpstreamState member) {
+        return expected(member, member.inFlightOfOtherGateways(now), meanInFlight);
+    }
+
+    /** Returns the expected length of an upstream's queue. */
+    double waiting(UpstreamState member) {
+        return expected(member, member.waiting(now), meanWaiting);
+    }
+
+    private double expected(UpstreamState member, int reported, double mean) {
+        final double freshness = member.reportFreshness(now);
+        return freshness * reported + (1 - freshness) * mean;
+    }
+}
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -22,7 +22,7 @@
     /** Penalty of an upstream with a failure rate of 1; proportionally less below. */
     private static final double FAILURE_PENALTY_MILLIS = 4_000;
     /** Expected delay per running request of an engine, whose steps take longer with a larger batch. */
-    private static final double BATCHED_REQUEST_MILLIS = 3;
+    private static final double BATCHED_REQUEST_MILLIS = 10;
     /** Expected delay per request that the engine reported as waiting. */
     private static final double WAITING_REQUEST_MILLIS = 40;
     /**
@@ -65,9 +65,10 @@
                 .filter(member -> member.allowsRequest(now) && allowed.test(member))
                 .toList();
         final SegmentHolders holders = new SegmentHolders(request.model(), request.prompt(), candidates);
+        final ExpectedLoads loads = new ExpectedLoads(members, now);
         Choice lowestScored = null;
         for (final UpstreamState member : candidates) {
-            final Choice choice = score(request, member, holders, times, now);
+            final Choice choice = score(request, member, holders, loads, times);
             if (lowestScored == null || choice.score() < lowestScored.score()) {
                 lowestScored = choice;
             }
@@ -75,13 +76,14 @@
         return Optional.ofNullable(lowestScored);
     }
 
-    private Choice score(Request request, UpstreamState member, SegmentHolders holders, ServiceTimes times, long now) {
+    private Choice score(
+            Request request, UpstreamState member, SegmentHolders holders, ExpectedLoads loads, ServiceTimes times) {
         final boolean engine = !request.model().isEmpty();
         final int uncachedTokens = engine ? uncachedTokens(request, member, holders) : 0;
         final double serviceMillis = engine
                 ? times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens)
                 : times.plainRequestMillis();
-        final double waitMillis = engine ? engineWaitMillis(member, now) : plainServiceWaitMillis(member, times, now);
+        final double waitMillis = engine ? engineWaitMillis(member, loads) : plainServiceWaitMillis(member, loads, times);
         final double latencyRatio = Math.max(1, member.latencyRatio());
         double score = (waitMillis + serviceMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
                 + member.failureRate() * FAILURE_PENALTY_MILLIS;
@@ -89,22 +91,23 @@
             score += request.kilobytes() * CROSS_DOMAIN_MILLIS_PER_KILOBYTE;
         }
         if (request.isolated()) {
-            score += (member.inFlight() + member.inFlightOfOtherGateways(now)) * ENDANGERED_REQUEST_MILLIS;
+            score += (member.inFlight() + loads.inFlightOfOtherGateways(member)) * ENDANGERED_REQUEST_MILLIS;
         }
         return new Choice(member, waitMillis + serviceMillis, serviceMillis, uncachedTokens, score);
     }
 
-    private static double engineWaitMillis(UpstreamState member, long now) {
+    private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads) {
         return member.prefillBacklogMillis()
-                + (member.inFlight() + member.inFlightOfOtherGateways(now)) * BATCHED_REQUEST_MILLIS
-                + member.waiting(now) * WAITING_REQUEST_MILLIS;
+                + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS
+                + loads.waiting(member) * WAITING_REQUEST_MILLIS;
     }
 
     /**
      * Returns the expected wait for a slot, or a small negative value that favours the upstream with more free slots.
      */
-    private static double plainServiceWaitMillis(UpstreamState member, ServiceTimes times, long now) {
-        final int requestsAhead = member.inFlight() + member.inFlightOfOtherGateways(now) + 1 - member.slots();
+    private static double plainServiceWaitMillis(UpstreamState member, ExpectedLoads loads, ServiceTimes times) {
+        final double requestsAhead =
+                member.inFlight() + loads.inFlightOfOtherGateways(member) + 1 - member.slots();
         return requestsAhead <= 0 ? requestsAhead * 0.1 : requestsAhead * times.plainRequestMillis() / member.slots();
     }
 
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -97,9 +97,30 @@
         register("a", "near");
         register("b", "near");
         final UpstreamState busy = registry.find("a").orElseThrow();
-        busy.onReport(
+        report(busy, 8, 4, 0);
+        assertThat(choose(plainRequest()).member()).isNotSameInstanceAs(busy);
+    }
+
+    /** Guards against gateways that send most requests to the upstreams that they know least about. */
+    @Test
+    void shouldNotTakeAnUpstreamWithoutRecentReportForIdle() {
+        register("lightly-loaded", "near");
+        register("loaded", "near");
+        register("unknown", "near");
+        register("long-silent", "near");
+        final UpstreamState lightlyLoaded = registry.find("lightly-loaded").orElseThrow();
+        report(registry.find("long-silent").orElseThrow(), 0, 0, 0);
+        final long now = 10_000_000_000L;
+        report(lightlyLoaded, 2, 0, now);
+        report(registry.find("loaded").orElseThrow(), 12, 4, now);
+        assertThat(choose(plainRequest(), now).member()).isSameInstanceAs(lightlyLoaded);
+        assertThat(choose(engineRequest(), now).member()).isSameInstanceAs(lightlyLoaded);
+    }
+
+    private static void report(UpstreamState upstream, int running, int waiting, long now) {
+        upstream.onReport(
                 new SelfReport(
-                        Optional.of(new ReportedLoad(8, 4, 8)),
+                        Optional.of(new ReportedLoad(running, waiting, 8)),
                         OptionalDouble.empty(),
                         false,
                         OptionalDouble.empty(),
@@ -107,13 +128,16 @@
                         0),
                 true,
                 false,
-                0);
-        assertThat(choose(plainRequest()).member()).isNotSameInstanceAs(busy);
+                now);
     }
 
     private UpstreamPlacement.Choice choose(UpstreamPlacement.Request request) {
+        return choose(request, 0);
+    }
+
+    private UpstreamPlacement.Choice choose(UpstreamPlacement.Request request, long now) {
         return placement
-                .choose(request, registry.members("s"), member -> true, times, 0)
+                .choose(request, registry.members("s"), member -> true, times, now)
                 .orElseThrow();
     }
 
