--- a/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
+++ b/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
@@ -9,7 +9,7 @@
  *
  * <p>Load pattern: with many gateways and upstreams most load reports are old. An upstream that was not heard of for some time is
  * expected to be as loaded as the others, not idle: if it counted as idle, the gateways would send most of their requests to the
- * upstreams that they know least about. Immutable and thread-safe.
+ * upstreams that they know least about. Not thread-safe: used for one decision on the thread that owns the upstreams' states.
  */
 final class ExpectedLoads {
     /** Weight of an idle upstream in the mean, so that upstreams that nothing is known of are tried. */
