Let requests wait for an upstream that is probed after its pause

Cause: with one upstream probed after its pause and another about to be, no pause and no permit was left to wait for, so that the expected wait was unbounded. The window is that between the end of a pause and the answer to the probe. Change: an upstream that recovers is expected to have a place within the time of a probe. Result: UpstreamWaitTest, which failed before.

--- a/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
@@ -63,7 +63,9 @@
                 .sorted()
                 .toList();
         if (pauses.isEmpty()) {
-            return permitMillis;
+            // An upstream whose pause has ended accepts more as soon as it has responded to its probe.
+            final boolean recovering = members().stream().anyMatch(member -> recovers(member, now));
+            return recovering ? Math.min(permitMillis, PROBE_MILLIS) : permitMillis;
         }
         final double firstMillis = pauses.get(0) / NANOS_PER_MILLI;
         final double pauseMillis = missing <= pauses.size()
@@ -99,6 +101,11 @@
         ticket = Optional.empty();
     }
 
+    private static boolean recovers(UpstreamState member, long now) {
+        return member.availability(now) == Availability.PROBED
+                || member.places(now) == 1 && member.permitsPerSecond() == 0;
+    }
+
     private int ahead() {
         return ticket.map(queue()::ahead).orElseGet(() -> queue().size());
     }
--- /dev/null
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
@@ -0,0 +1,51 @@
+package org.masticpaddle.gateway;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.masticpaddle.fleet.SelfReport;
+import org.masticpaddle.fleet.Upstream;
+import org.masticpaddle.fleet.UpstreamState;
+import org.masticpaddle.kernel.FakeScheduler;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Guards against requests that are rejected for a long time although a place is expected soon. */
+class UpstreamWaitTest {
+    private static final SelfReport PAUSE = new SelfReport(
+            Optional.empty(), OptionalDouble.empty(), false, OptionalDouble.of(0.8), OptionalLong.empty(), 0);
+
+    private final FakeScheduler scheduler = new FakeScheduler();
+    private final GatewayState state =
+            new GatewayState(RolloutDeployment.BOUNDS, RandomSource.XO_RO_SHI_RO_128_PP.create(1L));
+
+    @Test
+    void shouldExpectAPlaceSoonWhileOneUpstreamIsProbedAndTheOtherIsAboutToBe() {
+        final UpstreamState probed = paused("probed");
+        paused("free-for-one");
+        scheduler.advance(1_000);
+        probed.assign("", List.of(), 0, 0, 0, scheduler.nanos());
+
+        final UpstreamWait first = new UpstreamWait(state, scheduler, "s", 1);
+        final UpstreamWait second = new UpstreamWait(state, scheduler, "s", 1);
+        first.begin();
+        assertThat(second.blocked()).isTrue();
+        assertThat(second.expectedMillis()).isLessThan(1_000.0);
+    }
+
+    private UpstreamState paused(String id) {
+        state.registry()
+                .applyEntry(
+                        new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, false, 1),
+                        scheduler.nanos());
+        final UpstreamState upstream = state.registry().find(id).orElseThrow();
+        upstream.onReport(PAUSE, true, true, scheduler.nanos());
+        upstream.onNotRun(scheduler.nanos());
+        return upstream;
+    }
+}
