Do not let slowness make a plain upstream better when answers are very short

Callers saw: requests at the slower of two upstreams for as long as answers took less than the advantage of the free slots, 0.7 ms with 8 slots; with 64 it is 6.3 ms. Cause: the advantage was part of the expected time, which became negative. Multiplied by the latency ratio, a slow upstream scored better, and the ratio was not updated any more, since expected times of 0 or less are ignored. Change: the expected wait is never negative; free slots count apart, after the ratio.

--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -31,6 +31,9 @@
      */
     private static final double PREFILL_WEIGHT = 1.5;
 
+    /** Advantage of each free slot of a plain upstream. */
+    private static final double FREE_SLOT_MILLIS = 0.1;
+
     /** Penalty for each request in flight at an upstream that gets a request that may crash it; outweighs expected times. */
     private static final double ENDANGERED_REQUEST_MILLIS = 1_000;
 
@@ -88,14 +91,19 @@
         final double serviceMillis = engine
                 ? times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens)
                 : times.plainRequestMillis();
-        final double waitMillis =
-                engine ? engineWaitMillis(member, loads) : plainServiceWaitMillis(member, loads, times);
+        final double requestsAhead = requestsAhead(member, loads);
+        final double waitMillis = engine
+                ? engineWaitMillis(member, loads)
+                : Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
         final double latencyRatio = Math.max(1, member.latencyRatio(now));
         double score = (waitMillis + serviceMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
                 + member.failureRate(now) * FAILURE_PENALTY_MILLIS;
         if (!member.upstream().failureDomain().equals(failureDomain)) {
             score += request.kilobytes() * CROSS_DOMAIN_MILLIS_PER_KILOBYTE;
         }
+        if (!engine) {
+            score += Math.min(0, requestsAhead) * FREE_SLOT_MILLIS;
+        }
         if (request.isolated()) {
             score += (member.inFlight() + loads.inFlightOfOtherGateways(member)) * ENDANGERED_REQUEST_MILLIS;
         }
@@ -108,12 +116,9 @@
                 + loads.waiting(member) * WAITING_REQUEST_MILLIS;
     }
 
-    /**
-     * Returns the expected wait for a slot, or a small negative value that favours the upstream with more free slots.
-     */
-    private static double plainServiceWaitMillis(UpstreamState member, ExpectedLoads loads, ServiceTimes times) {
-        final double requestsAhead = member.inFlight() + loads.inFlightOfOtherGateways(member) + 1 - member.slots();
-        return requestsAhead <= 0 ? requestsAhead * 0.1 : requestsAhead * times.plainRequestMillis() / member.slots();
+    /** Returns the number of requests that wait before one that is sent now; a negative number of slots that are free. */
+    private static double requestsAhead(UpstreamState member, ExpectedLoads loads) {
+        return member.inFlight() + loads.inFlightOfOtherGateways(member) + 1 - member.slots();
     }
 
     /** Returns the prompt tokens that an engine is expected to prefill, at least 1. */
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -117,6 +117,43 @@
         assertThat(choose(plainRequest(), later).member()).isSameInstanceAs(failed);
     }
 
+    /** Guards against a free slot that counts for more than the whole answer, so that slowness makes an upstream better. */
+    @Test
+    void shouldPreferTheFasterOfTwoUpstreamsWithVeryShortAnswers() {
+        for (int count = 0; count < 200; count++) {
+            times.recordPlainRequest(0.2);
+        }
+        register("a", "near");
+        register("b", "near");
+        final UpstreamState slow = choose(plainRequest()).member();
+        for (int count = 0; count < 20; count++) {
+            slow.onSuccess(0.2, 2, 0);
+        }
+        final UpstreamPlacement.Choice choice = choose(plainRequest());
+        assertThat(choice.member()).isNotSameInstanceAs(slow);
+        assertThat(choice.expectedMillis()).isGreaterThan(0.0);
+    }
+
+    /** Guards against an upstream that gets no request for 30 s, since the other one was once a little slower than expected. */
+    @Test
+    void shouldUseBothOfTwoUpstreamsWithVeryShortAnswers() {
+        for (int count = 0; count < 200; count++) {
+            times.recordPlainRequest(0.2);
+        }
+        register("a", "near");
+        register("b", "near");
+        final UpstreamState busy = choose(plainRequest()).member();
+        busy.onSuccess(1, 2, 0);
+        int toOthers = 0;
+        for (int milli = 0; milli < 30_000; milli++) {
+            final long now = milli * 1_000_000L;
+            final UpstreamPlacement.Choice choice = choose(plainRequest(), now);
+            choice.member().onSuccess(choice.expectedMillis(), 0.2, now);
+            toOthers += choice.member() == busy ? 0 : 1;
+        }
+        assertThat(toOthers).isGreaterThan(0);
+    }
+
     /** Guards against gateways that send most requests to the upstreams that they know least about. */
     @Test
     void shouldNotTakeAnUpstreamWithoutRecentReportForIdle() {
