--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -6,7 +6,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.Set;
 
 import org.masticpaddle.wire.Hashing;
@@ -19,25 +18,6 @@
  * estimated cache of an earlier incarnation are discarded. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamState {
-    /** Age beyond which a load report is ignored, about the duration of a request of the shortest kind. */
-    private static final long MAX_REPORT_AGE_NANOS = 2_000_000_000L;
-    /** Weight of the newest observation in the moving averages of the failure rate and the latency ratio. */
-    private static final double SMOOTHING_FACTOR = 0.15;
-    /**
-     * Age beyond which failures and latencies are ignored. An upstream that gets no requests because of them would otherwise never
-     * show that it has recovered.
-     */
-    private static final long MAX_OBSERVATION_AGE_NANOS = 10_000_000_000L;
-    /** Lower limit of one observed latency ratio; a lower one is clamped. */
-    private static final double MIN_LATENCY_RATIO = 0.5;
-
-    /** Upper limit of one observed latency ratio; a higher one is clamped. */
-    private static final double MAX_LATENCY_RATIO = 12;
-
-    /** Time that lies before all others; differences to it do not overflow. */
-    private static final long NEVER = Long.MIN_VALUE / 2;
-
-    private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double NANOS_PER_SECOND = 1e9;
     /** Longest pause that an upstream is granted; beyond it the upstream is probed. */
     private static final double MAX_PAUSE_SECONDS = 600;
@@ -45,17 +25,13 @@
     private final Set<InFlightRequest> inFlightRequests = new HashSet<>();
     private final PrefixCacheEstimate cachedPrefixes = new PrefixCacheEstimate();
     private final UpstreamCircuit circuit = new UpstreamCircuit();
+    private final LastLoadReport loadReport = new LastLoadReport();
+    private final ObservedPerformance performance = new ObservedPerformance();
     private final long idHash;
     private Upstream upstream;
-    private ReportedLoad report = new ReportedLoad(0, 0, 0);
-    private long reportNanos = NEVER;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
     private Optional<RequestPacer> pacer = Optional.empty();
     private boolean leaving;
-    private int inFlightAtReport;
-    private double failureRate;
-    private double latencyRatio = 1;
-    private long observedNanos = NEVER;
     private long lastActivityNanos;
 
     UpstreamState(Upstream upstream, long now) {
@@ -86,9 +62,8 @@
         if (newest.startMillis() != upstream.startMillis()) {
             cachedPrefixes.clear();
             circuit.reset();
-            failureRate = 0;
-            latencyRatio = 1;
-            reportNanos = NEVER;
+            performance.reset();
+            loadReport.reset();
             leaving = false;
             setLimit(OptionalDouble.empty());
         }
@@ -173,11 +148,7 @@
      */
     public Set<ReportChange> onReport(SelfReport selfReport, boolean signed, boolean rejected, long now) {
         final Set<ReportChange> changes = EnumSet.noneOf(ReportChange.class);
-        selfReport.load().ifPresent(load -> {
-            report = load;
-            reportNanos = now;
-            inFlightAtReport = inFlightRequests.size();
-        });
+        selfReport.load().ifPresent(load -> loadReport.record(load, inFlightRequests.size(), now));
         if (signed && setLimit(selfReport.requestsPerSecond())) {
             changes.add(ReportChange.LIMIT);
         }
@@ -276,12 +247,7 @@
      */
     public void onSuccess(double expectedMillis, double actualMillis, long now) {
         circuit.onSuccess(now);
-        recordFailure(0, now);
-        if (expectedMillis > 0) {
-            final double ratio =
-                    Math.max(MIN_LATENCY_RATIO, Math.min(MAX_LATENCY_RATIO, actualMillis / expectedMillis));
-            latencyRatio += SMOOTHING_FACTOR * (ratio - latencyRatio);
-        }
+        performance.recordSuccess(expectedMillis, actualMillis, now);
     }
 
     /**
@@ -290,7 +256,7 @@
      * @param now current time in nanoseconds
      */
     public void onErrorResponse(long now) {
-        recordFailure(1, now);
+        performance.recordFailure(now);
         circuit.onResponse(now);
     }
 
@@ -310,7 +276,7 @@
      * @param now current time in nanoseconds
      */
     public void onUnreachable(long now) {
-        recordFailure(1, now);
+        performance.recordFailure(now);
         circuit.onUnreachable(now);
     }
 
@@ -321,7 +287,7 @@
      * @param now current time in nanoseconds
      */
     public void tripCircuit(long now) {
-        recordFailure(1, now);
+        performance.recordFailure(now);
         circuit.trip(now);
     }
 
@@ -378,35 +344,22 @@
         return circuit.pushedBack(now) ? circuit.notBeforeNanos() - now : 0;
     }
 
-    private void recordFailure(double failure, long now) {
-        latencyRatio = latencyRatio(now);
-        failureRate = failureRate(now);
-        failureRate += SMOOTHING_FACTOR * (failure - failureRate);
-        observedNanos = now;
-    }
-
     /**
-     * Returns the rate of requests that failed.
+     * Returns the failures and latencies of this gateway's requests.
      *
-     * @param now current time in nanoseconds
-     * @return exponential moving average, between 0 and 1, which fades after the last observation
+     * @return live object
      */
-    public double failureRate(long now) {
-        return failureRate * observationFreshness(now);
+    public ObservedPerformance performance() {
+        return performance;
     }
 
     /**
-     * Returns the ratio of the observed to the expected time to the start of an answer.
+     * Returns the newest load report.
      *
-     * @param now current time in nanoseconds
-     * @return exponential moving average; 1 means as fast as expected, higher is slower; fades to 1 after the last observation
+     * @return live object
      */
-    public double latencyRatio(long now) {
-        return 1 + (latencyRatio - 1) * observationFreshness(now);
-    }
-
-    private double observationFreshness(long now) {
-        return Math.max(0, 1 - (double) (now - observedNanos) / MAX_OBSERVATION_AGE_NANOS);
+    public LastLoadReport loadReport() {
+        return loadReport;
     }
 
     /**
@@ -440,68 +393,12 @@
         return inFlightRequests.size();
     }
 
-    /**
-     * Estimates the number of requests in flight from other gateways: the requests in the last load report, less those
-     * of this gateway at that time.
-     *
-     * @param now current time in nanoseconds
-     * @return number of requests; 0 without a recent report
-     */
-    public int inFlightOfOtherGateways(long now) {
-        return now - reportNanos > MAX_REPORT_AGE_NANOS
-                ? 0
-                : Math.max(0, report.running() + report.waiting() - inFlightAtReport);
-    }
-
-    /**
-     * Returns how much the last load report still says about the present load.
-     *
-     * @param now current time in nanoseconds
-     * @return 1 for a new report, falling to 0 at the age beyond which reports are ignored, and 0 without a report
-     */
-    public double reportFreshness(long now) {
-        return reportNanos == NEVER ? 0 : Math.max(0, 1 - (double) (now - reportNanos) / MAX_REPORT_AGE_NANOS);
-    }
-
-    /**
-     * Returns the number of requests in flight from all gateways.
-     *
-     * @param now current time in nanoseconds
-     * @return requests that run or wait by the last load report, the one that was answered with it included; empty without a
-     *     recent report
-     */
-    public OptionalInt inFlightOfAllGateways(long now) {
-        return now - reportNanos > MAX_REPORT_AGE_NANOS
-                ? OptionalInt.empty()
-                : OptionalInt.of(report.running() + report.waiting());
-    }
-
-    /**
-     * Returns the length of the upstream's queue in the last load report.
-     *
-     * @param now current time in nanoseconds
-     * @return number of waiting requests; 0 without a recent report
-     */
-    public int waiting(long now) {
-        return now - reportNanos > MAX_REPORT_AGE_NANOS ? 0 : report.waiting();
-    }
-
-    /**
-     * Returns the age of the last load report.
-     *
-     * @param now current time in nanoseconds
-     * @return age in milliseconds; -1 if the present incarnation has not reported
-     */
-    public long reportAgeMillis(long now) {
-        return reportNanos == NEVER ? -1 : (now - reportNanos) / NANOS_PER_MILLI;
-    }
-
     /**
      * Returns the number of requests that the upstream can process concurrently.
      *
      * @return slots in the last load report, or in the entry if the report has none; at least 1
      */
     public int slots() {
-        return Math.max(1, report.slots() > 0 ? report.slots() : upstream.slots());
+        return Math.max(1, loadReport.slots() > 0 ? loadReport.slots() : upstream.slots());
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
@@ -93,7 +93,7 @@
      */
     private static OptionalDouble reportedMean(List<UpstreamState> upstreams, long now) {
         return upstreams.stream()
-                .map(upstream -> upstream.inFlightOfAllGateways(now))
+                .map(upstream -> upstream.loadReport().inFlightOfAllGateways(now))
                 .flatMapToInt(OptionalInt::stream)
                 .average();
     }
--- a/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
+++ b/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
@@ -31,10 +31,10 @@
         double inFlight = 0;
         double waiting = 0;
         for (final UpstreamState member : members) {
-            final double weight = member.reportFreshness(now);
+            final double weight = member.loadReport().freshness(now);
             weights += weight;
-            inFlight += weight * member.inFlightOfOtherGateways(now);
-            waiting += weight * member.waiting(now);
+            inFlight += weight * member.loadReport().inFlightOfOtherGateways(now);
+            waiting += weight * member.loadReport().waiting(now);
         }
         meanInFlight = inFlight / weights;
         meanWaiting = waiting / weights;
@@ -42,16 +42,16 @@
 
     /** Returns the expected number of requests in flight from other gateways at an upstream. */
     double inFlightOfOtherGateways(UpstreamState member) {
-        return expected(member, member.inFlightOfOtherGateways(now), meanInFlight);
+        return expected(member, member.loadReport().inFlightOfOtherGateways(now), meanInFlight);
     }
 
     /** Returns the expected length of an upstream's queue. */
     double waiting(UpstreamState member) {
-        return expected(member, member.waiting(now), meanWaiting);
+        return expected(member, member.loadReport().waiting(now), meanWaiting);
     }
 
     private double expected(UpstreamState member, int reported, double mean) {
-        final double freshness = member.reportFreshness(now);
+        final double freshness = member.loadReport().freshness(now);
         return freshness * reported + (1 - freshness) * mean;
     }
 }
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -95,9 +95,9 @@
         final double waitMillis = engine
                 ? engineWaitMillis(member, loads)
                 : Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
-        final double latencyRatio = Math.max(1, member.latencyRatio(now));
+        final double latencyRatio = Math.max(1, member.performance().latencyRatio(now));
         double score = (waitMillis + serviceMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
-                + member.failureRate(now) * FAILURE_PENALTY_MILLIS;
+                + member.performance().failureRate(now) * FAILURE_PENALTY_MILLIS;
         if (!member.upstream().failureDomain().equals(failureDomain)) {
             score += request.kilobytes() * CROSS_DOMAIN_MILLIS_PER_KILOBYTE;
         }
--- a/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
@@ -70,8 +70,8 @@
     void shouldEstimateTheRequestsOfOtherGatewaysFromARecentReport() {
         state.assign("", List.of(), 0, 0, 0, 0);
         state.onReport(load(4, 2), true, false, 0);
-        assertThat(state.inFlightOfOtherGateways(1)).isEqualTo(5);
-        assertThat(state.inFlightOfOtherGateways(3 * SECOND_NANOS)).isEqualTo(0);
+        assertThat(state.loadReport().inFlightOfOtherGateways(1)).isEqualTo(5);
+        assertThat(state.loadReport().inFlightOfOtherGateways(3 * SECOND_NANOS)).isEqualTo(0);
     }
 
     @Test
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -196,7 +196,7 @@
             int fewest = Integer.MAX_VALUE;
             for (final Engine engine : engines) {
                 final UpstreamState member = gateway.member(engine);
-                final int load = member.inFlight() + member.inFlightOfOtherGateways(now);
+                final int load = member.inFlight() + member.loadReport().inFlightOfOtherGateways(now);
                 if (member.allowsRequest(now) && load < fewest) {
                     best = engine;
                     fewest = load;
