--- a/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
@@ -1,9 +1,6 @@
 package org.masticpaddle.fleet;
 
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 
@@ -69,7 +66,7 @@
     @Test
     void shouldEstimateTheRequestsOfOtherGatewaysFromARecentReport() {
         state.assign("", List.of(), 0, 0, 0, 0);
-        state.onReport(load(4, 2), true, false, 0);
+        state.onReport(SelfReports.load(4, 2, 8), true, false, 0);
         assertThat(state.loadReport().inFlightOfOtherGateways(1)).isEqualTo(5);
         assertThat(state.loadReport().inFlightOfOtherGateways(3 * SECOND_NANOS)).isEqualTo(0);
     }
@@ -128,22 +125,6 @@
     }
 
     private static SelfReport report(boolean leaving, double notBeforeSeconds) {
-        return new SelfReport(
-                Optional.empty(),
-                OptionalDouble.empty(),
-                leaving,
-                OptionalDouble.of(notBeforeSeconds),
-                OptionalLong.empty(),
-                0);
-    }
-
-    private static SelfReport load(int running, int waiting) {
-        return new SelfReport(
-                Optional.of(new ReportedLoad(running, waiting, 8)),
-                OptionalDouble.empty(),
-                false,
-                OptionalDouble.empty(),
-                OptionalLong.empty(),
-                0);
+        return SelfReports.pause(leaving, notBeforeSeconds);
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -6,13 +6,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticpaddle.fleet.InFlightRequest;
-import org.masticpaddle.fleet.ReportedLoad;
 import org.masticpaddle.fleet.SelfReport;
+import org.masticpaddle.fleet.SelfReports;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
@@ -217,13 +216,7 @@
 
         private void answer(Engine engine, UpstreamState member, InFlightRequest inFlight) {
             final long now = scheduler.nanos();
-            final SelfReport report = new SelfReport(
-                    Optional.of(new ReportedLoad(engine.running, 0, 64)),
-                    engine.limit,
-                    false,
-                    OptionalDouble.empty(),
-                    OptionalLong.empty(),
-                    0);
+            final SelfReport report = SelfReports.load(engine.running, 0, 64, engine.limit);
             if (!member.onReport(report, true, false, now).isEmpty()) {
                 gateway.state.limits().pace(member, now);
                 gateway.toldMillis[engine.index] = engine.limit.isPresent() ? millis() : Long.MAX_VALUE / 2;
--- a/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
@@ -2,13 +2,11 @@
 
 import java.net.URI;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 import org.masticpaddle.fleet.SelfReport;
+import org.masticpaddle.fleet.SelfReports;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
@@ -17,8 +15,7 @@
 
 /** Guards against requests that are rejected for a long time although a place is expected soon. */
 class UpstreamWaitTest {
-    private static final SelfReport PAUSE = new SelfReport(
-            Optional.empty(), OptionalDouble.empty(), false, OptionalDouble.of(0.8), OptionalLong.empty(), 0);
+    private static final SelfReport PAUSE = SelfReports.pause(false, 0.8);
 
     private final FakeScheduler scheduler = new FakeScheduler();
     private final GatewayState state =
--- a/src/test/java/org/masticpaddle/routing/SharedPromptReplay.java
+++ b/src/test/java/org/masticpaddle/routing/SharedPromptReplay.java
@@ -7,16 +7,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.PromptSegment;
-import org.masticpaddle.fleet.ReportedLoad;
-import org.masticpaddle.fleet.SelfReport;
+import org.masticpaddle.fleet.SelfReports;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.fleet.UpstreamState;
@@ -153,17 +149,7 @@
                 answers++;
                 member.onAnswerStart(request);
                 member.onSuccess(choice.expectedMillis(), millis() - sentMillis, scheduler.nanos());
-                member.onReport(
-                        new SelfReport(
-                                Optional.of(new ReportedLoad(running.size(), 0, 64)),
-                                OptionalDouble.empty(),
-                                false,
-                                OptionalDouble.empty(),
-                                OptionalLong.empty(),
-                                0),
-                        true,
-                        false,
-                        scheduler.nanos());
+                member.onReport(SelfReports.load(running.size(), 0, 64), true, false, scheduler.nanos());
                 scheduler.schedule(DECODE_MILLIS, () -> {
                     running.remove(request);
                     member.release(request);
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -3,16 +3,12 @@
 import java.net.URI;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.masticpaddle.fleet.PromptSegment;
-import org.masticpaddle.fleet.ReportedLoad;
-import org.masticpaddle.fleet.SelfReport;
+import org.masticpaddle.fleet.SelfReports;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.fleet.UpstreamState;
@@ -171,17 +167,7 @@
     }
 
     private static void report(UpstreamState upstream, int running, int waiting, long now) {
-        upstream.onReport(
-                new SelfReport(
-                        Optional.of(new ReportedLoad(running, waiting, 8)),
-                        OptionalDouble.empty(),
-                        false,
-                        OptionalDouble.empty(),
-                        OptionalLong.empty(),
-                        0),
-                true,
-                false,
-                now);
+        upstream.onReport(SelfReports.load(running, waiting, 8), true, false, now);
     }
 
     private UpstreamPlacement.Choice choose(UpstreamPlacement.Request request) {
