--- a/src/main/java/org/masticpaddle/control/CountedSharedLog.java
+++ b/src/main/java/org/masticpaddle/control/CountedSharedLog.java
@@ -23,7 +23,7 @@
     /**
      * Creates counters at zero.
      *
-     * @param log the log that is called
+     * @param log receiver of the calls
      */
     public CountedSharedLog(SharedLog log) {
         this.log = Objects.requireNonNull(log, "log is null");
--- a/src/main/java/org/masticpaddle/decisions/DecisionLog.java
+++ b/src/main/java/org/masticpaddle/decisions/DecisionLog.java
@@ -94,7 +94,7 @@
     /**
      * Enqueues a line about an unexpected error, and counts it.
      *
-     * @param component component that failed
+     * @param component name for the line, for example {@code log/status}
      * @param error exception that it threw
      */
     public void writeError(String component, RuntimeException error) {
--- a/src/main/java/org/masticpaddle/routing/SegmentHolders.java
+++ b/src/main/java/org/masticpaddle/routing/SegmentHolders.java
@@ -60,7 +60,7 @@
     /**
      * Returns the expected number of prompt tokens that an engine holds.
      *
-     * @param engine one of the engines
+     * @param engine engine given to the constructor
      * @return tokens of the shared segments, each with the probability that the engine holds it
      */
     double expectedTokens(UpstreamState engine) {
