--- a/src/test/java/org/masticpaddle/fleet/SelfReports.java
+++ b/src/test/java/org/masticpaddle/fleet/SelfReports.java
@@ -8,12 +8,27 @@
 public final class SelfReports {
     private SelfReports() {}
 
-    /** Returns a load report without a limit. */
+    /**
+     * Creates a load report without a limit.
+     *
+     * @param running requests that the upstream processes
+     * @param waiting requests in its queue
+     * @param slots requests that it can process concurrently
+     * @return report with the load only
+     */
     public static SelfReport load(int running, int waiting, int slots) {
         return load(running, waiting, slots, OptionalDouble.empty());
     }
 
-    /** Returns a load report with a limit in requests a second, if there is one. */
+    /**
+     * Creates a load report with a limit.
+     *
+     * @param running requests that the upstream processes
+     * @param waiting requests in its queue
+     * @param slots requests that it can process concurrently
+     * @param limit requests a second, empty for none
+     * @return report with the load and the limit
+     */
     public static SelfReport load(int running, int waiting, int slots, OptionalDouble limit) {
         return new SelfReport(
                 Optional.of(new ReportedLoad(running, waiting, slots)),
@@ -24,7 +39,13 @@
                 0);
     }
 
-    /** Returns the wish for a pause, and whether the upstream leaves. */
+    /**
+     * Creates a report that asks for a pause.
+     *
+     * @param leaving whether the upstream is about to stop
+     * @param seconds time in which no request is to be sent
+     * @return report without a load
+     */
     public static SelfReport pause(boolean leaving, double seconds) {
         return new SelfReport(
                 Optional.empty(), OptionalDouble.empty(), leaving, OptionalDouble.of(seconds), OptionalLong.empty(), 0);
