Do not refuse a request as not run after its draft was dropped

An upstream answers with a draft, the gateway drops it and asks for the larger model, whose upstreams are full: a request of the record is run by engine-1 at 9.232 s and rejected 4 ms later, with "last failure: NOT_RUN". Each place that ends an attempt had to set the flag that the request may have run, and the escalation did not.

Change: AttemptEnd states for each end whether the request may have run, and RequestForwarder.endAttempt is the only way to end an attempt, so that none can be forgotten.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -124,8 +124,7 @@
             case HELD -> {
                 if (admitted.route().repeatable()) {
                     attempt.cancel();
-                    observer.onEnd(AttemptEnd.CANCELLED);
-                    mayHaveRun = true;
+                    endAttempt(AttemptEnd.CANCELLED);
                     lastFailure = "another request tries segment " + admission.segment();
                     retryOrFail(attempt, true);
                 }
@@ -208,7 +207,7 @@
     private void withdraw(Attempt chosen) {
         lastFailure = "the upstream is " + chosen.upstream().availability(now());
         chosen.cancel();
-        observer.onEnd(AttemptEnd.NOT_RUN);
+        endAttempt(AttemptEnd.NOT_RUN);
         sentAttempts--;
         if (sentAttempts > 0) {
             context.state().retryBudget(service).refundRetry(now());
@@ -277,7 +276,6 @@
         failed.cancel();
         lastFailure = verdict + " with status " + failed.status();
         if (verdict.mayHaveRun()) {
-            mayHaveRun = true;
             chooser.onUpstreamFailed(failed.upstream().upstream());
             failed.upstream().onErrorResponse(now());
         } else if (failed.status() == MISDIRECTED) {
@@ -285,7 +283,7 @@
         } else {
             failed.upstream().onNotRun(now());
         }
-        observer.onEnd(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
+        endAttempt(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
         decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
         retryOrFail(failed, verdict.mayHaveRun());
     }
@@ -313,7 +311,7 @@
 
     private void escalate(Attempt draft, int largerIndex, int confidence) {
         draft.cancel();
-        observer.onEnd(AttemptEnd.DRAFT_DROPPED);
+        endAttempt(AttemptEnd.DRAFT_DROPPED);
         context.counters().add(GatewayCounters.Counter.ESCALATED);
         decisions.escalated(draft, model, models.name(largerIndex), confidence);
         modelIndex = largerIndex;
@@ -346,7 +344,7 @@
         if (relay.isPresent()) {
             if (relay.get().completeIfWhole()) {
                 estimates.recordAnswerEnd(completed, model, modelIndex, now());
-                observer.onEnd(AttemptEnd.ANSWERED);
+                endAttempt(AttemptEnd.ANSWERED);
                 complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
             } else {
                 onAttemptFailed(
@@ -358,12 +356,12 @@
         }
         if (completed.status() < 300) {
             estimates.recordAnswerStart(completed, model, modelIndex, now());
-            observer.onEnd(AttemptEnd.ANSWERED);
+            endAttempt(AttemptEnd.ANSWERED);
         } else if (completed.status() >= 500) {
             completed.upstream().onErrorResponse(now());
-            observer.onEnd(AttemptEnd.FAILED);
+            endAttempt(AttemptEnd.FAILED);
         } else {
-            observer.onEnd(AttemptEnd.CANCELLED);
+            endAttempt(AttemptEnd.CANCELLED);
         }
         if (!ended) {
             complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
@@ -377,10 +375,9 @@
         final boolean possiblySent = error.delivery() == HttpRequestException.Delivery.POSSIBLY_SENT;
         failed.upstream().onUnreachable(now());
         if (possiblySent) {
-            mayHaveRun = true;
-            observer.onEnd(AttemptEnd.LOST);
+            endAttempt(AttemptEnd.LOST);
         } else {
-            observer.onEnd(AttemptEnd.UNREACHABLE);
+            endAttempt(AttemptEnd.UNREACHABLE);
             sentAttempts--;
             if (sentAttempts > 0) {
                 context.state().retryBudget(service).refundRetry(now());
@@ -443,9 +440,8 @@
         }
         final boolean inFlight = attempt != null && !attempt.ended();
         if (inFlight) {
-            mayHaveRun = true;
             attempt.cancel();
-            observer.onEnd(AttemptEnd.CANCELLED);
+            endAttempt(AttemptEnd.CANCELLED);
         }
         if (relay.isPresent() && relay.get().started()) {
             complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, 0, reason);
@@ -469,7 +465,7 @@
         }
         if (attempt != null && !attempt.ended()) {
             attempt.cancel();
-            observer.onEnd(AttemptEnd.CANCELLED);
+            endAttempt(AttemptEnd.CANCELLED);
         }
         complete(Decision.REQUEST_CANCELLED, GatewayCounters.Counter.CANCELLED, 0, "the caller disconnected");
     }
@@ -488,6 +484,12 @@
                         sentAttempts, Optional.ofNullable(attempt), model, relay.map(StreamRelay::relayedEvents)));
     }
 
+    /** Every end of an attempt passes through here, so that none that may have run is forgotten. */
+    private void endAttempt(AttemptEnd end) {
+        mayHaveRun |= end.mayHaveRun();
+        observer.onEnd(end);
+    }
+
     private long now() {
         return context.scheduler().nanos();
     }
