Do not call a request not run in the entry after an attempt or a draft has run

An error carried the run state of the last attempt or of the admission queue: a request whose draft was made, rated and escalated, and that was then rejected by the queue, ended with "run": "not_run" ("the request was not admitted: wait_exceeds_deadline"). A lost attempt of an idempotent request followed by a rejected one had the same end.

Change: each attempt of a request counts as one that may have run until its own end says otherwise (RequestExecution), and RequestScheduler.fail, through which all errors pass, corrects "not_run" to "unknown" if such an attempt is left.

Result: EscalatedRequestTest, a burst of 60 callers on two engines, failed before with the body above and passes; CallerInterfaceTest passes.

--- a/src/main/java/org/masticpaddle/entry/AttemptDispatcher.java
+++ b/src/main/java/org/masticpaddle/entry/AttemptDispatcher.java
@@ -237,6 +237,7 @@
             return;
         }
         final RunState state = attempt.possiblySent() ? RunState.UNKNOWN : RunState.NOT_RUN;
+        recordRunState(execution, state);
         if (sent) {
             recordAttemptEnd(execution, attempt, false);
             retryElsewhere(execution, state, incomplete ? "the answer is not whole" : UNREACHABLE_MESSAGE, true);
@@ -256,6 +257,7 @@
         // The sidecar may have restarted between two connections: its new incarnation has no record of whether the
         // attempt ran in the earlier one.
         final RunState state = attempt.connectionCount() > 1 && rejected ? RunState.UNKNOWN : failed.run();
+        recordRunState(execution, state);
         if (state != RunState.NOT_RUN && !execution.request().target().idempotent()) {
             scheduler.fail(
                     execution,
@@ -302,6 +304,12 @@
         scheduler.fail(execution, CallerError.failed(CallerError.Kind.UPSTREAM_FAILED, message, state));
     }
 
+    private static void recordRunState(RequestExecution execution, RunState state) {
+        if (state == RunState.NOT_RUN) {
+            execution.markAttemptNotRun();
+        }
+    }
+
     private boolean beforeDeadline(RequestExecution execution) {
         return context.nowNanos() < execution.request().deadlineNanos();
     }
--- a/src/main/java/org/masticpaddle/entry/CallerError.java
+++ b/src/main/java/org/masticpaddle/entry/CallerError.java
@@ -55,6 +55,15 @@
         return new CallerError(kind, message, run, kind.defaultRetryMillis);
     }
 
+    /**
+     * Returns this error for a request of which an attempt may have run.
+     *
+     * @return the same error, with run state {@code unknown} in place of {@code not_run}
+     */
+    public CallerError afterPossibleRun() {
+        return run == RunState.NOT_RUN ? new CallerError(kind, message, RunState.UNKNOWN, retryAfterMillis) : this;
+    }
+
     /** Kind of an error, with its HTTP status. */
     public enum Kind {
         /** The request is malformed. */
--- a/src/main/java/org/masticpaddle/entry/RequestExecution.java
+++ b/src/main/java/org/masticpaddle/entry/RequestExecution.java
@@ -33,6 +33,7 @@
     private Optional<UpstreamView> previousUpstream = Optional.empty();
     private Optional<Attempt> attempt = Optional.empty();
     private int attemptCount;
+    private int attemptsThatMayHaveRun;
     private int statusQueries;
     private boolean claimPending;
     private boolean countedByLimits;
@@ -175,6 +176,17 @@
     void addAttempt(Attempt next) {
         attempt = Optional.of(next);
         attemptCount++;
+        attemptsThatMayHaveRun++;
+    }
+
+    /** Records that the latest attempt has not run and never will. */
+    void markAttemptNotRun() {
+        attemptsThatMayHaveRun--;
+    }
+
+    /** Whether an attempt has run, is running or may have run; attempts whose answer was a draft count as well. */
+    boolean mayHaveRun() {
+        return attemptsThatMayHaveRun > 0;
     }
 
     int attemptCount() {
--- a/src/main/java/org/masticpaddle/entry/RequestScheduler.java
+++ b/src/main/java/org/masticpaddle/entry/RequestScheduler.java
@@ -115,7 +115,9 @@
         }
         release(execution, 0);
         dispatcher.correctRunState(
-                execution, error, corrected -> execution.responder().fail(corrected));
+                execution,
+                execution.mayHaveRun() ? error.afterPossibleRun() : error,
+                corrected -> execution.responder().fail(corrected));
     }
 
     /**
