Limit the memory that all incomplete answers of a gateway take together

Each answer had a limit (4 MB, 1 MB for an event), their sum had none. A gateway with 64 MB of heap and 48 requests whose answers do not end reports OutOfMemoryError, and requests to a sound service end with 504 after their whole deadline. Heads, interim answers, bytes that are no answer and bytes after an answer are limited already: their cases pass on the code before.

Change: MemoryBudget divides an eighth of the heap among the answers and events that are not complete. When it is used up, the largest holder loses its bytes and its attempt fails: an answer without end ends its own request and not a sound one. An attempt drops its body, and a relay its partial event, when the attempt ends. Counter gateway.answers_dropped; process.started states the port.

Bodies of requests and events queued for slow callers are not under the budget yet.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -31,7 +31,7 @@
     private final boolean sentWithoutBacklog;
     private final long sentNanos;
     private final Listener listener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private StreamHandle handle;
     private int status;
     private Map<String, String> headers = Map.of();
@@ -92,6 +92,7 @@
         if (error == null) {
             listener.onResponseComplete(this);
         } else {
+            discardBody();
             final Throwable cause = error instanceof CompletionException ? error.getCause() : error;
             listener.onAttemptFailed(
                     this,
@@ -112,6 +113,7 @@
     void cancel() {
         if (!ended) {
             end();
+            discardBody();
             if (handle != null) {
                 handle.cancel();
             }
@@ -121,10 +123,7 @@
     /** Cancels the attempt and reports it as failed, so that the request can be retried at once. */
     void fail(String reason) {
         if (!ended) {
-            end();
-            if (handle != null) {
-                handle.cancel();
-            }
+            cancel();
             listener.onAttemptFailed(
                     this, new HttpRequestException(HttpRequestException.Delivery.POSSIBLY_SENT, reason, null));
         }
@@ -139,8 +138,19 @@
         }
     }
 
-    byte[] body() {
-        return body.toByteArray();
+    int bodyBytes() {
+        return body.size();
+    }
+
+    /** Returns the bytes of the body and keeps none of them, since an attempt may be referenced for longer than its answer. */
+    byte[] takeBody() {
+        final byte[] bytes = body.toByteArray();
+        discardBody();
+        return bytes;
+    }
+
+    private void discardBody() {
+        body = new ByteArrayOutputStream(0);
     }
 
     /** Records that the upstream has begun to answer, so that its backlog no longer includes this prompt. */
--- a/src/main/java/org/masticpaddle/gateway/GatewayContext.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayContext.java
@@ -5,6 +5,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.kernel.Scheduler;
+import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.wire.HttpClient;
@@ -22,6 +23,7 @@
  * @param quarantine quarantine of prompt segments that crash upstreams
  * @param placement policy that chooses the upstream
  * @param modelCascade policy that chooses the model on routes with several model sizes
+ * @param answerMemory memory for answers of upstreams that are not complete
  * @param log decision log
  * @param counters counters of the gateway
  * @param random source of jitter
@@ -36,6 +38,7 @@
         QuarantineCoordinator quarantine,
         UpstreamPlacement placement,
         ModelCascade modelCascade,
+        MemoryBudget answerMemory,
         DecisionLog log,
         GatewayCounters counters,
         UniformRandomProvider random) {
@@ -46,5 +49,6 @@
         Objects.requireNonNull(state, "state is null");
         Objects.requireNonNull(versionRouter, "versionRouter is null");
         Objects.requireNonNull(quarantine, "quarantine is null");
+        Objects.requireNonNull(answerMemory, "answerMemory is null");
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -54,6 +54,7 @@
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
         UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
+        ANSWERS_DROPPED("answers_dropped", "answers of upstreams dropped since the memory for answers was used up"),
         STORE_CALLS("store_calls", "calls to the shared log"),
         STORE_FAILURES("store_failures", "calls to the shared log that failed");
 
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -20,6 +20,7 @@
 import org.masticpaddle.kernel.PeriodicTasks;
 import org.masticpaddle.kernel.Service;
 import org.masticpaddle.kernel.ShutdownDelay;
+import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -59,6 +60,12 @@
      */
     private static final Duration MIN_DRAIN = Duration.ofMillis(2_800);
 
+    /**
+     * Part of the heap for answers that are not complete. An answer takes up to three times its size, while its buffer grows and
+     * while it is copied.
+     */
+    private static final double ANSWER_MEMORY_SHARE = 0.125;
+
     /** Interval between checks whether requests are in flight during the shutdown. */
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
@@ -125,6 +132,7 @@
                 quarantine,
                 new UpstreamPlacement(settings.text(Setting.FAILURE_DOMAIN)),
                 new ModelCascade(settings.number(Setting.MIN_DRAFT_CONFIDENCE_PERCENT)),
+                MemoryBudget.ofHeap(ANSWER_MEMORY_SHARE),
                 log,
                 counters,
                 random);
@@ -179,7 +187,7 @@
             quarantine.start();
             periodicTasks.start();
         });
-        log.write(Decision.STARTED, "role", "gateway");
+        log.write(Decision.STARTED, "role", "gateway", "port", server.port());
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -15,6 +15,7 @@
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
+import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.quarantine.Admission;
 import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -53,6 +54,7 @@
     private AttemptPlanner planner;
     private Attempt attempt;
     private AttemptObserver observer;
+    private MemoryBudget.Reservation buffered;
     private Optional<StreamRelay> relay = Optional.empty();
     private String model;
     private int modelIndex;
@@ -145,8 +147,10 @@
                 models.tokenCapacity(),
                 now());
         sentAttempts++;
-        attempt = new Attempt(
+        final Attempt sent = new Attempt(
                 upstream, inFlight, choice.expectedMillis(), choice.serviceMillis(), sentWithoutBacklog, now(), this);
+        attempt = sent;
+        buffered = context.answerMemory().open(() -> dropAnswer(sent));
         final AttemptObserver versionObserver = context.versionRouter()
                 .attemptSent(new VersionRouter.SentAttempt(
                         request.id(),
@@ -166,6 +170,12 @@
         attempt.send(context.client(), upstreamRequest(upstream.upstream()));
     }
 
+    /** Ends an attempt whose answer takes more memory than all others when the memory for answers is used up. */
+    private void dropAnswer(Attempt largest) {
+        context.counters().add(GatewayCounters.Counter.ANSWERS_DROPPED);
+        largest.fail("the memory for answers is used up");
+    }
+
     private HttpRequest upstreamRequest(Upstream upstream) {
         final UpstreamRequestMetadata metadata = new UpstreamRequestMetadata(
                 upstream.id(),
@@ -293,7 +303,6 @@
         streaming.markStarted(now());
         eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
         if (relay.isPresent() && relay.get().started()) {
-            relay.get().resume();
             return;
         }
         final OptionalInt largerModel =
@@ -323,7 +332,9 @@
     public void onResponseBytes(Attempt receiving, byte[] bytes) {
         receiving.upstream().recordActivity(now());
         if (relay.isEmpty()) {
-            receiving.bufferBody(bytes);
+            if (buffered.resize(receiving.bodyBytes() + bytes.length)) {
+                receiving.bufferBody(bytes);
+            }
             return;
         }
         relay.get().accept(bytes);
@@ -336,6 +347,8 @@
             receiving.fail("an event is missing or comes twice");
         } else if (relay.get().eventTooLarge()) {
             receiving.fail("an event does not end");
+        } else {
+            buffered.resize(relay.get().partialEventBytes());
         }
     }
 
@@ -365,7 +378,7 @@
         }
         if (!ended) {
             complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
-            caller.respond(completed.status(), HopByHopHeaders.strip(completed.headers()), completed.body());
+            caller.respond(completed.status(), HopByHopHeaders.strip(completed.headers()), completed.takeBody());
         }
     }
 
@@ -487,6 +500,8 @@
     /** Every end of an attempt passes through here, so that none that may have run is forgotten. */
     private void endAttempt(AttemptEnd end) {
         mayHaveRun |= end.mayHaveRun();
+        buffered.close();
+        relay.ifPresent(StreamRelay::discardPartialEvent);
         observer.onEnd(end);
     }
 
--- a/src/main/java/org/masticpaddle/gateway/StreamRelay.java
+++ b/src/main/java/org/masticpaddle/gateway/StreamRelay.java
@@ -41,8 +41,8 @@
         this.splitter = new EventSplitter(this::relayEvent);
     }
 
-    /** Prepares for the bytes of another attempt, which resumes after the last event; drops the partial event of the previous one. */
-    void resume() {
+    /** Drops the bytes after the last complete event; another attempt resumes after that event. */
+    void discardPartialEvent() {
         splitter = new EventSplitter(this::relayEvent);
     }
 
@@ -80,9 +80,14 @@
         return outOfSequence;
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int partialEventBytes() {
+        return splitter.remainderBytes();
+    }
+
     /** Returns whether the upstream has sent more bytes without the end of an event than an event may have. */
     boolean eventTooLarge() {
-        return splitter.remainderBytes() > MAX_EVENT_BYTES;
+        return partialEventBytes() > MAX_EVENT_BYTES;
     }
 
     /** Returns whether the response to the caller was started. */
@@ -104,7 +109,7 @@
      * @return {@code false} if the attempt ended inside an event or before the first one, or an event was out of sequence
      */
     boolean completeIfWhole() {
-        if (outOfSequence || !started || splitter.remainder().length > 0) {
+        if (outOfSequence || !started || partialEventBytes() > 0) {
             return false;
         }
         caller.endStream();
--- a/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
+++ b/src/test/java/org/masticpaddle/gateway/StreamRelayTest.java
@@ -39,7 +39,7 @@
     @Test
     void shouldDropPartialEventWhenResumingFromAnotherAttempt() {
         relay.accept(bytes("id: 1\ndata: a\n\nid: 2\nda"));
-        relay.resume();
+        relay.discardPartialEvent();
         relay.accept(bytes("id: 2\ndata: b\n\n"));
         assertThat(relay.completeIfWhole()).isTrue();
         assertThat(caller.text()).isEqualTo("begin 200;id: 1\ndata: a\n\n;id: 2\ndata: b\n\n;end;");
@@ -60,7 +60,7 @@
             relay.accept(new byte[64 * 1024]);
         }
         assertThat(relay.eventTooLarge()).isTrue();
-        relay.resume();
+        relay.discardPartialEvent();
         assertThat(relay.eventTooLarge()).isFalse();
     }
 
