Let other connections be read beside streams that always have bytes

Cause: a gateway that relays many streams with bytes always at hand accepts no connection and reads no other one. After 16 reads a response woke up its own reading; XNIO queues that as a task and empties the queue before it selects again, so that with 48 such streams the queue never ends. Callers of a sound service got no answer in 5 s. Neither the heap (no OutOfMemoryError) nor the processor is the cause: the same load is served with this change alone.

Change: the connection resumes its reads, and is ready again at the next selection.

Result: EndlessAnswerTest, case EVENTS_WITHOUT_NUMBERS: failed before with a read timeout of a sound request, passes; all 30 sound requests are answered. EndlessResponseTest passes.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -242,7 +242,9 @@
             final ByteBuffer buffer = pooled.getBuffer();
             for (int reads = 0; !finished.isDone(); reads++) {
                 if (reads == MAX_READS_PER_TURN) {
-                    channel.wakeupReads();
+                    // A wake-up would run before the next selection, so that busy connections would keep out all
+                    // others.
+                    channel.resumeReads();
                     return;
                 }
                 buffer.clear();
