Do not relay the error of another upstream amid a stream

A stream that has begun breaks off, the next upstream answers with a signed status other than 200 and below 500, and its bytes go to the relay of the stream: error text with a blank line is one more event, and an answer without a body ends the stream as complete (request.answered with status 409 and 2 of 4 events). Server errors, rejections and unsigned answers were retried already.

Change: such a response is a failed attempt while a stream is being continued (ResponseVerdict.continuingStream): it is resumed elsewhere, or cut. A relay that has sent nothing is dropped with its attempt, so that a failure after it is relayed as one.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -234,6 +234,17 @@
         upstream.recordActivity(now);
         final ResponseMetadata metadata = context.headerCodec().parseResponse(responding.headers());
         applySelfReport(responding, metadata);
+        final ResponseVerdict verdict = classify(responding, metadata);
+        if (verdict.failure() && !isFinalFailure(verdict, responding.status(), metadata)) {
+            handleFailedResponse(responding, verdict);
+            return;
+        }
+        if (admitted.route().kind().streamed() && responding.status() == 200) {
+            startStream(responding, metadata);
+        }
+    }
+
+    private ResponseVerdict classify(Attempt responding, ResponseMetadata metadata) {
         final ResponseVerdict verdict = ResponseVerdict.classify(
                 admitted.route(),
                 admitted.request().id(),
@@ -241,13 +252,12 @@
                 responding.headers().containsKey("content-encoding"),
                 metadata,
                 admitted.route().repeatable());
-        if (verdict.failure() && !isFinalFailure(verdict, responding.status(), metadata)) {
-            handleFailedResponse(responding, verdict);
-            return;
-        }
-        if (admitted.route().kind().streamed() && responding.status() == 200) {
-            startStream(responding, metadata);
+        if (relay.isPresent() && relay.get().started()) {
+            return verdict.continuingStream(responding.status());
         }
+        // Whatever this response is, the caller has received nothing of an earlier one.
+        relay = Optional.empty();
+        return verdict;
     }
 
     /** Applies what the upstream says of itself, unless another instance has answered in its place. */
--- a/src/main/java/org/masticpaddle/gateway/ResponseVerdict.java
+++ b/src/main/java/org/masticpaddle/gateway/ResponseVerdict.java
@@ -13,6 +13,7 @@
     /** The response is invalid: it belongs to another request or is not from the upstream. The request may have run. */
     SPOILT(true, true);
 
+    private static final int OK = 200;
     private static final int MISDIRECTED = 421;
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -34,6 +35,16 @@
         return mayHaveRun;
     }
 
+    /**
+     * Returns the classification of a response that has to continue a stream whose beginning the caller has received.
+     *
+     * @param status HTTP status of the response
+     * @return {@link #FAILED} for a response that could be relayed but is no stream, this classification otherwise
+     */
+    ResponseVerdict continuingStream(int status) {
+        return this == RELAY && status != OK ? FAILED : this;
+    }
+
     /**
      * Classifies a response by its status and headers.
      *
