Forget an attempt when it ends, also at a removed upstream

The health probe dropped ended attempts only when it looked at their upstream, which never happens again once it is removed from the list.

Change: an attempt tells the probe when it ends.

No heap histogram was taken, so that the issue on memory stays open for it.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -39,6 +39,7 @@
     private OptionalLong answerStartNanos = OptionalLong.empty();
     private int events;
     private boolean ended;
+    private Runnable endAction = () -> {};
 
     Attempt(
             UpstreamState upstream,
@@ -108,6 +109,12 @@
     private void end() {
         ended = true;
         upstream.release(inFlight);
+        endAction.run();
+    }
+
+    /** Sets the action that runs when the attempt ends, before its listener is called. */
+    void onEnd(Runnable action) {
+        endAction = Objects.requireNonNull(action, "action is null");
     }
 
     void cancel() {
--- a/src/main/java/org/masticpaddle/gateway/UpstreamHealthProbe.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamHealthProbe.java
@@ -20,7 +20,7 @@
  *
  * <p>Covers upstreams that disappear without closing their connections, so that requests do not wait for their deadline.
  * Invariant: an upstream counts as unreachable only if several connection attempts fail, since a single one may fail
- * because of a lost packet. Used on the event loop only.
+ * because of a lost packet; an attempt is kept until it ends, whatever becomes of its upstream. Used on the event loop only.
  */
 final class UpstreamHealthProbe {
     /** Number of connection attempts that must all fail for an upstream to be unreachable. */
@@ -63,18 +63,24 @@
         attemptsByUpstream
                 .computeIfAbsent(attempt.upstream().upstream().id(), id -> new HashSet<>())
                 .add(attempt);
+        attempt.onEnd(() -> untrack(attempt));
+    }
+
+    private void untrack(Attempt attempt) {
+        attemptsByUpstream.computeIfPresent(attempt.upstream().upstream().id(), (id, attempts) -> {
+            attempts.remove(attempt);
+            return attempts.isEmpty() ? null : attempts;
+        });
+    }
+
+    /** Returns the number of attempts that have not ended. */
+    int trackedAttempts() {
+        return attemptsByUpstream.values().stream().mapToInt(Set::size).sum();
     }
 
     /** Opens a test connection to the upstream if it has been unresponsive for too long and no probe of it is in progress. */
     void probeIfUnresponsive(UpstreamState upstream) {
         final String id = upstream.upstream().id();
-        final Set<Attempt> inFlightAttempts = attemptsByUpstream.get(id);
-        if (inFlightAttempts != null) {
-            inFlightAttempts.removeIf(Attempt::ended);
-            if (inFlightAttempts.isEmpty()) {
-                attemptsByUpstream.remove(id);
-            }
-        }
         if (upstream.unresponsiveNanos(scheduler.nanos()) < unresponsiveNanos || !upstreamsBeingProbed.add(id)) {
             return;
         }
--- a/src/test/java/org/masticpaddle/gateway/UpstreamHealthProbeTest.java
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamHealthProbeTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -12,6 +13,7 @@
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
+import org.masticpaddle.wire.HttpRequestException;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -82,6 +84,46 @@
         assertThat(closed).isEmpty();
     }
 
+    /** Guards against attempts that are kept for ever with their bodies since their upstream was removed. */
+    @Test
+    void shouldForgetAttemptsThatEndedAtARemovedUpstream() {
+        final List<Attempt> attempts =
+                Stream.generate(this::startAttempt).limit(3).toList();
+        attempts.forEach(probe::track);
+        assertThat(probe.trackedAttempts()).isEqualTo(3);
+        registry.applyRemoval("a", 0);
+        attempts.forEach(Attempt::cancel);
+        assertThat(probe.trackedAttempts()).isEqualTo(0);
+    }
+
+    private Attempt startAttempt() {
+        return new Attempt(
+                upstream,
+                upstream.assign("", List.of(), 0, 0, 0, 0),
+                0,
+                0,
+                true,
+                scheduler.nanos(),
+                new Attempt.Listener() {
+                    @Override
+                    public boolean mayBeSent(Attempt attempt) {
+                        return true;
+                    }
+
+                    @Override
+                    public void onResponseHead(Attempt attempt) {}
+
+                    @Override
+                    public void onResponseBytes(Attempt attempt, byte[] bytes) {}
+
+                    @Override
+                    public void onResponseComplete(Attempt attempt) {}
+
+                    @Override
+                    public void onAttemptFailed(Attempt attempt, HttpRequestException error) {}
+                });
+    }
+
     private void startProbe() {
         probe.probeIfUnresponsive(upstream);
         assertThat(connections).isEmpty();
