Remove the idle timer of a request at every end of it

The timer that watches a silent connection is armed for twice the timeout of the route and was removed after complete responses only, so that cancelled and failed requests stayed with their bodies for up to 50 s.

Change: the timer is removed when a request fails or is cancelled as well.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -50,7 +50,7 @@
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private volatile ClientConnection connection;
     private volatile boolean sent;
-    private XnioExecutor.Key idleTimer;
+    private volatile XnioExecutor.Key idleTimer;
     private long lastByteNanos;
 
     ActiveRequest(
@@ -125,6 +125,7 @@
 
     void fail(HttpRequestException.Delivery delivery, String message, Throwable cause) {
         if (finished.completeExceptionally(new HttpRequestException(delivery, message, cause))) {
+            removeIdleTimer();
             IoUtils.safeClose(connection);
         }
     }
@@ -139,6 +140,17 @@
         idleTimer = connection
                 .getIoThread()
                 .executeAfter(this::checkIdle, Math.max(1, remainingNanos / 1_000_000 + 1), TimeUnit.MILLISECONDS);
+        if (finished.isDone()) {
+            removeIdleTimer();
+        }
+    }
+
+    /** Removes the timer, which would keep the request with its body until it is due. */
+    private void removeIdleTimer() {
+        final XnioExecutor.Key timer = idleTimer;
+        if (timer != null) {
+            timer.remove();
+        }
     }
 
     private void checkIdle() {
@@ -281,9 +293,7 @@
     }
 
     private void complete() {
-        if (idleTimer != null) {
-            idleTimer.remove();
-        }
+        removeIdleTimer();
         if (!finished.isDone()) {
             release.accept(request.origin(), connection);
             finished.complete(null);
