--- a/src/main/java/io/undertow/client/http/FramingLimit.java
+++ b/src/main/java/io/undertow/client/http/FramingLimit.java
@@ -29,7 +29,7 @@
      *
      * @param connection idle connection of Undertow's HTTP/1.1 client
      * @param maxBytes largest number of bytes between two calls of {@link #onProgress()}
-     * @return the limit
+     * @return limit that counts the bytes which the connection reads from now on
      */
     public static FramingLimit install(ClientConnection connection, int maxBytes) {
         Objects.requireNonNull(connection, "connection is null");
--- a/src/main/java/org/masticpaddle/rollout/AnswerTiming.java
+++ b/src/main/java/org/masticpaddle/rollout/AnswerTiming.java
@@ -61,7 +61,7 @@
      * Returns the state of the answer. The next event is due one interval after the last expected one.
      *
      * @param now current time in nanoseconds
-     * @return the state
+     * @return how the answer keeps to its schedule at that time
      */
     public Pace pace(long now) {
         final double expectedMillis = expectedStartMillis + events * expectedEventMillis;
