Place requests by the work factors that upstreams report

Cause: placement took all upstreams of a service for equally fast, although some report that work takes 0.6 or 1.6 of the usual time there, and up to 2.5 times as long again for moments.

Change: WorkPace keeps the newest figure of an upstream, of which less is believed as it ages, and the level of all figures; ExpectedWork fills in the mean of the service. The expected wait and service time are scaled by that factor, and ServiceTimes learns the times of an upstream of usual pace (EstimateRecorder, which now takes the two collaborators that it uses). New log field work_factor, new counter gateway.sent_slow. Where no upstream reports a figure the factor is exactly 1 and placement computes the same values.

--- a/src/main/java/org/masticpaddle/fleet/LastLoadReport.java
+++ b/src/main/java/org/masticpaddle/fleet/LastLoadReport.java
@@ -17,6 +17,7 @@
 
     private ReportedLoad load = new ReportedLoad(0, 0, 0);
     private long receivedNanos = NEVER;
+    private final WorkPace workPace = new WorkPace();
     private int ownInFlight;
 
     LastLoadReport() {}
@@ -25,11 +26,22 @@
         load = newest;
         ownInFlight = ownRequestsInFlight;
         receivedNanos = now;
+        newest.workFactor().ifPresent(factor -> workPace.record(factor, now));
     }
 
     /** Forgets the report; the number of slots is kept until the next one. */
     void reset() {
         receivedNanos = NEVER;
+        workPace.reset();
+    }
+
+    /**
+     * Returns what the upstream reported of the time that work takes there.
+     *
+     * @return live object
+     */
+    public WorkPace workPace() {
+        return workPace;
     }
 
     /** Returns the number of slots in the last report, 0 if it has none. */
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -90,7 +90,8 @@
     private ModelCascade.LatencyEstimate latencyEstimate(
             UpstreamPlacement.Choice choice, int modelIndex, long remainingMillis) {
         final ServiceTimes times = context.state().serviceTimes(service);
-        final double answerMillis = models.expectedEvents()
+        final double answerMillis = choice.workFactor()
+                * models.expectedEvents()
                 * times.eventIntervalMillis(models.name(modelIndex), models.relativeCost(modelIndex));
         return new ModelCascade.LatencyEstimate(
                 objectiveLeftMillis(),
--- a/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
+++ b/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
@@ -2,16 +2,22 @@
 
 import java.util.Objects;
 
+import org.masticpaddle.routing.ExpectedWork;
 import org.masticpaddle.routing.ServiceTimes;
 
-/** Records the times of one request's answers in the estimates of its service. Used on the event loop only. */
+/**
+ * Records the times of one request's answers in the estimates of its service, as the answers of an upstream of usual pace would have
+ * taken. Used on the event loop only.
+ */
 final class EstimateRecorder {
-    private final GatewayContext context;
+    private final GatewayState state;
+    private final VersionRouter versionRouter;
     private final String service;
     private final RequestModels models;
 
-    EstimateRecorder(GatewayContext context, String service, RequestModels models) {
-        this.context = Objects.requireNonNull(context, "context is null");
+    EstimateRecorder(GatewayState state, VersionRouter versionRouter, String service, RequestModels models) {
+        this.state = Objects.requireNonNull(state, "state is null");
+        this.versionRouter = Objects.requireNonNull(versionRouter, "versionRouter is null");
         this.service = Objects.requireNonNull(service, "service is null");
         this.models = Objects.requireNonNull(models, "models is null");
     }
@@ -23,15 +29,16 @@
         if (!updatesEstimates(attempt)) {
             return;
         }
+        final double factor = expectedWork(now).factor(attempt.upstream());
         if (model.isEmpty()) {
-            serviceTimes().recordPlainRequest(millis);
+            serviceTimes().recordPlainRequest(millis / factor);
         } else if (attempt.sentWithoutBacklog()) {
             serviceTimes()
                     .recordPrefill(
                             model,
                             models.relativeCost(modelIndex),
                             attempt.inFlight().uncachedTokens(),
-                            millis);
+                            millis / factor);
         }
     }
 
@@ -40,15 +47,22 @@
         final int intervals = attempt.events() - 1;
         if (intervals > 0 && !model.isEmpty() && updatesEstimates(attempt)) {
             final long answerNanos = now - attempt.answerStartNanos().orElseThrow();
-            serviceTimes().recordEventInterval(model, models.relativeCost(modelIndex), answerNanos / 1e6 / intervals);
+            final double factor = expectedWork(now).level(attempt.upstream());
+            serviceTimes()
+                    .recordEventInterval(
+                            model, models.relativeCost(modelIndex), answerNanos / 1e6 / intervals / factor);
         }
     }
 
+    private ExpectedWork expectedWork(long now) {
+        return new ExpectedWork(state.registry().members(service), now);
+    }
+
     private boolean updatesEstimates(Attempt attempt) {
-        return context.versionRouter().updatesEstimates(attempt.upstream().upstream());
+        return versionRouter.updatesEstimates(attempt.upstream().upstream());
     }
 
     private ServiceTimes serviceTimes() {
-        return context.state().serviceTimes(service);
+        return state.serviceTimes(service);
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -9,6 +9,9 @@
 
 /** Counters of a gateway since its start. Thread-safe. */
 public final class GatewayCounters {
+    /** Work factor from which an upstream counts as slow. */
+    private static final double SLOW_WORK_FACTOR = 1.5;
+
     private final Map<Counter, LongAdder> counts = new EnumMap<>(Counter.class);
 
     /** Creates counters at zero. */
@@ -22,6 +25,14 @@
         counts.get(counter).increment();
     }
 
+    /** Counts a request sent to an upstream whose work is expected to take the given factor of the usual time. */
+    void addSent(double workFactor) {
+        add(Counter.SENT);
+        if (workFactor >= SLOW_WORK_FACTOR) {
+            add(Counter.SENT_SLOW);
+        }
+    }
+
     long value(Counter counter) {
         return counts.get(counter).sum();
     }
@@ -48,6 +59,7 @@
         FAILED("failed", "requests that failed and may have run"),
         CANCELLED("cancelled", "requests whose caller left"),
         SENT("sent", "requests sent to upstreams"),
+        SENT_SLOW("sent_slow", "requests sent to upstreams whose work is expected to take 1.5 times as long as usual"),
         RETRIED("retried", "requests sent once more after a failure"),
         RESUMED("resumed", "streams that went on at another upstream"),
         ESCALATED("escalated", "drafts dropped for a larger model"),
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -75,6 +75,8 @@
                         choice.expectedMillis(),
                         "score",
                         choice.score(),
+                        "work_factor",
+                        choice.workFactor() == 1 ? null : choice.workFactor(),
                         "body_bytes",
                         admitted.body().length,
                         "prompt",
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -72,7 +72,7 @@
         models = new RequestModels(context.state(), admitted, service);
         chooser = new UpstreamChooser(context, admitted, service, models);
         escalation = new Escalation(context, admitted, service, models, chooser);
-        estimates = new EstimateRecorder(context, service, models);
+        estimates = new EstimateRecorder(context.state(), context.versionRouter(), service, models);
         decisions = new RequestDecisions(context, admitted);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
@@ -160,11 +160,12 @@
                         choice.expectedMillis(),
                         model.isEmpty()
                                 ? 0
-                                : context.state()
-                                        .serviceTimes(service)
-                                        .eventIntervalMillis(model, models.relativeCost(modelIndex))));
+                                : choice.workFactor()
+                                        * context.state()
+                                                .serviceTimes(service)
+                                                .eventIntervalMillis(model, models.relativeCost(modelIndex))));
         observer = AttemptObserver.both(versionObserver, guard.observe(attempt, admission));
-        context.counters().add(GatewayCounters.Counter.SENT);
+        context.counters().addSent(choice.workFactor());
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
         attempt.send(context.client(), upstreamRequest(upstream.upstream()));
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -11,7 +11,8 @@
 
 /**
  * Places a request of a gateway on the upstream with the lowest score: the expected time to the start of the answer
- * (queue, prefill of uncached tokens, slowdown by batching) plus penalties for cross-domain transfer and failures.
+ * (queue, prefill of uncached tokens, slowdown by batching) at the upstream's present pace, plus penalties for cross-domain
+ * transfer and failures.
  *
  * <p>Designed for workloads in which many requests share prompt segments and run on few engines; unlike {@link
  * UpstreamSelector} it scores all members. Immutable and thread-safe; its methods have no side effects.
@@ -69,9 +70,10 @@
                 .toList();
         final SegmentHolders holders = new SegmentHolders(request.model(), request.prompt(), candidates);
         final ExpectedLoads loads = new ExpectedLoads(members, now);
+        final ExpectedWork work = new ExpectedWork(members, now);
         Choice lowestScored = null;
         for (final UpstreamState member : candidates) {
-            final Choice choice = score(request, member, holders, loads, times, now);
+            final Choice choice = score(request, member, holders, loads, work, times, now);
             if (lowestScored == null || choice.score() < lowestScored.score()) {
                 lowestScored = choice;
             }
@@ -84,17 +86,20 @@
             UpstreamState member,
             SegmentHolders holders,
             ExpectedLoads loads,
+            ExpectedWork work,
             ServiceTimes times,
             long now) {
         final boolean engine = !request.model().isEmpty();
         final int uncachedTokens = engine ? uncachedTokens(request, member, holders) : 0;
-        final double serviceMillis = engine
-                ? times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens)
-                : times.plainRequestMillis();
+        final double workFactor = work.factor(member);
+        final double serviceMillis = workFactor
+                * (engine
+                        ? times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens)
+                        : times.plainRequestMillis());
         final double requestsAhead = requestsAhead(member, loads);
         final double waitMillis = engine
-                ? engineWaitMillis(member, loads)
-                : Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
+                ? engineWaitMillis(member, loads, workFactor)
+                : workFactor * Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
         final double latencyRatio = Math.max(1, member.performance().latencyRatio(now));
         double score = (waitMillis + serviceMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
                 + member.performance().failureRate(now) * FAILURE_PENALTY_MILLIS;
@@ -107,13 +112,13 @@
         if (request.isolated()) {
             score += (member.inFlight() + loads.inFlightOfOtherGateways(member)) * ENDANGERED_REQUEST_MILLIS;
         }
-        return new Choice(member, waitMillis + serviceMillis, serviceMillis, uncachedTokens, score);
+        return new Choice(member, waitMillis + serviceMillis, serviceMillis, uncachedTokens, workFactor, score);
     }
 
-    private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads) {
+    private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads, double workFactor) {
         return member.prefillBacklogMillis()
-                + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS
-                + loads.waiting(member) * WAITING_REQUEST_MILLIS;
+                + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS * workFactor
+                + loads.waiting(member) * WAITING_REQUEST_MILLIS * workFactor;
     }
 
     /** Returns the number of requests that wait before one that is sent now; a negative number of slots that are free. */
@@ -160,8 +165,14 @@
      *     is scaled by the upstream's latency ratio
      * @param serviceMillis part of {@code expectedMillis} in which the upstream works on the request itself
      * @param uncachedTokens prompt tokens that are probably not in the upstream's prefix cache; 0 for plain services
+     * @param workFactor expected factor of the time that work takes at the upstream; 1 means as usual, lower is faster
      * @param score scaled expected time with all penalties in milliseconds; lower is better
      */
     public record Choice(
-            UpstreamState member, double expectedMillis, double serviceMillis, int uncachedTokens, double score) {}
+            UpstreamState member,
+            double expectedMillis,
+            double serviceMillis,
+            int uncachedTokens,
+            double workFactor,
+            double score) {}
 }
--- a/src/test/java/org/masticpaddle/fleet/SelfReports.java
+++ b/src/test/java/org/masticpaddle/fleet/SelfReports.java
@@ -39,6 +39,22 @@
                 0);
     }
 
+    /**
+     * Creates a report of an idle upstream with its work factor.
+     *
+     * @param workFactor time that work takes, relative to the usual time
+     * @return report with the load and the factor
+     */
+    public static SelfReport workFactor(double workFactor) {
+        return new SelfReport(
+                Optional.of(new ReportedLoad(0, 0, 8, OptionalDouble.of(workFactor))),
+                OptionalDouble.empty(),
+                false,
+                OptionalDouble.empty(),
+                OptionalLong.empty(),
+                0);
+    }
+
     /**
      * Creates a report that asks for a pause.
      *
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.routing;
 
 import java.net.URI;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -166,6 +167,72 @@
         assertThat(choose(engineRequest(), now).member()).isSameInstanceAs(lightlyLoaded);
     }
 
+    @Test
+    void shouldPreferAFastUpstreamToOneOfTheUsualPaceAndThatToASlowOne() {
+        register("slow", "near");
+        register("unknown", "near");
+        register("usual", "near");
+        register("fast", "near");
+        reportWorkFactor("slow", 1.6, 0);
+        reportWorkFactor("usual", 1, 0);
+        reportWorkFactor("fast", 0.6, 0);
+        for (final UpstreamPlacement.Request request : List.of(unsharedRequest(), plainRequest())) {
+            assertThat(choose(request).member().upstream().id()).isEqualTo("fast");
+            assertThat(choose(request).workFactor()).isEqualTo(0.6);
+            final List<Double> expected = registry.members("s").stream()
+                    .map(member -> placement
+                            .choose(request, registry.members("s"), each -> each == member, times, 0)
+                            .orElseThrow())
+                    .sorted(Comparator.comparingDouble(UpstreamPlacement.Choice::score))
+                    .map(UpstreamPlacement.Choice::workFactor)
+                    .toList();
+            assertThat(expected).isInStrictOrder();
+        }
+    }
+
+    /** Guards against requests that still avoid an upstream whose slow moment has long passed, or still go to a fast one. */
+    @Test
+    void shouldBelieveAWorkFactorOnlyAsLongAsItHolds() {
+        register("a", "near");
+        register("b", "near");
+        for (int second = 0; second < 20; second++) {
+            reportWorkFactor("a", 1, second * 1_000_000_000L);
+            reportWorkFactor("b", 1.2, second * 1_000_000_000L);
+        }
+        final long now = 20_000_000_000L;
+        reportWorkFactor("a", 2.5, now);
+        assertThat(choose(unsharedRequest(), now).member().upstream().id()).isEqualTo("b");
+        assertThat(choose(unsharedRequest(), now + 3_000_000_000L)
+                        .member()
+                        .upstream()
+                        .id())
+                .isEqualTo("a");
+    }
+
+    /** Guards against changes of placement where upstreams report no work factor. */
+    @Test
+    void shouldExpectTheUsualPaceExactlyWhereNoUpstreamReportsItsOwn() {
+        register("a", "near");
+        register("b", "far");
+        final UpstreamState member = registry.find("a").orElseThrow();
+        report(member, 5, 3, 0);
+        member.assign("m", PROMPT, 5_500, 123.4, 0, 0);
+        final UpstreamPlacement.Choice engine = placement
+                .choose(engineRequest(), registry.members("s"), each -> each == member, times, 0)
+                .orElseThrow();
+        final double serviceMillis = times.prefillMillis("m", 1, engine.uncachedTokens());
+        assertThat(engine.workFactor()).isEqualTo(1.0);
+        assertThat(engine.serviceMillis()).isEqualTo(serviceMillis);
+        assertThat(engine.expectedMillis()).isEqualTo(123.4 + (1 + 8) * 10.0 + 3 * 40.0 + serviceMillis);
+        assertThat(engine.score()).isEqualTo(123.4 + (1 + 8) * 10.0 + 3 * 40.0 + serviceMillis * 1.5);
+        final UpstreamPlacement.Choice plain = choose(plainRequest());
+        assertThat(plain.serviceMillis()).isEqualTo(times.plainRequestMillis());
+    }
+
+    private void reportWorkFactor(String id, double factor, long now) {
+        registry.find(id).orElseThrow().onReport(SelfReports.workFactor(factor), true, false, now);
+    }
+
     private static void report(UpstreamState upstream, int running, int waiting, long now) {
         upstream.onReport(SelfReports.load(running, waiting, 8), true, false, now);
     }
@@ -184,6 +251,11 @@
         return new UpstreamPlacement.Request("m", 1, PROMPT, 5_500, 10, false);
     }
 
+    /** Returns a request whose prompt no other request shares, so that no engine is expected to hold a part of it. */
+    private static UpstreamPlacement.Request unsharedRequest() {
+        return new UpstreamPlacement.Request("m", 1, List.of(new PromptSegment("own", 2_000)), 2_000, 10, false);
+    }
+
     private static UpstreamPlacement.Request plainRequest() {
         return new UpstreamPlacement.Request("", 1, List.of(), 0, 1, false);
     }
