Derive the reads of the operator's stream from the bound on evacuations

Cause: a gateway learns of an order to evacuate a failure domain by the operator's stream. How long a read of it may be held followed from the revocation of keys and the settling time only; a tighter bound on evacuations could not be stated, and a lost read would have broken it unnoticed.

Change: setting evacuation_ms ([gateway], 0 for no bound, filled from the platform's settings), last component of GatewayBounds; StoreCadence holds a read of the operator's stream no longer than the tighter of the two bounds leaves. Without the setting the timing is the one of before.

Result: StoreCadenceTest (new: bounds of 2.5 to 5 s beside other revocation and settling times, a lost read included; the same timing without the bound) and ProcessSettingsTest pass. The new cases cannot be compiled against the code before.

--- a/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.masticpaddle.control.StoreCadence;
 import org.masticpaddle.settings.ProcessSettings;
@@ -20,6 +21,7 @@
  * @param exposureShare fraction of a service's requests that a bad version may get during a rollout
  * @param exposureSlack requests that a bad version may get beyond that fraction
  * @param session longest time between two requests of a session
+ * @param evacuation time after which an evacuated failure domain must get no requests, 0 if the operator sets none
  */
 public record GatewayBounds(
         Duration keyRevocation,
@@ -31,7 +33,8 @@
         Duration retryWindow,
         double exposureShare,
         double exposureSlack,
-        Duration session) {
+        Duration session,
+        Duration evacuation) {
     /** Checks the arguments. */
     public GatewayBounds {
         Objects.requireNonNull(keyRevocation, "keyRevocation is null");
@@ -40,6 +43,7 @@
         Objects.requireNonNull(grace, "grace is null");
         Objects.requireNonNull(retryWindow, "retryWindow is null");
         Objects.requireNonNull(session, "session is null");
+        Objects.requireNonNull(evacuation, "evacuation is null");
     }
 
     /**
@@ -59,11 +63,13 @@
                 settings.decimalSeconds(Setting.RETRY_WINDOW_SECONDS),
                 settings.share(Setting.EXPOSURE_SHARE),
                 settings.decimal(Setting.EXPOSURE_SLACK),
-                settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS));
+                settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS),
+                settings.millis(Setting.EVACUATION_MS));
     }
 
     /** Returns the timing of the reads of the shared log that these limits permit. */
     StoreCadence storeCadence() {
-        return StoreCadence.of(keyRevocation, drain, settling);
+        return StoreCadence.of(
+                keyRevocation, evacuation.isZero() ? Optional.empty() : Optional.of(evacuation), drain, settling);
     }
 }
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -240,6 +240,13 @@
             SettingType.NON_NEGATIVE_DECIMAL,
             "5",
             "maximum time between two requests of a session"),
+    /** Time within which an evacuated failure domain gets no more requests. */
+    EVACUATION_MS(
+            "gateway",
+            "evacuation_ms",
+            SettingType.NON_NEGATIVE_DECIMAL,
+            "0",
+            "time after which an evacuated failure domain receives no more requests; 0 for no bound"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/test/java/org/masticpaddle/control/StoreCadenceTest.java
+++ b/src/test/java/org/masticpaddle/control/StoreCadenceTest.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.control;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,6 +38,25 @@
         assertThat(callsPerSecond).isAtMost(maxCallsPerSecond);
     }
 
+    @ParameterizedTest
+    @CsvSource({"5000,5000,4000", "5000,2500,4000", "9000,3000,10000", "5000,3400,3000"})
+    void shouldKeepTheBoundOnEvacuatedDomainsAlsoIfAReadIsLost(long keyRevocation, long evacuation, long settling) {
+        final StoreCadence cadence =
+                cadence(keyRevocation, Optional.of(Duration.ofMillis(evacuation)), 2_000, settling);
+        final long noticedMillis =
+                cadence.operatorStream().longPollTimeout().toMillis() + RESPONSE_TIMEOUT_MILLIS + CONFIRMATION_MILLIS;
+        assertThat(noticedMillis).isAtMost(evacuation - CONNECT_MILLIS);
+        assertThat(noticedMillis).isAtMost(settling);
+    }
+
+    @Test
+    void shouldReadAsOftenAsBeforeWithoutABoundOnEvacuatedDomains() {
+        assertThat(cadence(5_000, Optional.of(Duration.ofSeconds(60)), 2_000, 4_000))
+                .isEqualTo(cadence(5_000, Optional.empty(), 2_000, 4_000));
+        assertThat(cadence(5_000, Optional.empty(), 2_000, 4_000).operatorStream())
+                .isEqualTo(ReadTiming.longPoll(Duration.ofMillis(2_900)));
+    }
+
     @Test
     void shouldReadAtAPositiveIntervalIfTheBoundsAreVeryNarrow() {
         final StoreCadence cadence = cadence(1, 1, 1);
@@ -45,6 +65,11 @@
     }
 
     private static StoreCadence cadence(long keyRevocation, long drain, long settling) {
-        return StoreCadence.of(Duration.ofMillis(keyRevocation), Duration.ofMillis(drain), Duration.ofMillis(settling));
+        return cadence(keyRevocation, Optional.empty(), drain, settling);
+    }
+
+    private static StoreCadence cadence(long keyRevocation, Optional<Duration> evacuation, long drain, long settling) {
+        return StoreCadence.of(
+                Duration.ofMillis(keyRevocation), evacuation, Duration.ofMillis(drain), Duration.ofMillis(settling));
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -28,6 +28,7 @@
             Duration.ofSeconds(10),
             0.15,
             30,
+            Duration.ofSeconds(5),
             Duration.ofSeconds(5));
     static final Duration TIME_LIMIT = Duration.ofSeconds(16);
 
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -111,9 +111,13 @@
                 exposure_share = 9.75e-02
                 exposure_slack = 1E+1
                 grace_seconds = 7.999999999999999
+                evacuation_ms = 4999.999999999999
                 """);
         assertThat(settings.millis(Setting.KEY_REVOCATION_MS)).isEqualTo(Duration.ofMillis(4_167));
         assertThat(settings.millis(Setting.UPSTREAM_DRAIN_MS)).isEqualTo(Duration.ofMillis(2_000));
+        assertThat(settings.millis(Setting.EVACUATION_MS)).isEqualTo(Duration.ofMillis(5_000));
+        assertThat(ProcessSettings.parse("f", GATEWAY).millis(Setting.EVACUATION_MS))
+                .isEqualTo(Duration.ZERO);
         assertThat(settings.decimal(Setting.RETRY_SHARE)).isWithin(1e-9).of(0.9);
         assertThat(settings.decimal(Setting.RETRY_SLACK)).isWithin(1e-9).of(44.1666666667);
         assertThat(settings.share(Setting.EXPOSURE_SHARE)).isWithin(1e-9).of(0.0975);
