Send nothing to failure domains that the operator evacuates

Cause: the operator's order to evacuate a failure domain was decoded as a record that gateways do not use, so that requests went on to its upstreams.

Change: OperatorRecord has the order and its withdrawal, decoded by the key alone. EvacuatedDomains (pure, by log offset, bounded) is kept by the UpstreamRegistry; UpstreamState.availability returns DOMAIN_EVACUATED, also between the choice of an upstream and the writing of the request, so that first attempts, retries, resumed streams, answers of a larger model and requests on kept connections are withdrawn and placed elsewhere. Upstreams there are no members of their service: means of loads, canaries, limits and the fallback to other versions look at the rest. EvacuationOrders closes idle connections and logs evacuation.changed; a withdrawal makes the registry forget cached prompts, load report and performance and keeps circuits. Requests whose upstreams are all evacuated are rejected at once, with a Retry-After of 2 to 4 s. A gateway counts as started only when all pages of the operator's stream are listed, since an order may be on a later page than the configuration. Counters evacuated_moved and evacuated_unserved.

Tests changed: UpstreamStateTest passes the new constructor argument; the fakes FakeStreams and TextControlCodec can do more.

--- a/src/main/java/org/masticpaddle/control/OperatorRecord.java
+++ b/src/main/java/org/masticpaddle/control/OperatorRecord.java
@@ -47,6 +47,30 @@
         }
     }
 
+    /**
+     * An order to evacuate a failure domain: no request is sent to its upstreams until the order is withdrawn.
+     *
+     * @param failureDomain name of the failure domain, not empty
+     */
+    record EvacuationOrder(String failureDomain) implements OperatorRecord {
+        /** Rejects a null argument. */
+        public EvacuationOrder {
+            Objects.requireNonNull(failureDomain, "failureDomain is null");
+        }
+    }
+
+    /**
+     * The withdrawal of an order to evacuate a failure domain.
+     *
+     * @param failureDomain name of the failure domain, not empty
+     */
+    record EvacuationWithdrawn(String failureDomain) implements OperatorRecord {
+        /** Rejects a null argument. */
+        public EvacuationWithdrawn {
+            Objects.requireNonNull(failureDomain, "failureDomain is null");
+        }
+    }
+
     /**
      * A record of a kind that gateways do not use.
      *
--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -24,6 +24,8 @@
     CONFIGURATION_APPLIED("configuration.in_force", Priority.IMPORTANT),
     /** The gateway's view of an upstream changed. */
     UPSTREAM_CHANGED("upstream.changed", Priority.IMPORTANT),
+    /** The operator has evacuated a failure domain or taken the order back. */
+    EVACUATION_CHANGED("evacuation.changed", Priority.IMPORTANT),
     /** An upstream with in-flight requests is unresponsive. */
     UPSTREAM_UNRESPONSIVE("upstream.silent", Priority.IMPORTANT),
     /** An upstream stated another limit of its requests than before, or none any more. */
--- a/src/main/java/org/masticpaddle/fleet/Availability.java
+++ b/src/main/java/org/masticpaddle/fleet/Availability.java
@@ -8,6 +8,8 @@
     AVAILABLE,
     /** The list or the upstream itself says that it is about to stop. */
     LEAVING,
+    /** The operator has evacuated the failure domain of the upstream. */
+    DOMAIN_EVACUATED,
     /** The upstream rejected a request and asked for none for some time. */
     PUSHED_BACK,
     /** The upstream did not respond, a short time ago. */
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -16,7 +16,8 @@
  * <p>Invariants: an upstream that is draining, says that it is about to stop, or was removed, is not a member of its service; an
  * incarnation that has said so never becomes a member again, whatever the list says. An entry that is removed
  * during an outage of the list, or within the grace period after it, has lapsed: a live upstream may only have been
- * unable to renew it, so it stays a member until the grace period ends. An entry of an earlier incarnation never
+ * unable to renew it, so it stays a member until the grace period ends. An upstream in an evacuated failure domain is no member
+ * while the order is in force, also if it is listed later. An entry of an earlier incarnation never
  * replaces one of a later incarnation. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamRegistry {
@@ -35,6 +36,7 @@
         }
     };
 
+    private final EvacuatedDomains evacuatedDomains = new EvacuatedDomains();
     private long outageEndNanos = Long.MIN_VALUE / 2;
     private boolean outage;
 
@@ -59,7 +61,7 @@
         Objects.requireNonNull(upstream, "upstream is null");
         final Registration registration = registrations.get(upstream.id());
         if (registration == null) {
-            final UpstreamState state = new UpstreamState(upstream, now);
+            final UpstreamState state = new UpstreamState(upstream, evacuatedDomains, now);
             if (leavingStarts.getOrDefault(upstream.id(), NO_START) >= upstream.startMillis()) {
                 state.markLeaving();
             }
@@ -103,6 +105,54 @@
         return RegistryChange.REMOVED;
     }
 
+    /**
+     * Applies an order to evacuate a failure domain.
+     *
+     * @param failureDomain name of the domain
+     * @param offset offset of the order in the operators' stream
+     * @return effect of the order
+     */
+    public EvacuationChange evacuate(String failureDomain, long offset) {
+        return evacuatedDomains.order(failureDomain, offset);
+    }
+
+    /**
+     * Applies the withdrawal of such an order. The caches of the upstreams may be empty and their load another one than before,
+     * so that what was observed of them is forgotten.
+     *
+     * @param failureDomain name of the domain
+     * @param offset offset of the withdrawal in the operators' stream
+     * @return effect of the withdrawal
+     */
+    public EvacuationChange restore(String failureDomain, long offset) {
+        final EvacuationChange change = evacuatedDomains.withdraw(failureDomain, offset);
+        if (change.effective()) {
+            upstreamsIn(failureDomain).forEach(UpstreamState::forgetObservations);
+        }
+        return change;
+    }
+
+    /**
+     * Returns the failure domains that are evacuated.
+     *
+     * @return names in alphabetical order
+     */
+    public Set<String> evacuatedDomains() {
+        return evacuatedDomains.names();
+    }
+
+    /**
+     * Returns the upstreams of a failure domain.
+     *
+     * @param failureDomain name of the domain
+     * @return states of all registered upstreams there, draining and lapsed ones included
+     */
+    public List<UpstreamState> upstreamsIn(String failureDomain) {
+        return all().stream()
+                .filter(state -> state.upstream().failureDomain().equals(failureDomain))
+                .toList();
+    }
+
     /** Records that the list cannot be read. */
     public void onOutageStart() {
         outage = true;
@@ -149,20 +199,37 @@
     }
 
     /**
-     * Returns the members of a service: its upstreams that are not about to stop, lapsed ones included.
+     * Returns the members of a service: its upstreams that are not about to stop and not in an evacuated failure domain, lapsed
+     * ones included.
      *
      * @param service name of the service
      * @return states of the members, in no particular order
      */
     public List<UpstreamState> members(String service) {
-        final List<UpstreamState> members = new ArrayList<>();
+        return remaining(service, false);
+    }
+
+    /**
+     * Returns the upstreams of a service that are no members only because their failure domain is evacuated.
+     *
+     * @param service name of the service
+     * @return states of the upstreams, in no particular order
+     */
+    public List<UpstreamState> evacuated(String service) {
+        return remaining(service, true);
+    }
+
+    private List<UpstreamState> remaining(String service, boolean evacuated) {
+        final List<UpstreamState> remaining = new ArrayList<>();
         for (final Registration registration : registrations.values()) {
-            final Upstream upstream = registration.state.upstream();
-            if (upstream.service().equals(service) && !registration.state.leaving()) {
-                members.add(registration.state);
+            final UpstreamState state = registration.state;
+            if (state.upstream().service().equals(service)
+                    && !state.leaving()
+                    && state.domainEvacuated() == evacuated) {
+                remaining.add(state);
             }
         }
-        return members;
+        return remaining;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -28,14 +28,16 @@
     private final LastLoadReport loadReport = new LastLoadReport();
     private final ObservedPerformance performance = new ObservedPerformance();
     private final long idHash;
+    private final EvacuatedDomains evacuatedDomains;
     private Upstream upstream;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
     private Optional<RequestPacer> pacer = Optional.empty();
     private boolean leaving;
     private long lastActivityNanos;
 
-    UpstreamState(Upstream upstream, long now) {
+    UpstreamState(Upstream upstream, EvacuatedDomains evacuatedDomains, long now) {
         this.upstream = Objects.requireNonNull(upstream, "upstream is null");
+        this.evacuatedDomains = Objects.requireNonNull(evacuatedDomains, "evacuatedDomains is null");
         idHash = Hashing.hash64(upstream.id());
         lastActivityNanos = now;
     }
@@ -175,6 +177,18 @@
         return changed;
     }
 
+    /** Returns whether the operator has evacuated the upstream's failure domain. */
+    boolean domainEvacuated() {
+        return evacuatedDomains.contains(upstream.failureDomain());
+    }
+
+    /** Forgets what was observed before the upstream was without requests for some time. Its circuit and limit are kept. */
+    void forgetObservations() {
+        cachedPrefixes.clear();
+        performance.reset();
+        loadReport.reset();
+    }
+
     private boolean setLimit(OptionalDouble limit) {
         final boolean changed = !requestsPerSecond.equals(limit);
         requestsPerSecond = limit;
@@ -301,6 +315,9 @@
         if (leaving()) {
             return Availability.LEAVING;
         }
+        if (domainEvacuated()) {
+            return Availability.DOMAIN_EVACUATED;
+        }
         if (circuit.pushedBack(now)) {
             return Availability.PUSHED_BACK;
         }
@@ -327,11 +344,14 @@
      * Returns whether a request that was assigned to the upstream before may still be written.
      *
      * @param now current time in nanoseconds
-     * @return {@code false} if the upstream has since said that it wants no requests, now or any more
+     * @return {@code false} if the upstream has since said that it wants no requests, now or any more, or the operator has
+     *     evacuated its failure domain
      */
     public boolean acceptsAssigned(long now) {
         final Availability availability = availability(now);
-        return availability != Availability.LEAVING && availability != Availability.PUSHED_BACK;
+        return availability != Availability.LEAVING
+                && availability != Availability.DOMAIN_EVACUATED
+                && availability != Availability.PUSHED_BACK;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -8,7 +8,7 @@
 
 /**
  * Decides whether the next attempt of one request starts now, and where: by the quarantine of its prompt segments, the upstreams
- * that are open, the limits that they state and the pauses that they ask for.
+ * that are open, the limits that they state, the pauses that they ask for and the failure domains that are evacuated.
  *
  * <p>Invariant: a request that waits is planned again soon; one that cannot start in time fails at once. Used on the event loop
  * only.
@@ -19,6 +19,9 @@
     /** Longest delay after which a caller is asked to repeat a request that no upstream has a place for. */
     private static final double MAX_RETRY_AFTER_SECONDS = 60;
 
+    /** Shortest delay after which a caller is asked to repeat a request while all its upstreams are evacuated. */
+    private static final double EVACUATED_RETRY_AFTER_SECONDS = 2;
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final UpstreamChooser chooser;
@@ -70,6 +73,9 @@
                     ? withoutDraft(choice.get(), admission, modelIndex, remainingMillis)
                     : new Send(choice.get(), admission, modelIndex);
         }
+        if (chooser.allEvacuated()) {
+            return evacuated();
+        }
         if (upstreamWait.blocked()) {
             return waitForUpstream(remainingMillis);
         }
@@ -86,6 +92,15 @@
                 context.quarantine().secondsUntil(admission));
     }
 
+    /** Returns the end of a request whose upstreams get none until the operator says otherwise, which may take long. */
+    private Fail evacuated() {
+        context.counters().add(GatewayCounters.Counter.EVACUATED_UNSERVED);
+        return new Fail(
+                "all upstreams are in evacuated failure domains: "
+                        + String.join(", ", context.state().registry().evacuatedDomains()),
+                EVACUATED_RETRY_AFTER_SECONDS * (1 + context.random().nextDouble()));
+    }
+
     /** Ends the wait of a request that has ended. */
     void close() {
         upstreamWait.end();
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -21,7 +21,8 @@
 import org.masticpaddle.kernel.Scheduler;
 
 /**
- * Follows the shared log and applies its records to the routing table, the rollouts and the upstream registry of a gateway.
+ * Follows the shared log and applies its records to the routing table, the rollouts, the evacuated failure domains and the
+ * upstream registry of a gateway.
  *
  * <p>Invariant: a record that cannot be decoded affects its own key only. Runs on the event loop.
  */
@@ -34,6 +35,7 @@
     private final Scheduler scheduler;
     private final DecisionLog log;
     private final ChangeListener listener;
+    private final EvacuationOrders evacuations;
     private final KeyedFollower operatorFollower;
     private final KeyedFollower upstreamFollower;
 
@@ -61,6 +63,7 @@
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.log = Objects.requireNonNull(log, "log is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
+        evacuations = new EvacuationOrders(state.registry(), listener::upstreamClosed, log);
         final StoreCadence cadence = state.bounds().storeCadence();
         operatorFollower = new KeyedFollower(
                 sharedLog,
@@ -132,6 +135,7 @@
                                 keyed.offset());
                     }
                 } else {
+                    evacuations.onOperatorRecord(decoded, keyed.offset());
                     listener.rolloutRecord(decoded, keyed.offset());
                 }
             } catch (UndecodableRecordException e) {
@@ -235,7 +239,7 @@
     /** Receives changes that concern other components of the gateway. */
     interface ChangeListener {
         /**
-         * Called when an upstream drains, was removed or was replaced by a new incarnation.
+         * Called when an upstream drains, was removed, was replaced by a new incarnation or is evacuated.
          *
          * @param origin origin of the upstream, whose idle connections must not be used again
          */
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
 
+import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.metrics.Gauge;
 
 /** Counters of a gateway since its start. Thread-safe. */
@@ -22,6 +23,13 @@
         counts.get(counter).increment();
     }
 
+    /** Counts a request that was taken back from the upstream chosen for it before it was sent. */
+    void addWithdrawn(Availability reason) {
+        if (reason == Availability.DOMAIN_EVACUATED) {
+            add(Counter.EVACUATED_MOVED);
+        }
+    }
+
     long value(Counter counter) {
         return counts.get(counter).sum();
     }
@@ -53,6 +61,8 @@
         ESCALATED("escalated", "drafts dropped for a larger model"),
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
+        EVACUATED_MOVED("evacuated_moved", "requests moved as the failure domain chosen for them was evacuated"),
+        EVACUATED_UNSERVED("evacuated_unserved", "requests ended as all upstreams stood in evacuated failure domains"),
         UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
         ANSWERS_DROPPED("answers_dropped", "answers of upstreams dropped since the memory for answers was used up"),
         STORE_CALLS("store_calls", "calls to the shared log"),
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -114,9 +114,9 @@
         upstreamsListed = true;
     }
 
-    /** Returns whether a routing table and the list of upstreams were read from the log. */
+    /** Returns whether a routing table, all orders of the operator and the list of upstreams were read from the log. */
     boolean started() {
-        return table.isPresent() && upstreamsListed;
+        return table.isPresent() && confirmedNanos.isPresent() && upstreamsListed;
     }
 
     /** Returns whether the gateway can serve requests, including those that need an API key. */
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -10,6 +10,7 @@
 
 import org.masticpaddle.admission.RetryAfterPolicy;
 import org.masticpaddle.decisions.Decision;
+import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.ReportChange;
 import org.masticpaddle.fleet.Upstream;
@@ -213,9 +214,11 @@
         return false;
     }
 
-    /** Takes back an attempt whose upstream has said, since it was chosen, that it wants no requests. */
+    /** Takes back an attempt whose upstream may no longer get it, since it said so or its failure domain was evacuated. */
     private void withdraw(Attempt chosen) {
-        lastFailure = "the upstream is " + chosen.upstream().availability(now());
+        final Availability reason = chosen.upstream().availability(now());
+        lastFailure = "the upstream is " + reason;
+        context.counters().addWithdrawn(reason);
         chosen.cancel();
         endAttempt(AttemptEnd.NOT_RUN);
         sentAttempts--;
--- a/src/main/java/org/masticpaddle/gateway/UpstreamChooser.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamChooser.java
@@ -107,6 +107,22 @@
                 .findFirst();
     }
 
+    /**
+     * Returns whether the request has no upstream left only because failure domains are evacuated. The last choice determines the
+     * versions that count.
+     */
+    boolean allEvacuated() {
+        return context.state().registry().members(service).stream().noneMatch(this::mayRun)
+                && context.state().registry().evacuated(service).stream().anyMatch(this::mayRun);
+    }
+
+    private boolean mayRun(UpstreamState member) {
+        return eligible.preferred()
+                .or(eligible.permitted())
+                .or(eligible.lastResort())
+                .test(member.upstream());
+    }
+
     /**
      * Returns the versions that may run the request now. Until half of its time has passed, a request waits for an upstream of
      * its version rather than run on another one, as long as its version has upstreams and has not failed it.
--- a/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.fleet;
 
 import java.net.URI;
+import java.util.List;
 
 import org.junit.jupiter.api.Test;
 
@@ -89,6 +90,46 @@
         assertThat(registry.members("s")).hasSize(1);
     }
 
+    @Test
+    void shouldExcludeUpstreamsOfAnEvacuatedFailureDomainThatAreListedBeforeOrLater() {
+        registry.applyEntry(upstream("before", 5, false), 0);
+        assertThat(registry.evacuate("d", 3)).isEqualTo(EvacuationChange.ORDERED);
+        registry.applyEntry(upstream("later", 5, false), 1);
+        registry.applyEntry(upstream("later", 6, false), 1);
+        registry.applyEntry(upstream("draining", 5, true), 1);
+        registry.applyEntry(
+                new Upstream("elsewhere", "s", URI.create("http://127.0.0.1:1"), "e", "v1", 8, false, 1), 1);
+        assertThat(registry.members("s").stream().map(state -> state.upstream().id()))
+                .containsExactly("elsewhere");
+        assertThat(registry.evacuated("s").stream()
+                        .map(state -> state.upstream().id()))
+                .containsExactly("before", "later");
+        assertThat(registry.upstreamsIn("d")).hasSize(3);
+        assertThat(registry.evacuatedDomains()).containsExactly("d");
+        assertThat(registry.restore("d", 2)).isEqualTo(EvacuationChange.STALE);
+        assertThat(registry.restore("d", 4)).isEqualTo(EvacuationChange.WITHDRAWN);
+        assertThat(registry.members("s")).hasSize(3);
+        assertThat(registry.evacuated("s")).isEmpty();
+    }
+
+    @Test
+    void shouldForgetWhatWasObservedBeforeAnEvacuationButNotAnOpenCircuit() {
+        registry.applyEntry(upstream("a", 5, false), 0);
+        final UpstreamState state = registry.find("a").orElseThrow();
+        final List<PromptSegment> prompt = List.of(new PromptSegment("system", 100));
+        state.assign("m", prompt, 100, 10, 1_000, 0);
+        state.onReport(SelfReports.load(6, 2, 8), true, false, 0);
+        state.onUnreachable(0);
+        registry.evacuate("d", 3);
+        assertThat(state.cachedTokens("m", prompt)).isEqualTo(100);
+        registry.restore("d", 4);
+        assertThat(state.cachedTokens("m", prompt)).isEqualTo(0);
+        assertThat(state.loadReport().freshness(1)).isEqualTo(0.0);
+        assertThat(state.performance().failureRate(1)).isEqualTo(0.0);
+        assertThat(state.availability(1)).isEqualTo(Availability.CIRCUIT_OPEN);
+        assertThat(state.inFlight()).isEqualTo(1);
+    }
+
     static Upstream upstream(String id, long startMillis, boolean draining) {
         return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, draining, startMillis);
     }
--- a/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamStateTest.java
@@ -13,7 +13,9 @@
 class UpstreamStateTest {
     private static final long SECOND_NANOS = 1_000_000_000L;
 
-    private final UpstreamState state = new UpstreamState(UpstreamRegistryTest.upstream("a", 1, false), 0);
+    private final EvacuatedDomains evacuatedDomains = new EvacuatedDomains();
+    private final UpstreamState state =
+            new UpstreamState(UpstreamRegistryTest.upstream("a", 1, false), evacuatedDomains, 0);
 
     @Test
     void shouldOpenTheCircuitAfterAFailureAndAllowOneProbeLater() {
@@ -124,6 +126,26 @@
         assertThat(state.pauseNanos(0)).isEqualTo(600 * SECOND_NANOS);
     }
 
+    @Test
+    void shouldGetNoRequestWhileItsFailureDomainIsEvacuated() {
+        state.onReport(report(false, 1.5), false, true, 0);
+        evacuatedDomains.order("d", 1);
+        // The pause ends before the evacuation does.
+        assertThat(state.availability(0)).isEqualTo(Availability.DOMAIN_EVACUATED);
+        assertThat(state.availability(0).temporary()).isFalse();
+        assertThat(state.places(2 * SECOND_NANOS)).isEqualTo(0);
+        assertThat(state.acceptsAssigned(2 * SECOND_NANOS)).isFalse();
+        state.update(UpstreamRegistryTest.upstream("a", 2, false));
+        assertThat(state.acceptsAssigned(2 * SECOND_NANOS)).isFalse();
+        state.update(UpstreamRegistryTest.upstream("a", 2, true));
+        assertThat(state.availability(2 * SECOND_NANOS)).isEqualTo(Availability.LEAVING);
+        state.update(UpstreamRegistryTest.upstream("a", 3, false));
+        evacuatedDomains.withdraw("d", 2);
+        assertThat(state.acceptsAssigned(2 * SECOND_NANOS)).isTrue();
+        evacuatedDomains.order("other", 3);
+        assertThat(state.availability(2 * SECOND_NANOS)).isEqualTo(Availability.AVAILABLE);
+    }
+
     private static SelfReport report(boolean leaving, double notBeforeSeconds) {
         return SelfReports.pause(leaving, notBeforeSeconds);
     }
--- a/src/test/java/org/masticpaddle/gateway/FakeStreams.java
+++ b/src/test/java/org/masticpaddle/gateway/FakeStreams.java
@@ -33,6 +33,10 @@
         logs.values().forEach(log -> log.setUnavailable(unavailable));
     }
 
+    FakeSharedLog log(LogStream stream) {
+        return logs.get(stream);
+    }
+
     List<RolloutProgress> statuses() {
         return writtenStatuses;
     }
--- a/src/test/java/org/masticpaddle/gateway/TextControlCodec.java
+++ b/src/test/java/org/masticpaddle/gateway/TextControlCodec.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.gateway;
 
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 
 import org.masticpaddle.control.ControlCodec;
@@ -9,16 +10,23 @@
 import org.masticpaddle.control.RolloutStatus;
 import org.masticpaddle.fleet.Upstream;
 
-/** Encodes a status as space-separated text. */
+/**
+ * Encodes records as text. The key of an operator's record is the failure domain that it evacuates, the value of an upstream is
+ * its failure domain.
+ */
 final class TextControlCodec implements ControlCodec {
     @Override
     public OperatorRecord operatorRecord(KeyedRecord keyed) {
-        throw new UnsupportedOperationException();
+        return keyed.tombstone()
+                ? new OperatorRecord.EvacuationWithdrawn(keyed.key())
+                : new OperatorRecord.EvacuationOrder(keyed.key());
     }
 
     @Override
     public Upstream upstream(KeyedRecord keyed) {
-        throw new UnsupportedOperationException();
+        final String failureDomain = new String(keyed.value(), StandardCharsets.UTF_8);
+        return new Upstream(
+                keyed.key(), "s", URI.create("http://" + keyed.key() + ":1"), failureDomain, "v1", 8, false, 1);
     }
 
     @Override
