--- a/src/test/java/org/masticpaddle/fleet/WorkPaceTest.java
+++ b/src/test/java/org/masticpaddle/fleet/WorkPaceTest.java
@@ -46,7 +46,8 @@
 
     @Test
     void shouldForgetAnEarlierIncarnation() {
-        final UpstreamState state = new UpstreamState(UpstreamRegistryTest.upstream("a", 1, false), 0);
+        final UpstreamState state =
+                new UpstreamState(UpstreamRegistryTest.upstream("a", 1, false), new EvacuatedDomains(), 0);
         state.onReport(SelfReports.workFactor(4), true, false, 0);
         assertThat(state.loadReport().workPace().level()).isEqualTo(4.0);
         state.update(UpstreamRegistryTest.upstream("a", 2, false));
