--- a/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -54,6 +55,10 @@
             random,
             () -> 0,
             log);
+    private final GatewayContext context = context();
+    private final AdmittedRequest admitted = admitted();
+    private final RequestModels models = new RequestModels(state, admitted, SERVICE);
+    private final UpstreamChooser chooser = new UpstreamChooser(context, admitted, SERVICE, models);
     private final AttemptPlanner planner = planner();
 
     @Test
@@ -93,6 +98,43 @@
         assertThat(state.limits().queue(SERVICE).size()).isEqualTo(0);
     }
 
+    @Test
+    void shouldUseThePermitsOfTheOtherUpstreamsOnly() {
+        final UpstreamState evacuated = add("a", "v1");
+        final UpstreamState limited = add("b", "v1");
+        for (final UpstreamState each : List.of(evacuated, limited)) {
+            each.onReport(SelfReports.load(1, 0, 8, OptionalDouble.of(4)), true, false, scheduler.nanos());
+        }
+        evacuated.pace(1_000, 1, scheduler.nanos());
+        limited.pace(4, 0, scheduler.nanos());
+        state.registry().evacuate("a", 1);
+        assertThat(plan(0)).isEqualTo(AttemptPlanner.Recheck.INSTANCE);
+        scheduler.advance(260);
+        assertThat(planned()).isEqualTo("b");
+    }
+
+    /** The trial of a suspected prompt prefers the upstream with the fewest requests, which an evacuated one has. */
+    @Test
+    void shouldNotTryASuspectedPromptInAnEvacuatedDomain() {
+        add("a", "v1");
+        add("b", "v1").assign("", List.of(), 0, 0, 0, scheduler.nanos());
+        assertThat(chooser.choose("", 0, true, true)
+                        .orElseThrow()
+                        .member()
+                        .upstream()
+                        .id())
+                .isEqualTo("a");
+        state.registry().evacuate("a", 1);
+        assertThat(chooser.choose("", 0, true, true)
+                        .orElseThrow()
+                        .member()
+                        .upstream()
+                        .id())
+                .isEqualTo("b");
+        assertThat(chooser.bestPreferred(0).orElseThrow().member().upstream().id())
+                .isEqualTo("b");
+    }
+
     @Test
     void shouldTreatAVersionInEvacuatedDomainsAsOneWithoutUpstreams() {
         add("a", "v1").tripCircuit(scheduler.nanos());
@@ -133,8 +175,8 @@
         return ((AttemptPlanner.Send) plan(0)).choice().member().upstream().id();
     }
 
-    private AttemptPlanner planner() {
-        final GatewayContext context = new GatewayContext(
+    private GatewayContext context() {
+        return new GatewayContext(
                 scheduler,
                 new HttpClient(1),
                 new UpstreamHealthProbe(
@@ -149,9 +191,9 @@
                 log,
                 counters,
                 random);
-        final AdmittedRequest admitted = admitted();
-        final RequestModels models = new RequestModels(state, admitted, SERVICE);
-        final UpstreamChooser chooser = new UpstreamChooser(context, admitted, SERVICE, models);
+    }
+
+    private AttemptPlanner planner() {
         return new AttemptPlanner(
                 context,
                 admitted,
