--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -82,11 +82,22 @@
 
     /** Makes another upstream of the new version known to all gateways. */
     Upstream addNewUpstream(String id) {
-        final Upstream upstream = upstream(id, NEW.version());
+        return addNewUpstream(id, NEW.failureDomain());
+    }
+
+    /** Makes another upstream of the new version in a failure domain known to all gateways. */
+    Upstream addNewUpstream(String id, String failureDomain) {
+        final Upstream upstream =
+                new Upstream(id, "s", URI.create("http://127.0.0.1:1"), failureDomain, NEW.version(), 8, false, 1);
         registries.forEach(registry -> registry.applyEntry(upstream, scheduler.nanos()));
         return upstream;
     }
 
+    /** Evacuates a failure domain at all gateways. */
+    void evacuate(String failureDomain, long offset) {
+        registries.forEach(registry -> registry.evacuate(failureDomain, offset));
+    }
+
     /** Gives the order for the new version to one gateway. */
     void order(int gatewayIndex) {
         gateways.get(gatewayIndex)
