Limit the requests that cold upstreams get from all gateways together

Cause: an upstream that has just started, or turned cold later, bears few requests a second and crashes well above that. What the list, the responses and the configuration say of it was not read, and every gateway sent as much as it wanted.

Change: ColdAllowance says until when an upstream is cold and holds the permits of a gateway for it, ColdLimit the rate at which they come by the gateway's share of the traffic, ColdUpstreams applies both. The permits join the circuit, pauses and stated limits in UpstreamState.availability. A gateway that does not know its share sends nothing to a cold upstream while another one is open. RequestPacer takes the lifetime of its permits. Settings cold_overage and cold_slack; without them, or with a rate of 0, nothing changes. Values that cannot be read protect the upstream.

--- a/src/main/java/org/masticpaddle/admission/TrafficShare.java
+++ b/src/main/java/org/masticpaddle/admission/TrafficShare.java
@@ -1,5 +1,7 @@
 package org.masticpaddle.admission;
 
+import java.util.OptionalDouble;
+
 /**
  * Estimates the share of one gateway in the traffic of a service from requests in flight: its own, and those that the upstreams
  * report for all gateways together.
@@ -21,6 +23,8 @@
     private static final double MIN_IN_FLIGHT = 0.1;
     /** Share if no upstream reports its load; the sum is kept by up to 50 gateways. */
     static final double UNKNOWN_SHARE = 0.02;
+    /** Time after the last observation for which the share is known. */
+    private static final long KNOWN_NANOS = 10_000_000_000L;
     /** Part of the requests in flight by which requests that wait for a permit may raise the share. */
     private static final double WAITING_FRACTION = 0.1;
 
@@ -47,6 +51,19 @@
         observed = true;
     }
 
+    /**
+     * Returns the share of this gateway by its own traffic alone. Unlike {@link #share}, it has no lower limit, so that the sum
+     * does not grow with the number of gateways.
+     *
+     * @param now current time in nanoseconds
+     * @return share between 0 and 1; empty without a recent observation
+     */
+    public OptionalDouble observedShare(long now) {
+        return observed && now - updatedNanos < KNOWN_NANOS
+                ? OptionalDouble.of(Math.min(1, own / Math.max(1 + total, own)))
+                : OptionalDouble.empty();
+    }
+
     /**
      * Returns the share of this gateway.
      *
--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -30,6 +30,8 @@
     UPSTREAM_LIMIT_CHANGED("upstream.limit", Priority.IMPORTANT),
     /** An upstream says that it is about to stop, or that it wants no requests for some time. */
     UPSTREAM_REPORTED("upstream.reported", Priority.IMPORTANT),
+    /** An upstream was found to be cold, or is no longer. */
+    UPSTREAM_COLD("upstream.cold", Priority.IMPORTANT),
     /** A rollout started, progressed or ended. */
     ROLLOUT_CHANGED("rollout.changed", Priority.IMPORTANT),
     /** An answer was counted as evidence for or against the version of a rollout. */
--- a/src/main/java/org/masticpaddle/fleet/Availability.java
+++ b/src/main/java/org/masticpaddle/fleet/Availability.java
@@ -15,7 +15,9 @@
     /** The upstream has to respond to the request in flight before it gets another one. */
     PROBED,
     /** The share of this gateway in the limit that the upstream states is used up. */
-    NO_PERMIT;
+    NO_PERMIT,
+    /** The upstream is cold, and this gateway's part of the requests that it may get now is used up. */
+    NO_COLD_PERMIT;
 
     /**
      * Returns whether the upstream is expected to take work again after a time that is known.
@@ -23,6 +25,6 @@
      * @return {@code true} if a request may wait for this upstream
      */
     public boolean temporary() {
-        return this == PUSHED_BACK || this == NO_PERMIT;
+        return this == PUSHED_BACK || this == NO_PERMIT || this == NO_COLD_PERMIT;
     }
 }
--- a/src/main/java/org/masticpaddle/fleet/RequestPacer.java
+++ b/src/main/java/org/masticpaddle/fleet/RequestPacer.java
@@ -11,9 +11,10 @@
  * constant. Not thread-safe: confined to the thread of its owner.
  */
 final class RequestPacer {
-    /** Time for which a permit can be used. */
+    /** Time for which a permit can be used, unless another one is given. */
     static final long PERMIT_LIFETIME_NANOS = 1_000_000_000L;
 
+    private final long lifetimeNanos;
     private final Deque<Long> permits = new ArrayDeque<>();
     private double permitsPerSecond;
     private double nextPermitShare;
@@ -26,6 +27,18 @@
      *     permits are spread over time
      */
     RequestPacer(double permitsPerSecond, double phase, long now) {
+        this(permitsPerSecond, phase, PERMIT_LIFETIME_NANOS, now);
+    }
+
+    /**
+     * Creates a pacer without permits.
+     *
+     * @param phase part of the first permit that is already due, between 0 and 1
+     * @param lifetimeNanos time for which a permit can be used; in any second, as many requests can be sent as permits become
+     *     due in a second and this time
+     */
+    RequestPacer(double permitsPerSecond, double phase, long lifetimeNanos, long now) {
+        this.lifetimeNanos = lifetimeNanos;
         this.permitsPerSecond = permitsPerSecond;
         nextPermitShare = phase;
         updatedNanos = now;
@@ -59,13 +72,13 @@
         updatedNanos = Math.max(now, updatedNanos);
         nextPermitShare += elapsedNanos * permitsPerSecond / 1e9;
         // Permits that have expired meanwhile are not created.
-        final double usable = permitsPerSecond * PERMIT_LIFETIME_NANOS / 1e9 + 1;
+        final double usable = permitsPerSecond * lifetimeNanos / 1e9 + 1;
         nextPermitShare -= Math.max(0, Math.floor(nextPermitShare - usable));
         while (nextPermitShare >= 1) {
             nextPermitShare -= 1;
             permits.addLast(now - (long) (nextPermitShare * 1e9 / permitsPerSecond));
         }
-        while (!permits.isEmpty() && now - permits.peekFirst() >= PERMIT_LIFETIME_NANOS) {
+        while (!permits.isEmpty() && now - permits.peekFirst() >= lifetimeNanos) {
             permits.removeFirst();
         }
     }
--- a/src/main/java/org/masticpaddle/fleet/SelfReport.java
+++ b/src/main/java/org/masticpaddle/fleet/SelfReport.java
@@ -14,6 +14,7 @@
  * @param notBeforeSeconds time in seconds, from the response on, in which it wants no request of this gateway; empty if it asks
  *     for none, which matters only if the response rejects a request
  * @param keepAliveSeconds keep-alive timeout of the connection in seconds, empty if it announces none
+ * @param coldLeftMillis time in milliseconds, from the response on, for which it says that it is cold; empty if it says nothing
  * @param unreadableValues number of values that could not be read and count as absent
  */
 public record SelfReport(
@@ -22,10 +23,17 @@
         boolean leaving,
         OptionalDouble notBeforeSeconds,
         OptionalLong keepAliveSeconds,
+        OptionalLong coldLeftMillis,
         int unreadableValues) {
     /** Report of an upstream that says nothing of itself. */
     public static final SelfReport NONE = new SelfReport(
-            Optional.empty(), OptionalDouble.empty(), false, OptionalDouble.empty(), OptionalLong.empty(), 0);
+            Optional.empty(),
+            OptionalDouble.empty(),
+            false,
+            OptionalDouble.empty(),
+            OptionalLong.empty(),
+            OptionalLong.empty(),
+            0);
 
     /** Checks the arguments. */
     public SelfReport {
@@ -33,5 +41,6 @@
         Objects.requireNonNull(requestsPerSecond, "requestsPerSecond is null");
         Objects.requireNonNull(notBeforeSeconds, "notBeforeSeconds is null");
         Objects.requireNonNull(keepAliveSeconds, "keepAliveSeconds is null");
+        Objects.requireNonNull(coldLeftMillis, "coldLeftMillis is null");
     }
 }
--- a/src/main/java/org/masticpaddle/fleet/Upstream.java
+++ b/src/main/java/org/masticpaddle/fleet/Upstream.java
@@ -15,6 +15,8 @@
  * @param draining whether it finishes its requests and accepts no new ones
  * @param startMillis start of the instance in milliseconds since 1970; a higher value denotes a later incarnation with
  *     the same identifier
+ * @param coldLeftMillis time in milliseconds, from when the entry was written, for which it says that it is cold; 0 if it does
+ *     not say so
  */
 public record Upstream(
         String id,
@@ -24,7 +26,8 @@
         String version,
         int slots,
         boolean draining,
-        long startMillis) {
+        long startMillis,
+        long coldLeftMillis) {
     /** Checks the arguments. */
     public Upstream {
         Objects.requireNonNull(id, "id is null");
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -37,6 +37,7 @@
 
     private long outageEndNanos = Long.MIN_VALUE / 2;
     private boolean outage;
+    private boolean listed;
 
     /**
      * Creates an empty registry.
@@ -63,6 +64,10 @@
             if (leavingStarts.getOrDefault(upstream.id(), NO_START) >= upstream.startMillis()) {
                 state.markLeaving();
             }
+            if (listed) {
+                state.cold().recordStart(now);
+            }
+            state.cold().recordListed(upstream.coldLeftMillis(), now);
             registrations.put(upstream.id(), new Registration(state));
             return upstream.draining() ? RegistryChange.LEAVING : RegistryChange.ADDED;
         }
@@ -73,6 +78,10 @@
         final boolean renewed = registration.lapsed;
         registration.lapsed = false;
         registration.state.update(upstream);
+        if (upstream.startMillis() > previous.startMillis()) {
+            registration.state.cold().recordStart(now);
+        }
+        registration.state.cold().recordListed(upstream.coldLeftMillis(), now);
         if (upstream.startMillis() > previous.startMillis()) {
             return RegistryChange.REBORN;
         }
@@ -103,6 +112,11 @@
         return RegistryChange.REMOVED;
     }
 
+    /** Records that the list was read whole; an upstream that is listed for the first time after that has just started. */
+    public void markListed() {
+        listed = true;
+    }
+
     /** Records that the list cannot be read. */
     public void onOutageStart() {
         outage = true;
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -27,6 +27,7 @@
     private final UpstreamCircuit circuit = new UpstreamCircuit();
     private final LastLoadReport loadReport = new LastLoadReport();
     private final ObservedPerformance performance = new ObservedPerformance();
+    private final ColdAllowance cold = new ColdAllowance();
     private final long idHash;
     private Upstream upstream;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
@@ -96,6 +97,7 @@
         inFlightRequests.add(request);
         circuit.onSent(request);
         pacer.ifPresent(each -> each.take(now));
+        cold.take(now);
         return request;
     }
 
@@ -155,6 +157,7 @@
         if (selfReport.leaving() && markLeaving()) {
             changes.add(ReportChange.LEAVING);
         }
+        selfReport.coldLeftMillis().ifPresent(millis -> cold.recordReported(millis, now));
         final double pauseSeconds = rejected ? selfReport.notBeforeSeconds().orElse(0) : 0;
         if (pauseSeconds > 0
                 && circuit.pushBack(now + (long) (Math.min(pauseSeconds, MAX_PAUSE_SECONDS) * NANOS_PER_SECOND))) {
@@ -222,7 +225,7 @@
         if (circuit.recovering()) {
             return 1;
         }
-        return pacer.map(each -> each.available(now)).orElse(Integer.MAX_VALUE);
+        return Math.min(pacer.map(each -> each.available(now)).orElse(Integer.MAX_VALUE), cold.permits(now));
     }
 
     /**
@@ -234,6 +237,28 @@
         return pacer.map(RequestPacer::permitsPerSecond).orElse(0.0);
     }
 
+    /**
+     * Returns the rate of permits, those of a cold upstream included.
+     *
+     * @param now current time in nanoseconds
+     * @return requests a second that this gateway may send, 0 if neither a stated limit nor coldness limits them
+     */
+    public double permitsPerSecond(long now) {
+        if (!cold.cold(now)) {
+            return permitsPerSecond();
+        }
+        return pacer.isEmpty() ? cold.permitsPerSecond() : Math.min(cold.permitsPerSecond(), permitsPerSecond());
+    }
+
+    /**
+     * Returns whether the upstream is cold and what it may get then.
+     *
+     * @return live object
+     */
+    public ColdAllowance cold() {
+        return cold;
+    }
+
     private boolean permitted(long now) {
         return pacer.isEmpty() || pacer.get().available(now) > 0;
     }
@@ -310,7 +335,10 @@
         if (circuit.probing()) {
             return Availability.PROBED;
         }
-        return permitted(now) ? Availability.AVAILABLE : Availability.NO_PERMIT;
+        if (!permitted(now)) {
+            return Availability.NO_PERMIT;
+        }
+        return cold.permits(now) > 0 ? Availability.AVAILABLE : Availability.NO_COLD_PERMIT;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -170,6 +170,7 @@
             try {
                 final Upstream upstream = codec.upstream(keyed);
                 final RegistryChange change = state.registry().applyEntry(upstream, scheduler.nanos());
+                listener.upstreamListed(upstream);
                 if (change != RegistryChange.UNCHANGED) {
                     log.write(
                             Decision.UPSTREAM_CHANGED,
@@ -234,6 +235,13 @@
 
     /** Receives changes that concern other components of the gateway. */
     interface ChangeListener {
+        /**
+         * Called when an entry of the list was applied.
+         *
+         * @param upstream decoded entry, which the registry may have ignored as stale
+         */
+        void upstreamListed(Upstream upstream);
+
         /**
          * Called when an upstream drains, was removed or was replaced by a new incarnation.
          *
--- a/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
@@ -20,6 +20,8 @@
  * @param exposureShare fraction of a service's requests that a bad version may get during a rollout
  * @param exposureSlack requests that a bad version may get beyond that fraction
  * @param session longest time between two requests of a session
+ * @param coldOverage factor by which a cold upstream may get more requests in a second than it states; 0 for no limit
+ * @param coldSlack requests in a second that a cold upstream may get beyond that
  */
 public record GatewayBounds(
         Duration keyRevocation,
@@ -31,7 +33,9 @@
         Duration retryWindow,
         double exposureShare,
         double exposureSlack,
-        Duration session) {
+        Duration session,
+        double coldOverage,
+        double coldSlack) {
     /** Checks the arguments. */
     public GatewayBounds {
         Objects.requireNonNull(keyRevocation, "keyRevocation is null");
@@ -59,7 +63,9 @@
                 settings.decimalSeconds(Setting.RETRY_WINDOW_SECONDS),
                 settings.share(Setting.EXPOSURE_SHARE),
                 settings.decimal(Setting.EXPOSURE_SLACK),
-                settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS));
+                settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS),
+                settings.decimal(Setting.COLD_OVERAGE),
+                settings.decimal(Setting.COLD_SLACK));
     }
 
     /** Returns the timing of the reads of the shared log that these limits permit. */
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -53,6 +53,8 @@
         ESCALATED("escalated", "drafts dropped for a larger model"),
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
+        COLD_PERIODS("cold_periods", "times at which an upstream was found to be cold"),
+        SENT_COLD("sent_cold", "requests sent to cold upstreams"),
         UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
         ANSWERS_DROPPED("answers_dropped", "answers of upstreams dropped since the memory for answers was used up"),
         STORE_CALLS("store_calls", "calls to the shared log"),
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -18,6 +18,7 @@
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
+import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.kernel.Kernel;
 import org.masticpaddle.kernel.PeriodicTasks;
 import org.masticpaddle.kernel.Service;
@@ -85,6 +86,7 @@
     private final GatewayCounters counters = new GatewayCounters();
     private final CountedSharedLog sharedLog;
     private final UpstreamHealthProbe healthProbe;
+    private final ColdUpstreams coldUpstreams;
     private volatile GatewayBounds bounds;
     private final HttpServer server;
     private final PeriodicTasks periodicTasks;
@@ -125,6 +127,7 @@
                 random,
                 System::currentTimeMillis,
                 log);
+        coldUpstreams = new ColdUpstreams(state, random, log, counters);
         healthProbe = new UpstreamHealthProbe(client::checkReachable, client::closeIdle, loop, log, UNRESPONSIVE_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
@@ -144,6 +147,11 @@
                 new GatewayHandler(context, () -> state.started() && rollouts.progressKnown() && quarantine.caughtUp());
         logFollower = new ControlLogFollower(
                 state, sharedLog, ports.recordCodec(), loop, random, log, new ControlLogFollower.ChangeListener() {
+                    @Override
+                    public void upstreamListed(Upstream upstream) {
+                        coldUpstreams.update(upstream.id(), loop.nanos());
+                    }
+
                     @Override
                     public void upstreamClosed(URI origin) {
                         client.closeIdle(origin);
@@ -291,6 +299,7 @@
                 .add("rollouts", rollouts::tick)
                 .add("quarantine", quarantine::tick)
                 .add("stated limits", () -> state.limits().tick(loop.nanos()))
+                .add("cold upstreams", () -> coldUpstreams.tick(loop.nanos()))
                 .add("idle connections", client::closeExpired)
                 .add("health probe", () -> state.registry().all().forEach(healthProbe::probeIfUnresponsive));
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -112,6 +112,7 @@
     /** Records that the list of upstreams was read from the log. */
     void markUpstreamsListed() {
         upstreamsListed = true;
+        registry.markListed();
     }
 
     /** Returns whether a routing table and the list of upstreams were read from the log. */
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -44,6 +44,9 @@
             long remainingMillis) {
         final UpstreamState upstream = choice.member();
         final InboundRequest request = admitted.request();
+        if (upstream.cold().cold(now())) {
+            context.counters().add(GatewayCounters.Counter.SENT_COLD);
+        }
         context.log()
                 .write(
                         Decision.REQUEST_SENT,
@@ -91,6 +94,8 @@
                         upstream.loadReport().ageMillis(now()),
                         "permits_per_second",
                         upstream.limit().isPresent() ? upstream.permitsPerSecond() : null,
+                        "cold_permits_per_second",
+                        upstream.cold().cold(now()) ? upstream.cold().permitsPerSecond() : null,
                         "configuration",
                         admitted.table().version(),
                         "left_ms",
--- a/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
@@ -69,13 +69,19 @@
         return share(service).share(0);
     }
 
+    /** Returns the part of this gateway in the traffic of a service by its own traffic alone, empty if it is not known now. */
+    OptionalDouble observedShare(String service, long now) {
+        return share(service).observedShare(now);
+    }
+
     private TrafficShare share(String service) {
         return shares.computeIfAbsent(service, name -> new TrafficShare());
     }
 
     private void observe(String service, List<UpstreamState> members, long now) {
         final Map<Boolean, List<UpstreamState>> byLimit = members.stream()
-                .collect(Collectors.partitioningBy(member -> member.limit().isPresent()));
+                .collect(Collectors.partitioningBy(
+                        member -> member.limit().isPresent() || member.cold().cold(now)));
         final OptionalDouble unlimited = reportedMean(byLimit.get(false), now);
         final OptionalDouble limited = reportedMean(byLimit.get(true), now);
         if (unlimited.isEmpty() && limited.isEmpty()) {
--- a/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
@@ -54,8 +54,9 @@
             return 0;
         }
         final long now = scheduler.nanos();
-        final double permitsPerSecond =
-                members().stream().mapToDouble(UpstreamState::permitsPerSecond).sum();
+        final double permitsPerSecond = members().stream()
+                .mapToDouble(member -> member.permitsPerSecond(now))
+                .sum();
         final double permitMillis = permitsPerSecond <= 0 ? Double.MAX_VALUE : missing * 1_000 / permitsPerSecond;
         final List<Long> pauses = members().stream()
                 .map(member -> member.pauseNanos(now))
@@ -103,7 +104,7 @@
 
     private static boolean recovers(UpstreamState member, long now) {
         return member.availability(now) == Availability.PROBED
-                || member.places(now) == 1 && member.permitsPerSecond() == 0;
+                || member.places(now) == 1 && member.permitsPerSecond(now) == 0;
     }
 
     private int ahead() {
--- a/src/main/java/org/masticpaddle/routes/ServicePolicy.java
+++ b/src/main/java/org/masticpaddle/routes/ServicePolicy.java
@@ -11,9 +11,17 @@
  * @param tokenCapacity number of tokens that an engine holds in memory, 0 for plain services
  * @param tokensPerEvent number of tokens in one event of a stream, at least 1
  * @param modelCosts price of 1,000 generated tokens, by model name
+ * @param coldSeconds time in seconds for which an upstream is cold after it has started during traffic
+ * @param coldRequestsPerSecond requests a second that a cold upstream accepts from all gateways together; 0 for no limit
  */
 public record ServicePolicy(
-        String name, int maxConnections, long tokenCapacity, int tokensPerEvent, Map<String, Double> modelCosts) {
+        String name,
+        int maxConnections,
+        long tokenCapacity,
+        int tokensPerEvent,
+        Map<String, Double> modelCosts,
+        double coldSeconds,
+        double coldRequestsPerSecond) {
     /** Checks the arguments and copies the map. */
     public ServicePolicy {
         Objects.requireNonNull(name, "name is null");
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -240,6 +240,20 @@
             SettingType.NON_NEGATIVE_DECIMAL,
             "5",
             "maximum time between two requests of a session"),
+    /** Factor of the requests that cold upstreams receive, over all gateways together. */
+    COLD_OVERAGE(
+            "gateway",
+            "cold_overage",
+            SettingType.NON_NEGATIVE_DECIMAL,
+            "0",
+            "factor of the stated rate at which a cold upstream receives requests, 0 for no limit"),
+    /** Number of requests per second beyond {@link #COLD_OVERAGE}, over all gateways together. */
+    COLD_SLACK(
+            "gateway",
+            "cold_slack",
+            SettingType.NON_NEGATIVE_DECIMAL,
+            "0",
+            "requests that a cold upstream receives in a second beyond that rate"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/test/java/org/masticpaddle/fleet/SelfReports.java
+++ b/src/test/java/org/masticpaddle/fleet/SelfReports.java
@@ -36,6 +36,7 @@
                 false,
                 OptionalDouble.empty(),
                 OptionalLong.empty(),
+                OptionalLong.empty(),
                 0);
     }
 
@@ -48,6 +49,29 @@
      */
     public static SelfReport pause(boolean leaving, double seconds) {
         return new SelfReport(
-                Optional.empty(), OptionalDouble.empty(), leaving, OptionalDouble.of(seconds), OptionalLong.empty(), 0);
+                Optional.empty(),
+                OptionalDouble.empty(),
+                leaving,
+                OptionalDouble.of(seconds),
+                OptionalLong.empty(),
+                OptionalLong.empty(),
+                0);
+    }
+
+    /**
+     * Creates a report that says for how long the upstream is cold.
+     *
+     * @param leftMillis time for which it is cold in milliseconds
+     * @return report without a load
+     */
+    public static SelfReport cold(long leftMillis) {
+        return new SelfReport(
+                Optional.empty(),
+                OptionalDouble.empty(),
+                false,
+                OptionalDouble.empty(),
+                OptionalLong.empty(),
+                OptionalLong.of(leftMillis),
+                0);
     }
 }
--- a/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
@@ -90,6 +90,6 @@
     }
 
     static Upstream upstream(String id, long startMillis, boolean draining) {
-        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, draining, startMillis);
+        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, draining, startMillis, 0);
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/CrashingDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/CrashingDeployment.java
@@ -198,7 +198,8 @@
                     "v1",
                     64,
                     false,
-                    startMillis);
+                    startMillis,
+                    0);
         }
 
         void crash() {
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -4,21 +4,26 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.SelfReports;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
+import org.masticpaddle.routes.RequestLimits;
+import org.masticpaddle.routes.RoutingTable;
+import org.masticpaddle.routes.ServicePolicy;
 
 /**
- * Gateways and engines in virtual time, some of which state a limit of their requests with each answer. Requests arrive at
- * random; some gateways get several times as many as others. Not thread-safe.
+ * Gateways and engines in virtual time, some of which state a limit of their requests with each answer or turn cold. Requests
+ * arrive at random; some gateways get several times as many as others. Not thread-safe.
  */
 final class LimitedDeployment {
     private static final String SERVICE = "s";
@@ -39,10 +44,22 @@
     private final UniformRandomProvider random;
     private final List<Gateway> gateways = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
+    private final RoutingTable table;
     private int sent;
     private int rejected;
 
     LimitedDeployment(int gatewayCount, int engineCount, long seed) {
+        this(gatewayCount, engineCount, seed, 0, 0);
+    }
+
+    LimitedDeployment(int gatewayCount, int engineCount, long seed, double coldSeconds, double coldRequestsPerSecond) {
+        table = RoutingTable.of(
+                1,
+                List.of(),
+                Map.of(),
+                List.of(new ServicePolicy(SERVICE, 64, 0, 1, Map.of(), coldSeconds, coldRequestsPerSecond)),
+                RequestLimits.DEFAULT,
+                false);
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         for (int index = 0; index < engineCount; index++) {
             engines.add(new Engine(index));
@@ -62,6 +79,52 @@
         gateways.set(index, new Gateway(gateways.get(index).weight));
     }
 
+    /** Adds gateways that know nothing. */
+    void startGateways(int count) {
+        for (int index = 0; index < count; index++) {
+            gateways.add(new Gateway(1 + index % 3));
+        }
+    }
+
+    /** Ends gateways; their requests end without an answer to them. */
+    void killGateways(int count) {
+        gateways.subList(0, count).clear();
+    }
+
+    /** Makes engines cold, as their entries in the list say. */
+    void turnCold(int fromEngine, int toEngine, long millis) {
+        engines.subList(fromEngine, toEngine).forEach(engine -> {
+            engine.coldUntilMillis = millis() + millis;
+            gateways.forEach(gateway -> gateway.list(engine));
+        });
+    }
+
+    /** Replaces engines by new incarnations, which do not say that they are cold. */
+    void restartEngines(int fromEngine, int toEngine) {
+        engines.subList(fromEngine, toEngine).forEach(engine -> {
+            engine.startMillis++;
+            engine.running = 0;
+            gateways.forEach(gateway -> gateway.list(engine));
+        });
+    }
+
+    /** Returns the most requests that an engine got in any second from a time on. */
+    long maxArrivalsInSecond(int engine, long fromMillis) {
+        final List<Long> times = engines.get(engine).arrivals.stream()
+                .map(arrival -> arrival.millis)
+                .filter(millis -> millis >= fromMillis)
+                .toList();
+        int max = 0;
+        int first = 0;
+        for (int last = 0; last < times.size(); last++) {
+            while (times.get(last) - times.get(first) >= 1_000) {
+                first++;
+            }
+            max = Math.max(max, last - first + 1);
+        }
+        return max;
+    }
+
     int sent() {
         return sent;
     }
@@ -112,7 +175,10 @@
             }
             scheduler.advance(TICK_MILLIS);
             if (millis() % GATEWAY_TICK_MILLIS == 0) {
-                gateways.forEach(gateway -> gateway.state.limits().tick(scheduler.nanos()));
+                gateways.forEach(gateway -> {
+                    gateway.state.limits().tick(scheduler.nanos());
+                    gateway.coldUpstreams.tick(scheduler.nanos());
+                });
             }
         }
     }
@@ -133,31 +199,55 @@
     private final class Gateway {
         private final int weight;
         private final GatewayState state = new GatewayState(RolloutDeployment.BOUNDS, random);
+        private final ColdUpstreams coldUpstreams = new ColdUpstreams(
+                state, random, new DecisionLog("gateway", () -> 0, text -> {}), new GatewayCounters());
         private final long[] toldMillis = new long[engines.size()];
 
         Gateway(int weight) {
             this.weight = weight;
-            engines.forEach(engine -> state.registry().applyEntry(engine.upstream, scheduler.nanos()));
+            state.applyTable(table);
+            engines.forEach(this::list);
+            state.markUpstreamsListed();
             Arrays.fill(toldMillis, Long.MAX_VALUE / 2);
         }
 
+        /** Reads the entry of an engine. */
+        void list(Engine engine) {
+            state.registry().applyEntry(engine.upstream(), scheduler.nanos());
+            coldUpstreams.update(engine.id, scheduler.nanos());
+        }
+
         UpstreamState member(Engine engine) {
-            return state.registry().find(engine.upstream.id()).orElseThrow();
+            return state.registry().find(engine.id).orElseThrow();
         }
     }
 
     /** One engine. Not thread-safe. */
     private final class Engine {
         private final int index;
-        private final Upstream upstream;
+        private final String id;
         private final List<Arrival> arrivals = new ArrayList<>();
         private OptionalDouble limit = OptionalDouble.empty();
         private int running;
+        private long startMillis = 1;
+        private long coldUntilMillis;
 
         Engine(int index) {
             this.index = index;
-            upstream = new Upstream(
-                    "engine-" + index, SERVICE, URI.create("http://127.0.0.1:" + (index + 1)), "d", "v1", 64, false, 1);
+            id = "engine-" + index;
+        }
+
+        Upstream upstream() {
+            return new Upstream(
+                    id,
+                    SERVICE,
+                    URI.create("http://127.0.0.1:" + (index + 1)),
+                    "d",
+                    "v1",
+                    64,
+                    false,
+                    startMillis,
+                    Math.max(0, coldUntilMillis - millis()));
         }
     }
 
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -152,6 +152,6 @@
     }
 
     private static Upstream upstream(String id, String version) {
-        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", version, 8, false, 1);
+        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", version, 8, false, 1, 0);
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -28,7 +28,9 @@
             Duration.ofSeconds(10),
             0.15,
             30,
-            Duration.ofSeconds(5));
+            Duration.ofSeconds(5),
+            1.5,
+            5);
     static final Duration TIME_LIMIT = Duration.ofSeconds(16);
 
     private static final long ORDER_OFFSET = 3;
@@ -123,6 +125,6 @@
     }
 
     private static Upstream upstream(String id, String version) {
-        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", version, 8, false, 1);
+        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", version, 8, false, 1, 0);
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/UpstreamHealthProbeTest.java
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamHealthProbeTest.java
@@ -40,7 +40,7 @@
 
     @BeforeEach
     void start() {
-        registry.applyEntry(new Upstream("a", "s", ORIGIN, "d", "v1", 8, false, 1), 0);
+        registry.applyEntry(new Upstream("a", "s", ORIGIN, "d", "v1", 8, false, 1, 0), 0);
         upstream = registry.find("a").orElseThrow();
         upstream.assign("", List.of(), 0, 0, 0, 0);
     }
--- a/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
@@ -38,7 +38,7 @@
     private UpstreamState paused(String id) {
         state.registry()
                 .applyEntry(
-                        new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, false, 1),
+                        new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, false, 1, 0),
                         scheduler.nanos());
         final UpstreamState upstream = state.registry().find(id).orElseThrow();
         upstream.onReport(PAUSE, true, true, scheduler.nanos());
--- a/src/test/java/org/masticpaddle/routing/SharedPromptReplay.java
+++ b/src/test/java/org/masticpaddle/routing/SharedPromptReplay.java
@@ -132,7 +132,7 @@
         private long freeAtMillis;
 
         Engine(int index) {
-            upstream = new Upstream("e" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", 64, false, 1);
+            upstream = new Upstream("e" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", 64, false, 1, 0);
         }
 
         void run(UpstreamPlacement.Choice choice, List<PromptSegment> prompt, int sharedCount) {
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -190,6 +190,6 @@
 
     private void register(String id, String failureDomain) {
         registry.applyEntry(
-                new Upstream(id, "s", URI.create("http://127.0.0.1:1"), failureDomain, "v1", 8, false, 1), 0);
+                new Upstream(id, "s", URI.create("http://127.0.0.1:1"), failureDomain, "v1", 8, false, 1, 0), 0);
     }
 }
