--- a/src/main/java/org/masticpaddle/fleet/UpstreamCircuit.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamCircuit.java
@@ -100,6 +100,11 @@
         onUnreachable(now);
     }
 
+    /** Returns whether the failures so far are no chance: the upstream has ended, cannot be reached or starts again. */
+    boolean certainlyFailed() {
+        return consecutiveFailures >= CERTAIN_FAILURES;
+    }
+
     /** Returns whether the circuit keeps all requests from the upstream now. */
     boolean open(long now) {
         return !closed && now < openUntilNanos;
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -39,6 +39,7 @@
     private final EvacuatedDomains evacuatedDomains = new EvacuatedDomains();
     private long outageEndNanos = Long.MIN_VALUE / 2;
     private boolean outage;
+    private boolean listed;
 
     /**
      * Creates an empty registry.
@@ -65,6 +66,10 @@
             if (leavingStarts.getOrDefault(upstream.id(), NO_START) >= upstream.startMillis()) {
                 state.markLeaving();
             }
+            if (listed) {
+                state.cold().recordStart(now);
+            }
+            state.cold().recordListed(upstream.coldLeftMillis(), now);
             registrations.put(upstream.id(), new Registration(state));
             return upstream.draining() ? RegistryChange.LEAVING : RegistryChange.ADDED;
         }
@@ -75,6 +80,10 @@
         final boolean renewed = registration.lapsed;
         registration.lapsed = false;
         registration.state.update(upstream);
+        if (upstream.startMillis() > previous.startMillis()) {
+            registration.state.cold().recordStart(now);
+        }
+        registration.state.cold().recordListed(upstream.coldLeftMillis(), now);
         if (upstream.startMillis() > previous.startMillis()) {
             return RegistryChange.REBORN;
         }
@@ -118,16 +127,20 @@
 
     /**
      * Applies the withdrawal of such an order. The caches of the upstreams may be empty and their load another one than before,
-     * so that what was observed of them is forgotten.
+     * so that what was observed of them is forgotten. They count as cold, since their entries may say so only later.
      *
      * @param failureDomain name of the domain
      * @param offset offset of the withdrawal in the operators' stream
+     * @param now current time in nanoseconds
      * @return effect of the withdrawal
      */
-    public EvacuationChange restore(String failureDomain, long offset) {
+    public EvacuationChange restore(String failureDomain, long offset, long now) {
         final EvacuationChange change = evacuatedDomains.withdraw(failureDomain, offset);
         if (change.effective()) {
-            upstreamsIn(failureDomain).forEach(UpstreamState::forgetObservations);
+            upstreamsIn(failureDomain).forEach(state -> {
+                state.forgetObservations();
+                state.cold().recordReturn(now);
+            });
         }
         return change;
     }
@@ -153,6 +166,11 @@
                 .toList();
     }
 
+    /** Records that the list was read whole; an upstream that is listed for the first time after that has just started. */
+    public void markListed() {
+        listed = true;
+    }
+
     /** Records that the list cannot be read. */
     public void onOutageStart() {
         outage = true;
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -63,7 +63,7 @@
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.log = Objects.requireNonNull(log, "log is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
-        evacuations = new EvacuationOrders(state.registry(), listener::upstreamClosed, log);
+        evacuations = new EvacuationOrders(state.registry(), listener::upstreamClosed, scheduler::nanos, log);
         final StoreCadence cadence = state.bounds().storeCadence();
         operatorFollower = new KeyedFollower(
                 sharedLog,
@@ -174,6 +174,7 @@
             try {
                 final Upstream upstream = codec.upstream(keyed);
                 final RegistryChange change = state.registry().applyEntry(upstream, scheduler.nanos());
+                listener.upstreamListed(upstream);
                 if (change != RegistryChange.UNCHANGED) {
                     log.write(
                             Decision.UPSTREAM_CHANGED,
@@ -238,6 +239,13 @@
 
     /** Receives changes that concern other components of the gateway. */
     interface ChangeListener {
+        /**
+         * Called when an entry of the list was applied.
+         *
+         * @param upstream decoded entry, which the registry may have ignored as stale
+         */
+        void upstreamListed(Upstream upstream);
+
         /**
          * Called when an upstream drains, was removed, was replaced by a new incarnation or is evacuated.
          *
--- a/src/main/java/org/masticpaddle/gateway/EvacuationOrders.java
+++ b/src/main/java/org/masticpaddle/gateway/EvacuationOrders.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.decisions.Decision;
@@ -21,6 +22,7 @@
 final class EvacuationOrders {
     private final UpstreamRegistry registry;
     private final Consumer<URI> closeIdle;
+    private final LongSupplier nanos;
     private final DecisionLog log;
 
     /**
@@ -28,11 +30,13 @@
      *
      * @param registry upstreams and the domains that are evacuated
      * @param closeIdle closes the idle connections to an upstream
+     * @param nanos clock in nanoseconds
      * @param log decision log
      */
-    EvacuationOrders(UpstreamRegistry registry, Consumer<URI> closeIdle, DecisionLog log) {
+    EvacuationOrders(UpstreamRegistry registry, Consumer<URI> closeIdle, LongSupplier nanos, DecisionLog log) {
         this.registry = Objects.requireNonNull(registry, "registry is null");
         this.closeIdle = Objects.requireNonNull(closeIdle, "closeIdle is null");
+        this.nanos = Objects.requireNonNull(nanos, "nanos is null");
         this.log = Objects.requireNonNull(log, "log is null");
     }
 
@@ -51,7 +55,8 @@
             }
             write(order.failureDomain(), change, offset);
         } else if (operatorRecord instanceof OperatorRecord.EvacuationWithdrawn withdrawn) {
-            write(withdrawn.failureDomain(), registry.restore(withdrawn.failureDomain(), offset), offset);
+            final EvacuationChange change = registry.restore(withdrawn.failureDomain(), offset, nanos.getAsLong());
+            write(withdrawn.failureDomain(), change, offset);
         }
     }
 
--- a/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
@@ -22,6 +22,8 @@
  * @param exposureSlack requests that a bad version may get beyond that fraction
  * @param session longest time between two requests of a session
  * @param evacuation time after which an evacuated failure domain must get no requests, 0 if the operator sets none
+ * @param coldOverage factor by which a cold upstream may get more requests in a second than it states; 0 for no limit
+ * @param coldSlack requests in a second that a cold upstream may get beyond that
  */
 public record GatewayBounds(
         Duration keyRevocation,
@@ -34,7 +36,9 @@
         double exposureShare,
         double exposureSlack,
         Duration session,
-        Duration evacuation) {
+        Duration evacuation,
+        double coldOverage,
+        double coldSlack) {
     /** Checks the arguments. */
     public GatewayBounds {
         Objects.requireNonNull(keyRevocation, "keyRevocation is null");
@@ -64,7 +68,9 @@
                 settings.share(Setting.EXPOSURE_SHARE),
                 settings.decimal(Setting.EXPOSURE_SLACK),
                 settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS),
-                settings.millis(Setting.EVACUATION_MS));
+                settings.millis(Setting.EVACUATION_MS),
+                settings.decimal(Setting.COLD_OVERAGE),
+                settings.decimal(Setting.COLD_SLACK));
     }
 
     /** Returns the timing of the reads of the shared log that these limits permit. */
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -75,6 +75,8 @@
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
         EVACUATED_MOVED("evacuated_moved", "requests moved as the failure domain chosen for them was evacuated"),
         EVACUATED_UNSERVED("evacuated_unserved", "requests ended as all upstreams stood in evacuated failure domains"),
+        COLD_PERIODS("cold_periods", "times at which an upstream was found to be cold"),
+        SENT_COLD("sent_cold", "requests sent to cold upstreams"),
         UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
         ANSWERS_DROPPED("answers_dropped", "answers of upstreams dropped since the memory for answers was used up"),
         STORE_CALLS("store_calls", "calls to the shared log"),
--- a/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
+++ b/src/test/java/org/masticpaddle/fleet/UpstreamRegistryTest.java
@@ -98,7 +98,7 @@
         registry.applyEntry(upstream("later", 6, false), 1);
         registry.applyEntry(upstream("draining", 5, true), 1);
         registry.applyEntry(
-                new Upstream("elsewhere", "s", URI.create("http://127.0.0.1:1"), "e", "v1", 8, false, 1), 1);
+                new Upstream("elsewhere", "s", URI.create("http://127.0.0.1:1"), "e", "v1", 8, false, 1, 0), 1);
         assertThat(registry.members("s").stream().map(state -> state.upstream().id()))
                 .containsExactly("elsewhere");
         assertThat(registry.evacuated("s").stream()
@@ -106,8 +106,8 @@
                 .containsExactly("before", "later");
         assertThat(registry.upstreamsIn("d")).hasSize(3);
         assertThat(registry.evacuatedDomains()).containsExactly("d");
-        assertThat(registry.restore("d", 2)).isEqualTo(EvacuationChange.STALE);
-        assertThat(registry.restore("d", 4)).isEqualTo(EvacuationChange.WITHDRAWN);
+        assertThat(registry.restore("d", 2, 2)).isEqualTo(EvacuationChange.STALE);
+        assertThat(registry.restore("d", 4, 4)).isEqualTo(EvacuationChange.WITHDRAWN);
         assertThat(registry.members("s")).hasSize(3);
         assertThat(registry.evacuated("s")).isEmpty();
     }
@@ -122,7 +122,7 @@
         state.onUnreachable(0);
         registry.evacuate("d", 3);
         assertThat(state.cachedTokens("m", prompt)).isEqualTo(100);
-        registry.restore("d", 4);
+        registry.restore("d", 4, 4);
         assertThat(state.cachedTokens("m", prompt)).isEqualTo(0);
         assertThat(state.loadReport().freshness(1)).isEqualTo(0.0);
         assertThat(state.performance().failureRate(1)).isEqualTo(0.0);
@@ -131,6 +131,6 @@
     }
 
     static Upstream upstream(String id, long startMillis, boolean draining) {
-        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, draining, startMillis);
+        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, draining, startMillis, 0);
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/EstimateRecorderTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EstimateRecorderTest.java
@@ -64,7 +64,7 @@
     void registerUpstreams() {
         for (final String id : List.of("fast", "slow")) {
             state.registry()
-                    .applyEntry(new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v", 8, false, 1), 0);
+                    .applyEntry(new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v", 8, false, 1, 0), 0);
         }
     }
 
--- a/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
@@ -74,7 +74,7 @@
             assertThat(rejection.retryAfterSeconds()).isAtLeast(1.0);
         }
         assertThat(counters.value(GatewayCounters.Counter.EVACUATED_UNSERVED)).isEqualTo(2);
-        state.registry().restore("a", 3);
+        state.registry().restore("a", 3, scheduler.nanos());
         assertThat(planned()).isEqualTo("a");
     }
 
@@ -162,7 +162,7 @@
     private UpstreamState add(String id, String version) {
         state.registry()
                 .applyEntry(
-                        new Upstream(id, SERVICE, URI.create("http://127.0.0.1:1"), id, version, 8, false, 1),
+                        new Upstream(id, SERVICE, URI.create("http://127.0.0.1:1"), id, version, 8, false, 1, 0),
                         scheduler.nanos());
         return state.registry().find(id).orElseThrow();
     }
--- a/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
@@ -13,6 +13,7 @@
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.Availability;
+import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
 import org.masticpaddle.routes.RequestLimits;
@@ -115,7 +116,7 @@
         state.registry().find("upstream-b").orElseThrow().assign("", List.of(), 0, 0, 0, scheduler.nanos());
         final DecisionLog log = new DecisionLog("g", () -> 0, lines::add);
         log.start();
-        final EvacuationOrders orders = new EvacuationOrders(state.registry(), closed::add, log);
+        final EvacuationOrders orders = new EvacuationOrders(state.registry(), closed::add, scheduler::nanos, log);
         orders.onOperatorRecord(new OperatorRecord.EvacuationOrder("b"), 7);
         orders.onOperatorRecord(new OperatorRecord.EvacuationOrder("b"), 8);
         orders.onOperatorRecord(new OperatorRecord.EvacuationWithdrawn("b"), 6);
@@ -143,6 +144,9 @@
                         RandomSource.XO_RO_SHI_RO_128_PP.create(1L),
                         new DecisionLog("g", () -> 0, lines::add),
                         new ControlLogFollower.ChangeListener() {
+                            @Override
+                            public void upstreamListed(Upstream upstream) {}
+
                             @Override
                             public void upstreamClosed(URI origin) {
                                 closed.add(origin);
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -29,7 +29,9 @@
             0.15,
             30,
             Duration.ofSeconds(5),
-            Duration.ofSeconds(5));
+            Duration.ofSeconds(5),
+            1.5,
+            5);
     static final Duration TIME_LIMIT = Duration.ofSeconds(16);
 
     private static final long ORDER_OFFSET = 3;
@@ -88,7 +90,7 @@
     /** Makes another upstream of the new version in a failure domain known to all gateways. */
     Upstream addNewUpstream(String id, String failureDomain) {
         final Upstream upstream =
-                new Upstream(id, "s", URI.create("http://127.0.0.1:1"), failureDomain, NEW.version(), 8, false, 1);
+                new Upstream(id, "s", URI.create("http://127.0.0.1:1"), failureDomain, NEW.version(), 8, false, 1, 0);
         registries.forEach(registry -> registry.applyEntry(upstream, scheduler.nanos()));
         return upstream;
     }
@@ -135,6 +137,6 @@
     }
 
     private static Upstream upstream(String id, String version) {
-        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", version, 8, false, 1);
+        return new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", version, 8, false, 1, 0);
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/TextControlCodec.java
+++ b/src/test/java/org/masticpaddle/gateway/TextControlCodec.java
@@ -26,7 +26,7 @@
     public Upstream upstream(KeyedRecord keyed) {
         final String failureDomain = new String(keyed.value(), StandardCharsets.UTF_8);
         return new Upstream(
-                keyed.key(), "s", URI.create("http://" + keyed.key() + ":1"), failureDomain, "v1", 8, false, 1);
+                keyed.key(), "s", URI.create("http://" + keyed.key() + ":1"), failureDomain, "v1", 8, false, 1, 0);
     }
 
     @Override
--- a/src/test/java/org/masticpaddle/routing/WorkPaceReplay.java
+++ b/src/test/java/org/masticpaddle/routing/WorkPaceReplay.java
@@ -57,7 +57,8 @@
         engines = IntStream.range(0, ENGINES)
                 .mapToObj(index -> {
                     registry.applyEntry(
-                            new Upstream("" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", 8, false, 1), 0);
+                            new Upstream("" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", 8, false, 1, 0),
+                            0);
                     return registry.find("" + index).orElseThrow();
                 })
                 .toList();
