Write bodies to upstreams in bounded parts

Cause: each write of a body copied all that was left of it through a direct buffer of that size, and went on for as long as the peer took bytes.

Change: parts of 64 KB, and 16 writes at a turn of the event loop.

Result: LargeBodyTest passes as before. No test fails without it.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -42,6 +42,10 @@
     private static final int MAX_FRAMING_BYTES = 64 * 1024;
     /** Reads of a body after which other connections of the I/O thread get their turn. */
     private static final int MAX_READS_PER_TURN = 16;
+    /** Writes of a body after which other connections of the I/O thread get their turn. */
+    private static final int MAX_WRITES_PER_TURN = 16;
+    /** Largest number of bytes of one write. */
+    private static final int MAX_WRITE_BYTES = 64 * 1024;
 
     private final HttpRequest request;
     private final StreamListener listener;
@@ -208,8 +212,8 @@
 
     private void writeBody(StreamSinkChannel channel, ByteBuffer remaining) {
         try {
-            while (remaining.hasRemaining()) {
-                if (channel.write(remaining) == 0) {
+            for (int writes = 0; remaining.hasRemaining(); writes++) {
+                if (writes == MAX_WRITES_PER_TURN || writePart(channel, remaining) == 0) {
                     channel.resumeWrites();
                     return;
                 }
@@ -225,6 +229,15 @@
         }
     }
 
+    /** Writes a bounded part, since each write copies all that it is given through a buffer of that size. */
+    private static int writePart(StreamSinkChannel channel, ByteBuffer remaining) throws IOException {
+        final ByteBuffer part = remaining.slice();
+        part.limit(Math.min(MAX_WRITE_BYTES, part.limit()));
+        final int count = channel.write(part);
+        remaining.position(remaining.position() + count);
+        return count;
+    }
+
     private ClientCallback<ClientExchange> responseListener(FramingLimit framingLimit) {
         return new ClientCallback<>() {
             @Override
