--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -81,7 +81,7 @@
                         "work_factor",
                         choice.workFactor() == 1 ? null : choice.workFactor(),
                         "body_bytes",
-                        admitted.body().length,
+                        admitted.body().length(),
                         "prompt",
                         segmentIds(),
                         "prompt_tokens",
