--- a/src/test/java/org/masticpaddle/gateway/EstimateRecorderTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EstimateRecorderTest.java
@@ -18,6 +18,7 @@
 import org.masticpaddle.routes.RequestLimits;
 import org.masticpaddle.routes.RoutingTable;
 import org.masticpaddle.routing.ServiceTimes;
+import org.masticpaddle.wire.EmptyBody;
 import org.masticpaddle.wire.HttpRequestException;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -55,7 +56,7 @@
                             "POST",
                             "/",
                             Map.of(),
-                            new byte[0],
+                            EmptyBody.create(),
                             0),
                     "s"));
     private long now;
--- a/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
@@ -28,6 +28,7 @@
 import org.masticpaddle.routes.RoutingTable;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
+import org.masticpaddle.wire.EmptyBody;
 import org.masticpaddle.wire.HttpClient;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -236,7 +237,7 @@
                 "GET",
                 "/",
                 Map.of(),
-                new byte[0],
+                EmptyBody.create(),
                 scheduler.nanos());
     }
 
