Learn the speeds of upstreams from their answers

Cause: engines of one service run on unequal machines, also where they report no work factor. Placement took them for equally fast, and the latency ratio that it knew made an upstream look slower, never faster, and measured its queue as well.

Change: ObservedSpeed learns prefill, steps and plain requests of an upstream apart, by incarnation and fading, from the ratio of an answer's time to the mean of the service (which ServiceTimes returns once that mean has settled). LearnedSpeeds completes what is known of one kind by the others and by the mean. Versions under test teach nothing, so that a slow version is still found. A rollout's expected event interval is that of the chosen upstream.

--- a/src/main/java/org/masticpaddle/fleet/ObservedPerformance.java
+++ b/src/main/java/org/masticpaddle/fleet/ObservedPerformance.java
@@ -18,6 +18,7 @@
     /** Time that lies before all others; differences to it do not overflow. */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    private final ObservedSpeed speed = new ObservedSpeed();
     private double failureRate;
     private double latencyRatio = 1;
     private long observedNanos = NEVER;
@@ -40,6 +41,16 @@
     void reset() {
         failureRate = 0;
         latencyRatio = 1;
+        speed.reset();
+    }
+
+    /**
+     * Returns how long work takes at the upstream, without the time that requests wait there.
+     *
+     * @return live object, which forgets an earlier incarnation
+     */
+    public ObservedSpeed speed() {
+        return speed;
     }
 
     private void recordOutcome(double failure, long now) {
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -90,7 +90,7 @@
     private ModelCascade.LatencyEstimate latencyEstimate(
             UpstreamPlacement.Choice choice, int modelIndex, long remainingMillis) {
         final ServiceTimes times = context.state().serviceTimes(service);
-        final double answerMillis = choice.workFactor()
+        final double answerMillis = choice.eventFactor()
                 * models.expectedEvents()
                 * times.eventIntervalMillis(models.name(modelIndex), models.relativeCost(modelIndex));
         return new ModelCascade.LatencyEstimate(
--- a/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
+++ b/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
@@ -2,8 +2,10 @@
 
 import java.util.Objects;
 
+import org.masticpaddle.fleet.ObservedSpeed;
 import org.masticpaddle.routing.ExpectedWork;
 import org.masticpaddle.routing.ServiceTimes;
+import org.masticpaddle.routing.UpstreamPlacement;
 
 /**
  * Records the times of one request's answers in the estimates of its service, as the answers of an upstream of usual pace would have
@@ -22,6 +24,13 @@
         this.models = Objects.requireNonNull(models, "models is null");
     }
 
+    /** Returns the expected time between two events of a stream at a chosen upstream, 0 for plain requests. */
+    double expectedEventMillis(UpstreamPlacement.Choice choice, String model, int modelIndex) {
+        return model.isEmpty()
+                ? 0
+                : choice.eventFactor() * serviceTimes().eventIntervalMillis(model, models.relativeCost(modelIndex));
+    }
+
     /** Records the time to the start of a stream, or to a complete plain answer. */
     void recordAnswerStart(Attempt attempt, String model, int modelIndex, long now) {
         final double millis = (now - attempt.sentNanos()) / 1e6;
@@ -29,28 +38,34 @@
         if (!updatesEstimates(attempt)) {
             return;
         }
-        final double factor = expectedWork(now).factor(attempt.upstream());
+        final double usualMillis = millis / expectedWork(now).factor(attempt.upstream());
         if (model.isEmpty()) {
-            serviceTimes().recordPlainRequest(millis / factor);
+            // Both estimates hold the same factors, so that their ratio is the expected part of the wait.
+            final double waitRatio = attempt.expectedMillis() / attempt.processingMillis();
+            serviceTimes()
+                    .recordPlainRequest(usualMillis)
+                    .ifPresent(ratio -> speed(attempt).record(ObservedSpeed.Work.PLAIN, ratio / waitRatio, now));
         } else if (attempt.sentWithoutBacklog()) {
             serviceTimes()
                     .recordPrefill(
                             model,
                             models.relativeCost(modelIndex),
                             attempt.inFlight().uncachedTokens(),
-                            millis / factor);
+                            usualMillis)
+                    .ifPresent(ratio -> speed(attempt).record(ObservedSpeed.Work.PREFILL, ratio, now));
         }
     }
 
     /** Records the mean time between the events of a complete stream. */
-    void recordAnswerEnd(Attempt attempt, String model, int modelIndex, long now) {
+    void recordAnswerEnd(Attempt attempt, String model, long now) {
         final int intervals = attempt.events() - 1;
         if (intervals > 0 && !model.isEmpty() && updatesEstimates(attempt)) {
             final long answerNanos = now - attempt.answerStartNanos().orElseThrow();
-            final double factor = expectedWork(now).level(attempt.upstream());
+            final double usualMillis =
+                    answerNanos / 1e6 / intervals / expectedWork(now).level(attempt.upstream());
             serviceTimes()
-                    .recordEventInterval(
-                            model, models.relativeCost(modelIndex), answerNanos / 1e6 / intervals / factor);
+                    .recordEventInterval(model, usualMillis)
+                    .ifPresent(ratio -> speed(attempt).record(ObservedSpeed.Work.STEP, ratio, now));
         }
     }
 
@@ -58,6 +73,10 @@
         return new ExpectedWork(state.registry().members(service), now);
     }
 
+    private static ObservedSpeed speed(Attempt attempt) {
+        return attempt.upstream().performance().speed();
+    }
+
     private boolean updatesEstimates(Attempt attempt) {
         return versionRouter.updatesEstimates(attempt.upstream().upstream());
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -3,6 +3,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -26,6 +27,7 @@
 import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
+import org.masticpaddle.routing.UpstreamSpeeds;
 import org.masticpaddle.settings.ProcessSettings;
 import org.masticpaddle.settings.Setting;
 import org.masticpaddle.wire.ConnectionTimeouts;
@@ -134,7 +136,10 @@
                 state,
                 rollouts,
                 quarantine,
-                new UpstreamPlacement(settings.text(Setting.FAILURE_DOMAIN)),
+                new UpstreamPlacement(
+                        settings.text(Setting.FAILURE_DOMAIN),
+                        UpstreamSpeeds.valueOf(
+                                settings.text(Setting.UPSTREAM_SPEEDS).toUpperCase(Locale.ROOT))),
                 new ModelCascade(settings.number(Setting.MIN_DRAFT_CONFIDENCE_PERCENT)),
                 MemoryBudget.ofHeap(ANSWER_MEMORY_SHARE),
                 log,
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -158,12 +158,7 @@
                         upstream.upstream(),
                         admitted.route().name(),
                         choice.expectedMillis(),
-                        model.isEmpty()
-                                ? 0
-                                : choice.workFactor()
-                                        * context.state()
-                                                .serviceTimes(service)
-                                                .eventIntervalMillis(model, models.relativeCost(modelIndex))));
+                        estimates.expectedEventMillis(choice, model, modelIndex)));
         observer = AttemptObserver.both(versionObserver, guard.observe(attempt, admission));
         context.counters().addSent(choice.workFactor());
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
@@ -367,7 +362,7 @@
     public void onResponseComplete(Attempt completed) {
         if (relay.isPresent()) {
             if (relay.get().completeIfWhole()) {
-                estimates.recordAnswerEnd(completed, model, modelIndex, now());
+                estimates.recordAnswerEnd(completed, model, now());
                 endAttempt(AttemptEnd.ANSWERED);
                 complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
             } else {
--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * Moving averages of the service times that the upstreams of one service have shown.
@@ -27,9 +28,12 @@
     /** Smallest number of uncached tokens from which the prefill time per token is derived. */
     private static final int MIN_UNCACHED_TOKENS = 200;
 
-    private final Map<String, Double> millisPerToken = new HashMap<>();
-    private final Map<String, Double> millisPerEvent = new HashMap<>();
-    private double plainRequestMillis = INITIAL_PLAIN_REQUEST_MILLIS;
+    /** Number of observations from which an average no longer depends on its initial value. */
+    private static final int SETTLED_OBSERVATIONS = 30;
+
+    private final Map<String, MovingAverage> millisPerToken = new HashMap<>();
+    private final Map<String, MovingAverage> millisPerEvent = new HashMap<>();
+    private final MovingAverage plainRequestMillis = new MovingAverage(INITIAL_PLAIN_REQUEST_MILLIS);
 
     /**
      * Returns the expected time to the first token.
@@ -50,13 +54,17 @@
      * @param relativeCost ratio of its price to that of the most expensive model
      * @param uncachedTokens prompt tokens that were not in the upstream's prefix cache; small prompts are ignored
      * @param millis observed time to the first token in milliseconds
+     * @return observed time, relative to the one expected by the average; empty if there is none yet or the prompt is ignored
      */
-    public void recordPrefill(String model, double relativeCost, int uncachedTokens, double millis) {
-        if (uncachedTokens >= MIN_UNCACHED_TOKENS) {
-            final double average = prefillMillisPerToken(model, relativeCost);
-            final double observedMillis = Math.max(0, millis - FIXED_OVERHEAD_MILLIS) / uncachedTokens;
-            millisPerToken.put(model, average + SMOOTHING_FACTOR * (clamped(observedMillis, average) - average));
+    public OptionalDouble recordPrefill(String model, double relativeCost, int uncachedTokens, double millis) {
+        if (uncachedTokens < MIN_UNCACHED_TOKENS) {
+            return OptionalDouble.empty();
         }
+        final double expectedMillis = prefillMillis(model, relativeCost, uncachedTokens);
+        final OptionalDouble tokenRatio = millisPerToken
+                .computeIfAbsent(model, name -> new MovingAverage(INITIAL_MILLIS_PER_TOKEN * relativeCost))
+                .add(Math.max(0, millis - FIXED_OVERHEAD_MILLIS) / uncachedTokens);
+        return tokenRatio.isEmpty() ? tokenRatio : OptionalDouble.of(millis / expectedMillis);
     }
 
     /**
@@ -67,23 +75,21 @@
      * @return time in milliseconds
      */
     public double eventIntervalMillis(String model, double relativeCost) {
-        return millisPerEvent.getOrDefault(model, INITIAL_EVENT_INTERVAL_MILLIS * relativeCost);
+        final MovingAverage average = millisPerEvent.get(model);
+        return average == null ? INITIAL_EVENT_INTERVAL_MILLIS * relativeCost : average.value;
     }
 
     /**
      * Records the event interval of a stream. The first one replaces the initial estimate, which may be far off.
      *
      * @param model name of the model
-     * @param relativeCost ratio of its price to that of the most expensive model
      * @param millis mean time between two events of the stream in milliseconds
+     * @return observed interval, relative to the average; empty if there is none yet
      */
-    public void recordEventInterval(String model, double relativeCost, double millis) {
-        if (!millisPerEvent.containsKey(model)) {
-            millisPerEvent.put(model, millis);
-            return;
-        }
-        final double average = eventIntervalMillis(model, relativeCost);
-        millisPerEvent.put(model, average + SMOOTHING_FACTOR * (clamped(millis, average) - average));
+    public OptionalDouble recordEventInterval(String model, double millis) {
+        return millisPerEvent
+                .computeIfAbsent(model, name -> new MovingAverage(millis))
+                .add(millis);
     }
 
     /**
@@ -92,23 +98,43 @@
      * @return time in milliseconds at an upstream with a free slot
      */
     public double plainRequestMillis() {
-        return plainRequestMillis;
+        return plainRequestMillis.value;
     }
 
     /**
      * Records the service time of a plain request.
      *
      * @param millis observed time to the answer in milliseconds
+     * @return observed time, relative to the average; empty if there is none yet
      */
-    public void recordPlainRequest(double millis) {
-        plainRequestMillis += SMOOTHING_FACTOR * (clamped(millis, plainRequestMillis) - plainRequestMillis);
+    public OptionalDouble recordPlainRequest(double millis) {
+        return plainRequestMillis.add(millis);
     }
 
     private double prefillMillisPerToken(String model, double relativeCost) {
-        return millisPerToken.getOrDefault(model, INITIAL_MILLIS_PER_TOKEN * relativeCost);
+        final MovingAverage average = millisPerToken.get(model);
+        return average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value;
     }
 
-    private static double clamped(double observed, double average) {
-        return Math.max(average / MAX_OBSERVATION_RATIO, Math.min(average * MAX_OBSERVATION_RATIO, observed));
+    /** Exponential moving average. Not thread-safe. */
+    private static final class MovingAverage {
+        private double value;
+        private int observations;
+
+        MovingAverage(double initial) {
+            value = initial;
+        }
+
+        /** Adds an observation and returns its ratio to the average before, empty until the average has settled. */
+        OptionalDouble add(double observed) {
+            final OptionalDouble ratio = observations < SETTLED_OBSERVATIONS || value <= 0
+                    ? OptionalDouble.empty()
+                    : OptionalDouble.of(observed / value);
+            final double clamped =
+                    Math.max(value / MAX_OBSERVATION_RATIO, Math.min(value * MAX_OBSERVATION_RATIO, observed));
+            value += SMOOTHING_FACTOR * (clamped - value);
+            observations = Math.min(SETTLED_OBSERVATIONS, observations + 1);
+            return ratio;
+        }
     }
 }
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.masticpaddle.fleet.ObservedSpeed;
 import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.fleet.UpstreamState;
 
@@ -15,7 +16,11 @@
  * transfer and failures.
  *
  * <p>Designed for workloads in which many requests share prompt segments and run on few engines; unlike {@link
- * UpstreamSelector} it scores all members. Immutable and thread-safe; its methods have no side effects.
+ * UpstreamSelector} it scores all members.
+ *
+ * <p>Invariant: among upstreams of one failure domain that answer as expected and do not fail, a request is placed where it is
+ * predicted to start at most half of its prefill time later than at the best one, or 0.1 ms for each slot of a plain service.
+ * Immutable and thread-safe; its methods have no side effects.
  */
 public final class UpstreamPlacement {
     /** Penalty per kilobyte of a request that is sent to another failure domain, since that transfer is charged for. */
@@ -39,14 +44,17 @@
     private static final double ENDANGERED_REQUEST_MILLIS = 1_000;
 
     private final String failureDomain;
+    private final UpstreamSpeeds speeds;
 
     /**
      * Creates the placement of one gateway.
      *
      * @param failureDomain failure domain of the gateway
+     * @param speeds whether learned speeds count
      */
-    public UpstreamPlacement(String failureDomain) {
+    public UpstreamPlacement(String failureDomain, UpstreamSpeeds speeds) {
         this.failureDomain = Objects.requireNonNull(failureDomain, "failureDomain is null");
+        this.speeds = Objects.requireNonNull(speeds, "speeds is null");
     }
 
     /**
@@ -65,20 +73,26 @@
             Predicate<UpstreamState> allowed,
             ServiceTimes times,
             long now) {
+        return predictions(request, members, allowed, times, now).stream()
+                .reduce((lowest, next) -> next.score() < lowest.score() ? next : lowest);
+    }
+
+    /** Returns the estimates for all members that may get the request, in their order. */
+    List<Choice> predictions(
+            Request request,
+            Collection<UpstreamState> members,
+            Predicate<UpstreamState> allowed,
+            ServiceTimes times,
+            long now) {
         final List<UpstreamState> candidates = members.stream()
                 .filter(member -> member.allowsRequest(now) && allowed.test(member))
                 .toList();
         final SegmentHolders holders = new SegmentHolders(request.model(), request.prompt(), candidates);
         final ExpectedLoads loads = new ExpectedLoads(members, now);
-        final ExpectedWork work = new ExpectedWork(members, now);
-        Choice lowestScored = null;
-        for (final UpstreamState member : candidates) {
-            final Choice choice = score(request, member, holders, loads, work, times, now);
-            if (lowestScored == null || choice.score() < lowestScored.score()) {
-                lowestScored = choice;
-            }
-        }
-        return Optional.ofNullable(lowestScored);
+        final ExpectedWork work = new ExpectedWork(members, speeds, now);
+        return candidates.stream()
+                .map(member -> score(request, member, holders, loads, work, times, now))
+                .toList();
     }
 
     private Choice score(
@@ -91,7 +105,8 @@
             long now) {
         final boolean engine = !request.model().isEmpty();
         final int uncachedTokens = engine ? uncachedTokens(request, member, holders) : 0;
-        final double workFactor = work.factor(member);
+        final double workFactor =
+                work.startFactor(member, engine ? ObservedSpeed.Work.PREFILL : ObservedSpeed.Work.PLAIN);
         final double serviceMillis = workFactor
                 * (engine
                         ? times.prefillMillis(request.model(), request.relativeCost(), uncachedTokens)
@@ -112,7 +127,14 @@
         if (request.isolated()) {
             score += (member.inFlight() + loads.inFlightOfOtherGateways(member)) * ENDANGERED_REQUEST_MILLIS;
         }
-        return new Choice(member, waitMillis + serviceMillis, serviceMillis, uncachedTokens, workFactor, score);
+        return new Choice(
+                member,
+                waitMillis + serviceMillis,
+                serviceMillis,
+                uncachedTokens,
+                workFactor,
+                work.eventFactor(member),
+                score);
     }
 
     private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads, double workFactor) {
@@ -165,7 +187,8 @@
      *     is scaled by the upstream's latency ratio
      * @param serviceMillis part of {@code expectedMillis} in which the upstream works on the request itself
      * @param uncachedTokens prompt tokens that are probably not in the upstream's prefix cache; 0 for plain services
-     * @param workFactor expected factor of the time that work takes at the upstream; 1 means as usual, lower is faster
+     * @param workFactor expected factor of the time to the start of an answer of the upstream; 1 means as usual, lower is faster
+     * @param eventFactor expected factor of the time between two events of a stream
      * @param score scaled expected time with all penalties in milliseconds; lower is better
      */
     public record Choice(
@@ -174,5 +197,6 @@
             double serviceMillis,
             int uncachedTokens,
             double workFactor,
+            double eventFactor,
             double score) {}
 }
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -240,6 +240,14 @@
             SettingType.NON_NEGATIVE_DECIMAL,
             "5",
             "maximum time between two requests of a session"),
+    /** Whether requests are placed by the speeds that upstreams have shown. */
+    UPSTREAM_SPEEDS(
+            "gateway",
+            "upstream_speeds",
+            SettingType.UPSTREAM_SPEEDS,
+            "ignored",
+            "whether upstreams of a service are expected to be as fast as their answers were (learned) or equally fast"
+                    + " (ignored); takes effect at the start"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/test/java/org/masticpaddle/routing/SharedPromptReplay.java
+++ b/src/test/java/org/masticpaddle/routing/SharedPromptReplay.java
@@ -35,7 +35,7 @@
     private final List<Engine> engines = new ArrayList<>();
     private final List<Gateway> gateways = new ArrayList<>();
     private final List<List<PromptSegment>> chains;
-    private final UpstreamPlacement placement = new UpstreamPlacement("d");
+    private final UpstreamPlacement placement = new UpstreamPlacement("d", UpstreamSpeeds.IGNORED);
     private final ServiceTimes times = new ServiceTimes();
     private long requests;
     private long sharedTokens;
--- a/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/UpstreamPlacementTest.java
@@ -22,7 +22,7 @@
             new PromptSegment("system", 2_000), new PromptSegment("subject", 3_000), new PromptSegment("own", 500));
 
     private final UpstreamRegistry registry = new UpstreamRegistry(0);
-    private final UpstreamPlacement placement = new UpstreamPlacement("near");
+    private final UpstreamPlacement placement = new UpstreamPlacement("near", UpstreamSpeeds.IGNORED);
     private final ServiceTimes times = new ServiceTimes();
 
     @Test
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -137,6 +137,17 @@
         assertThat(problems(GATEWAY + line + "\n")).containsExactly("f:9: [gateway] " + key + ": " + message);
     }
 
+    @Test
+    void shouldIgnoreSpeedsOfUpstreamsUnlessToldToLearnThem() {
+        assertThat(ProcessSettings.parse("f", GATEWAY).text(Setting.UPSTREAM_SPEEDS))
+                .isEqualTo("ignored");
+        assertThat(ProcessSettings.parse("f", GATEWAY + "upstream_speeds = learned\n")
+                        .text(Setting.UPSTREAM_SPEEDS))
+                .isEqualTo("learned");
+        assertThat(problems(GATEWAY + "upstream_speeds = Learned\n"))
+                .containsExactly("f:9: [gateway] upstream_speeds: expected learned or ignored, found \"Learned\"");
+    }
+
     private static List<String> problems(String text) {
         return assertThrows(SettingsException.class, () -> ProcessSettings.parse("f", text))
                 .problems();
