--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -159,12 +159,7 @@
                         upstream.upstream(),
                         admitted.route().name(),
                         choice.expectedMillis(),
-                        model.isEmpty()
-                                ? 0
-                                : choice.workFactor()
-                                        * context.state()
-                                                .serviceTimes(service)
-                                                .eventIntervalMillis(model, models.relativeCost(modelIndex))));
+                        estimates.expectedEventMillis(choice, model, modelIndex)));
         observer = AttemptObserver.both(versionObserver, guard.observe(attempt, admission));
         context.counters().addSent(choice.workFactor());
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
@@ -373,7 +368,7 @@
     public void onResponseComplete(Attempt completed) {
         if (relay.isPresent()) {
             if (relay.get().completeIfWhole()) {
-                estimates.recordAnswerEnd(completed, model, modelIndex, now());
+                estimates.recordAnswerEnd(completed, model, now());
                 endAttempt(AttemptEnd.ANSWERED);
                 complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
             } else {
--- a/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
@@ -28,6 +28,7 @@
 import org.masticpaddle.routes.RoutingTable;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
+import org.masticpaddle.routing.UpstreamSpeeds;
 import org.masticpaddle.wire.EmptyBody;
 import org.masticpaddle.wire.HttpClient;
 
@@ -186,7 +187,7 @@
                 state,
                 versions,
                 quarantine,
-                new UpstreamPlacement("d"),
+                new UpstreamPlacement("d", UpstreamSpeeds.IGNORED),
                 new ModelCascade(50),
                 MemoryBudget.ofHeap(0.1),
                 log,
--- a/src/test/java/org/masticpaddle/routing/ColdPlacementTest.java
+++ b/src/test/java/org/masticpaddle/routing/ColdPlacementTest.java
@@ -20,7 +20,7 @@
             new UpstreamPlacement.Request("m", 1, List.of(), 100, 1, false);
 
     private final UpstreamRegistry registry = new UpstreamRegistry(0);
-    private final UpstreamPlacement placement = new UpstreamPlacement("d");
+    private final UpstreamPlacement placement = new UpstreamPlacement("d", UpstreamSpeeds.IGNORED);
 
     @BeforeEach
     void loadWarmUpstreams() {
