Pace upstreams that start or recover by their answers

Cause: an upstream that has just started, or was unreachable or paused, was sent as much as its empty queue attracted, although it may still be slow.

Change: PaceWindow is a window of concurrent requests that grows with each answer that is as good as those of the peers, shrinks at a slow one and closes at a loss; it limits nothing while no peer is open, nor later than 8 s after the start. It joins the circuit, pauses and permits in UpstreamState.availability, after the cold permits.

--- a/src/main/java/org/masticpaddle/fleet/Availability.java
+++ b/src/main/java/org/masticpaddle/fleet/Availability.java
@@ -17,7 +17,9 @@
     /** The share of this gateway in the limit that the upstream states is used up. */
     NO_PERMIT,
     /** The upstream is cold, and this gateway's part of the requests that it may get now is used up. */
-    NO_COLD_PERMIT;
+    NO_COLD_PERMIT,
+    /** The upstream has just started or recovered, and has as many requests as its answers allow. */
+    PACED;
 
     /**
      * Returns whether the upstream is expected to take work again after a time that is known.
--- /dev/null
+++ b/src/main/java/org/masticpaddle/fleet/PaceWindow.java
@@ -0,0 +1,142 @@
+package org.masticpaddle.fleet;
+
+/**
+ * Window of concurrent requests of one gateway at an upstream that has just started or recovered, which opens and closes by what
+ * its answers show.
+ *
+ * <p>Load pattern: an upstream that is new or was away looks empty, while it may still be slow. The window begins with one request
+ * and grows by one with each answer that is about as fast, against its expected time, as those of the peers; the first slower one
+ * ends the fast growth until as many good answers as the window allows have followed, and shrinks the window; a loss or rejection
+ * closes it to one. The window ends once it is twice what the
+ * peers have in flight, or a report shows that the upstream bears as much as they do.
+ *
+ * <p>Invariants: at least one request is always allowed; nothing is limited while no peer can take the work, nor later than 8 s
+ * after the start, so that a really slow upstream shows what it is. Not thread-safe: confined to the thread of its owner.
+ */
+public final class PaceWindow {
+    /** Time after a start or recovery from which nothing is limited. */
+    static final long MAX_NANOS = 8_000_000_000L;
+
+    private static final double FIRST_WINDOW = 1;
+    /** Growth with each good answer after a slow one. */
+    private static final double SLOW_GROWTH = 0.5;
+    /** Factor of the window at a slow answer. */
+    private static final double SHRINKING = 0.7;
+    /** Ratio to the peers' latency ratio above which an answer is slow. */
+    private static final double SLOW_RATIO = 1.5;
+    /** Ratio of the window to the requests in flight at a peer at which the window ends. */
+    private static final double OPEN_RATIO = 2;
+    /** Part of the peers' load that an upstream bears whose window is no longer needed. */
+    private static final double BORNE_LOAD = 0.75;
+
+    private boolean pacing;
+    private boolean slowSeen;
+    /** Number of good answers since the last slow one. */
+    private double goodAnswers;
+
+    private double window = FIRST_WINDOW;
+    private long sinceNanos;
+    private Peers peers = Peers.NONE;
+
+    PaceWindow() {}
+
+    /** Starts with the smallest window, since the upstream has just started. */
+    void begin(long now) {
+        begin(0, now);
+    }
+
+    /** Starts with a window of the requests that have survived, since the upstream has recovered. */
+    void begin(int inFlight, long now) {
+        pacing = true;
+        slowSeen = false;
+        goodAnswers = 0;
+        window = Math.max(FIRST_WINDOW, inFlight);
+        sinceNanos = now;
+    }
+
+    /**
+     * Sets what the upstream is compared with.
+     *
+     * @param newPeers upstreams of the same service without a window, {@link Peers#NONE} to limit nothing
+     */
+    public void setPeers(Peers newPeers) {
+        peers = newPeers;
+    }
+
+    /**
+     * Returns whether the upstream has started or recovered a short time ago and has not shown yet that it is as good as its peers.
+     *
+     * @param now current time in nanoseconds
+     * @return whether it is no peer to compare others with
+     */
+    public boolean started(long now) {
+        return pacing && now - sinceNanos < MAX_NANOS;
+    }
+
+    /**
+     * Returns whether the upstream has a window now.
+     *
+     * @param now current time in nanoseconds
+     * @return whether the number of its requests is limited
+     */
+    public boolean active(long now) {
+        return peers.open() && started(now);
+    }
+
+    /** Returns whether another request may be sent. */
+    boolean allows(int inFlight, long now) {
+        return !active(now) || inFlight < (int) window;
+    }
+
+    /** Records the time to the start of an answer; a time that was not expected shows nothing. */
+    void onAnswer(double expectedMillis, double actualMillis) {
+        if (!pacing || expectedMillis <= 0) {
+            return;
+        }
+        if (actualMillis / expectedMillis > SLOW_RATIO * Math.max(1, peers.latencyRatio())) {
+            shrink();
+            return;
+        }
+        goodAnswers++;
+        slowSeen &= goodAnswers < window;
+        window += slowSeen ? SLOW_GROWTH : 1;
+        pacing = window < OPEN_RATIO * Math.max(1, peers.ownInFlight());
+    }
+
+    /** Records a rejection or a loss. */
+    void onFailure() {
+        window = FIRST_WINDOW;
+        shrink();
+    }
+
+    private void shrink() {
+        slowSeen = true;
+        goodAnswers = 0;
+        window = Math.max(FIRST_WINDOW, SHRINKING * window);
+    }
+
+    /** Records the load of the upstream by all gateways. */
+    void onReport(ReportedLoad load) {
+        if (!pacing) {
+            return;
+        }
+        if (load.waiting() > 0) {
+            shrink();
+        } else if (peers.inFlight() > 0 && load.running() >= BORNE_LOAD * peers.inFlight()) {
+            pacing = false;
+        }
+    }
+
+    /**
+     * What the peers of an upstream show, as means of those without a window. Immutable.
+     *
+     * @param open whether one of them can take a request
+     * @param latencyRatio ratio of the observed to the expected time to the start of an answer
+     * @param ownInFlight requests in flight from this gateway
+     * @param inFlight requests in flight from all gateways by recent reports, 0 if unknown
+     */
+    public record Peers(boolean open, double latencyRatio, double ownInFlight, double inFlight) {
+        /** No peers, or none to be compared with. */
+        public static final Peers NONE = new Peers(false, 1, 0, 0);
+    }
+}
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -65,7 +65,7 @@
                 state.markLeaving();
             }
             if (listed) {
-                state.cold().recordStart(now);
+                state.recordStart(now);
             }
             state.cold().recordListed(upstream.coldLeftMillis(), now);
             registrations.put(upstream.id(), new Registration(state));
@@ -79,7 +79,7 @@
         registration.lapsed = false;
         registration.state.update(upstream);
         if (upstream.startMillis() > previous.startMillis()) {
-            registration.state.cold().recordStart(now);
+            registration.state.recordStart(now);
         }
         registration.state.cold().recordListed(upstream.coldLeftMillis(), now);
         if (upstream.startMillis() > previous.startMillis()) {
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -28,6 +28,7 @@
     private final LastLoadReport loadReport = new LastLoadReport();
     private final ObservedPerformance performance = new ObservedPerformance();
     private final ColdAllowance cold = new ColdAllowance();
+    private final PaceWindow pace = new PaceWindow();
     private final long idHash;
     private Upstream upstream;
     private OptionalDouble requestsPerSecond = OptionalDouble.empty();
@@ -150,6 +151,10 @@
      */
     public Set<ReportChange> onReport(SelfReport selfReport, boolean signed, boolean rejected, long now) {
         final Set<ReportChange> changes = EnumSet.noneOf(ReportChange.class);
+        selfReport.load().ifPresent(pace::onReport);
+        if (rejected) {
+            pace.onFailure();
+        }
         selfReport.load().ifPresent(load -> loadReport.record(load, inFlightRequests.size(), now));
         if (signed && setLimit(selfReport.requestsPerSecond())) {
             changes.add(ReportChange.LIMIT);
@@ -250,6 +255,28 @@
         return pacer.isEmpty() ? cold.permitsPerSecond() : Math.min(cold.permitsPerSecond(), permitsPerSecond());
     }
 
+    /**
+     * Returns the window of requests after a start or recovery.
+     *
+     * @return live object
+     */
+    public PaceWindow pace() {
+        return pace;
+    }
+
+    /** Records that the present incarnation has just started. */
+    void recordStart(long now) {
+        cold.recordStart(now);
+        pace.begin(now);
+    }
+
+    /** Paces the upstream if a response has closed its circuit. */
+    private void beginPaceIfRecovered(boolean recovering, long now) {
+        if (recovering && !circuit.recovering()) {
+            pace.begin(inFlightRequests.size(), now);
+        }
+    }
+
     /**
      * Returns whether the upstream is cold and what it may get then.
      *
@@ -271,7 +298,10 @@
      * @param now current time in nanoseconds
      */
     public void onSuccess(double expectedMillis, double actualMillis, long now) {
+        final boolean recovering = circuit.recovering();
         circuit.onSuccess(now);
+        beginPaceIfRecovered(recovering, now);
+        pace.onAnswer(expectedMillis, actualMillis);
         performance.recordSuccess(expectedMillis, actualMillis, now);
     }
 
@@ -282,7 +312,14 @@
      */
     public void onErrorResponse(long now) {
         performance.recordFailure(now);
+        closeCircuit(now);
+        pace.onFailure();
+    }
+
+    private void closeCircuit(long now) {
+        final boolean recovering = circuit.recovering();
         circuit.onResponse(now);
+        beginPaceIfRecovered(recovering, now);
     }
 
     /**
@@ -291,7 +328,7 @@
      * @param now current time in nanoseconds
      */
     public void onNotRun(long now) {
-        circuit.onResponse(now);
+        closeCircuit(now);
     }
 
     /**
@@ -302,6 +339,7 @@
      */
     public void onUnreachable(long now) {
         performance.recordFailure(now);
+        pace.onFailure();
         circuit.onUnreachable(now);
     }
 
@@ -338,7 +376,10 @@
         if (!permitted(now)) {
             return Availability.NO_PERMIT;
         }
-        return cold.permits(now) > 0 ? Availability.AVAILABLE : Availability.NO_COLD_PERMIT;
+        if (cold.permits(now) <= 0) {
+            return Availability.NO_COLD_PERMIT;
+        }
+        return pace.allows(inFlightRequests.size(), now) ? Availability.AVAILABLE : Availability.PACED;
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
@@ -22,6 +22,7 @@
  * @param session longest time between two requests of a session
  * @param coldOverage factor by which a cold upstream may get more requests in a second than it states; 0 for no limit
  * @param coldSlack requests in a second that a cold upstream may get beyond that
+ * @param adaptivePace whether the requests of an upstream that has started or recovered are limited by its answers
  */
 public record GatewayBounds(
         Duration keyRevocation,
@@ -35,7 +36,10 @@
         double exposureSlack,
         Duration session,
         double coldOverage,
-        double coldSlack) {
+        double coldSlack,
+        boolean adaptivePace) {
+    private static final String ADAPTIVE = "adaptive";
+
     /** Checks the arguments. */
     public GatewayBounds {
         Objects.requireNonNull(keyRevocation, "keyRevocation is null");
@@ -65,7 +69,8 @@
                 settings.decimal(Setting.EXPOSURE_SLACK),
                 settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS),
                 settings.decimal(Setting.COLD_OVERAGE),
-                settings.decimal(Setting.COLD_SLACK));
+                settings.decimal(Setting.COLD_SLACK),
+                settings.text(Setting.PACE).equals(ADAPTIVE));
     }
 
     /** Returns the timing of the reads of the shared log that these limits permit. */
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -87,6 +87,7 @@
     private final CountedSharedLog sharedLog;
     private final UpstreamHealthProbe healthProbe;
     private final ColdUpstreams coldUpstreams;
+    private final UpstreamPace pace;
     private volatile GatewayBounds bounds;
     private final HttpServer server;
     private final PeriodicTasks periodicTasks;
@@ -128,6 +129,7 @@
                 System::currentTimeMillis,
                 log);
         coldUpstreams = new ColdUpstreams(state, random, log, counters);
+        pace = new UpstreamPace(state);
         healthProbe = new UpstreamHealthProbe(client::checkReachable, client::closeIdle, loop, log, UNRESPONSIVE_NANOS);
         final GatewayContext context = new GatewayContext(
                 loop,
@@ -150,6 +152,7 @@
                     @Override
                     public void upstreamListed(Upstream upstream) {
                         coldUpstreams.update(upstream.id(), loop.nanos());
+                        pace.update(upstream.id(), loop.nanos());
                     }
 
                     @Override
@@ -300,6 +303,7 @@
                 .add("quarantine", quarantine::tick)
                 .add("stated limits", () -> state.limits().tick(loop.nanos()))
                 .add("cold upstreams", () -> coldUpstreams.tick(loop.nanos()))
+                .add("pace", () -> pace.tick(loop.nanos()))
                 .add("idle connections", client::closeExpired)
                 .add("health probe", () -> state.registry().all().forEach(healthProbe::probeIfUnresponsive));
     }
--- a/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
+++ b/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
@@ -9,7 +9,7 @@
  *
  * <p>Load pattern: with many gateways and upstreams most load reports are old. An upstream that was not heard of for some time is
  * expected to be as loaded as the others, not idle: if it counted as idle, the gateways would send most of their requests to the
- * upstreams that they know least about. For the same reason a cold upstream, which every gateway sees idle, is expected to be at
+ * upstreams that they know least about. For the same reason an upstream that is cold or paced, which every gateway sees idle, is expected to be at
  * least as loaded as the warm ones. Not thread-safe: used for one decision on the thread that owns the upstreams' states.
  */
 final class ExpectedLoads {
@@ -42,7 +42,7 @@
             weights += weight;
             inFlight += weight * member.loadReport().inFlightOfOtherGateways(now);
             waiting += weight * member.loadReport().waiting(now);
-            if (!member.cold().cold(now)) {
+            if (settled(member)) {
                 warm++;
                 ownAtWarm += member.inFlight();
                 weightsOfWarm += weight;
@@ -57,7 +57,11 @@
     /** Returns the expected number of requests in flight from other gateways at an upstream. */
     double inFlightOfOtherGateways(UpstreamState member) {
         final double expected = expected(member, member.loadReport().inFlightOfOtherGateways(now), meanInFlight);
-        return member.cold().cold(now) ? Math.max(expected, meanAtWarm - member.inFlight()) : expected;
+        return settled(member) ? expected : Math.max(expected, meanAtWarm - member.inFlight());
+    }
+
+    private boolean settled(UpstreamState member) {
+        return !member.cold().cold(now) && !member.pace().active(now);
     }
 
     /** Returns the expected length of an upstream's queue. */
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -254,6 +254,13 @@
             SettingType.NON_NEGATIVE_DECIMAL,
             "0",
             "requests that a cold upstream receives in a second beyond that rate"),
+    /** How upstreams that have just started or recovered get their requests. */
+    PACE(
+            "gateway",
+            "pace",
+            SettingType.PACE,
+            "none",
+            "adaptive to limit the concurrent requests of an upstream that has started or recovered by its answers"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -24,7 +24,9 @@
     /** Role of a process. */
     ROLE("entry, sidecar or gateway", "entry|sidecar|gateway"),
     /** Kind of an upstream. */
-    UPSTREAM_KIND("engine or plain", "engine|plain");
+    UPSTREAM_KIND("engine or plain", "engine|plain"),
+    /** Whether upstreams that have just started or recovered are paced. */
+    PACE("adaptive or none", "adaptive|none");
 
     private final String expected;
     private final Pattern pattern;
--- a/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutDeployment.java
@@ -30,7 +30,8 @@
             30,
             Duration.ofSeconds(5),
             1.5,
-            5);
+            5,
+            true);
     static final Duration TIME_LIMIT = Duration.ofSeconds(16);
 
     private static final long ORDER_OFFSET = 3;
