Wait for a warm upstream that recovers beside a cold one

Cause: while a cold upstream had no permit, the expected wait was the time to that permit, so a request was rejected at once although the circuit of a warm upstream was about to close.

Change: UpstreamWait expects a place soon if a circuit is open or an upstream is paced beside a cold one.

Result: UpstreamWaitTest.shouldExpectAPlaceSoonWhileAWarmUpstreamIsProbedBesideAColdOne fails without the change (100 s expected) and passes with it; ColdUpstreamsTest and SharedLimitTest pass.

--- a/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.masticpaddle.admission.PermitQueue;
@@ -65,7 +66,8 @@
                 .toList();
         if (pauses.isEmpty()) {
             // An upstream whose pause has ended accepts more as soon as it has responded to its probe.
-            final boolean recovering = members().stream().anyMatch(member -> recovers(member, now));
+            final boolean recovering =
+                    members().stream().anyMatch(member -> recovers(member, now)) || warmUpstreamExpected(now);
             return recovering ? Math.min(permitMillis, PROBE_MILLIS) : permitMillis;
         }
         final double firstMillis = pauses.get(0) / NANOS_PER_MILLI;
@@ -107,6 +109,14 @@
                 || member.places(now) == 1 && member.permitsPerSecond(now) == 0;
     }
 
+    /** Returns whether cold upstreams have no permits, but one that is warm may soon take requests again. */
+    private boolean warmUpstreamExpected(long now) {
+        final Set<Availability> reasons =
+                members().stream().map(member -> member.availability(now)).collect(Collectors.toSet());
+        return reasons.contains(Availability.NO_COLD_PERMIT)
+                && (reasons.contains(Availability.CIRCUIT_OPEN) || reasons.contains(Availability.PACED));
+    }
+
     private int ahead() {
         return ticket.map(queue()::ahead).orElseGet(() -> queue().size());
     }
--- a/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
+++ b/src/test/java/org/masticpaddle/gateway/UpstreamWaitTest.java
@@ -5,6 +5,7 @@
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.masticpaddle.fleet.ColdLimit;
 import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.SelfReports;
 import org.masticpaddle.fleet.Upstream;
@@ -35,12 +36,29 @@
         assertThat(second.expectedMillis()).isLessThan(1_000.0);
     }
 
-    private UpstreamState paused(String id) {
+    /** A request may wait for an upstream whose circuit closes soon although a cold one would have a permit much later. */
+    @Test
+    void shouldExpectAPlaceSoonWhileAWarmUpstreamIsProbedBesideAColdOne() {
+        listed("cold", 2_000).cold().setLimit(new ColdLimit(3, 10, 1.5, 5), 0.01, 0, scheduler.nanos());
+        final UpstreamState warm = listed("warm", 0);
+        final UpstreamWait wait = new UpstreamWait(state, scheduler, "s", 1);
+        warm.onUnreachable(scheduler.nanos());
+        assertThat(wait.blocked()).isTrue();
+        assertThat(wait.expectedMillis()).isLessThan(1_000.0);
+        warm.onReport(SelfReports.pause(true, 0), false, false, scheduler.nanos());
+        assertThat(wait.expectedMillis()).isAtLeast(10_000.0);
+    }
+
+    private UpstreamState listed(String id, long coldLeftMillis) {
         state.registry()
                 .applyEntry(
-                        new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, false, 1, 0),
+                        new Upstream(id, "s", URI.create("http://127.0.0.1:1"), "d", "v1", 8, false, 1, coldLeftMillis),
                         scheduler.nanos());
-        final UpstreamState upstream = state.registry().find(id).orElseThrow();
+        return state.registry().find(id).orElseThrow();
+    }
+
+    private UpstreamState paused(String id) {
+        final UpstreamState upstream = listed(id, 0);
         upstream.onReport(PAUSE, true, true, scheduler.nanos());
         upstream.onNotRun(scheduler.nanos());
         return upstream;
