--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -67,7 +67,7 @@
                 state.markLeaving();
             }
             if (listed) {
-                state.cold().recordStart(now);
+                state.recordStart(now);
             }
             state.cold().recordListed(upstream.coldLeftMillis(), now);
             registrations.put(upstream.id(), new Registration(state));
@@ -81,7 +81,7 @@
         registration.lapsed = false;
         registration.state.update(upstream);
         if (upstream.startMillis() > previous.startMillis()) {
-            registration.state.cold().recordStart(now);
+            registration.state.recordStart(now);
         }
         registration.state.cold().recordListed(upstream.coldLeftMillis(), now);
         if (upstream.startMillis() > previous.startMillis()) {
--- a/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayBounds.java
@@ -24,6 +24,7 @@
  * @param evacuation time after which an evacuated failure domain must get no requests, 0 if the operator sets none
  * @param coldOverage factor by which a cold upstream may get more requests in a second than it states; 0 for no limit
  * @param coldSlack requests in a second that a cold upstream may get beyond that
+ * @param adaptivePace whether the requests of an upstream that has started or recovered are limited by its answers
  */
 public record GatewayBounds(
         Duration keyRevocation,
@@ -38,7 +39,10 @@
         Duration session,
         Duration evacuation,
         double coldOverage,
-        double coldSlack) {
+        double coldSlack,
+        boolean adaptivePace) {
+    private static final String ADAPTIVE = "adaptive";
+
     /** Checks the arguments. */
     public GatewayBounds {
         Objects.requireNonNull(keyRevocation, "keyRevocation is null");
@@ -70,7 +74,8 @@
                 settings.decimalSeconds(Setting.GATEWAY_SESSION_SECONDS),
                 settings.millis(Setting.EVACUATION_MS),
                 settings.decimal(Setting.COLD_OVERAGE),
-                settings.decimal(Setting.COLD_SLACK));
+                settings.decimal(Setting.COLD_SLACK),
+                settings.text(Setting.PACE).equals(ADAPTIVE));
     }
 
     /** Returns the timing of the reads of the shared log that these limits permit. */
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -269,6 +269,13 @@
             "ignored",
             "whether upstreams of a service are expected to be as fast as their answers were (learned) or equally fast"
                     + " (ignored); takes effect at the start"),
+    /** How upstreams that have just started or recovered get their requests. */
+    PACE(
+            "gateway",
+            "pace",
+            SettingType.PACE,
+            "none",
+            "adaptive to limit the concurrent requests of an upstream that has started or recovered by its answers"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -26,7 +26,9 @@
     /** Kind of an upstream. */
     UPSTREAM_KIND("engine or plain", "engine|plain"),
     /** Whether learned speeds of upstreams count. */
-    UPSTREAM_SPEEDS("learned or ignored", "learned|ignored");
+    UPSTREAM_SPEEDS("learned or ignored", "learned|ignored"),
+    /** Whether upstreams that have just started or recovered are paced. */
+    PACE("adaptive or none", "adaptive|none");
 
     private final String expected;
     private final Pattern pattern;
--- a/src/test/java/org/masticpaddle/fleet/ObservedSpeedTest.java
+++ b/src/test/java/org/masticpaddle/fleet/ObservedSpeedTest.java
@@ -56,7 +56,8 @@
 
     @Test
     void shouldForgetAnEarlierIncarnation() {
-        final UpstreamState state = new UpstreamState(UpstreamRegistryTest.upstream("a", 1, false), new EvacuatedDomains(), 0);
+        final UpstreamState state =
+                new UpstreamState(UpstreamRegistryTest.upstream("a", 1, false), new EvacuatedDomains(), 0);
         state.performance().speed().record(ObservedSpeed.Work.STEP, 2, 0);
         state.update(UpstreamRegistryTest.upstream("a", 2, false));
         assertThat(state.performance().speed().weight(ObservedSpeed.Work.STEP, 0))
--- a/src/test/java/org/masticpaddle/routing/LearnedSpeedsTest.java
+++ b/src/test/java/org/masticpaddle/routing/LearnedSpeedsTest.java
@@ -31,7 +31,8 @@
     private final List<UpstreamState> members = IntStream.range(0, UPSTREAMS)
             .mapToObj(index -> {
                 registry.applyEntry(
-                        new Upstream("e" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", SLOTS, false, 1, 0), 0);
+                        new Upstream("e" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", SLOTS, false, 1, 0),
+                        0);
                 return registry.find("e" + index).orElseThrow();
             })
             .toList();
