Avoid inner assignments in the model of RequestMemoryTest

Cause: the style check rejects assignments as expressions, also in arms of a switch.

Change: two methods of the model; the law is the same.

--- a/src/test/java/org/masticpaddle/memory/RequestMemoryTest.java
+++ b/src/test/java/org/masticpaddle/memory/RequestMemoryTest.java
@@ -214,12 +214,20 @@
             }
             wanted = newBytes;
             switch (reservation.ask(newBytes, nowNanos)) {
-                case GRANTED -> bytes = newBytes;
-                case WAITING -> waits = true;
+                case GRANTED -> onBytes(newBytes);
+                case WAITING -> startWaiting();
                 default -> drop();
             }
         }
 
+        private void onBytes(long newBytes) {
+            bytes = newBytes;
+        }
+
+        private void startWaiting() {
+            waits = true;
+        }
+
         void keep(long size) {
             if (!waits && !ended) {
                 reservation.keep(size);
