Bound what gateways send to engines that report to be fast

Three causes: requests in flight were scaled by the factor, although they stay longer where work takes longer; the whole difference of speeds counted in each gateway's choice, which knows few of the requests that others have just sent; and queues at fast engines drove the mean service time up, which made speed count for more. One engine with a wrong figure also drove the mean of the service off.

Change: requests in flight are not scaled; compared service times hold the fourth root of the reported level and all of what differs from it at the moment; where upstreams report factors, learned speeds count for what these leave unexplained.

--- a/src/main/java/org/masticpaddle/routing/ExpectedWork.java
+++ b/src/main/java/org/masticpaddle/routing/ExpectedWork.java
@@ -17,29 +17,33 @@
     /** Weight of the mean of the service in the level of an upstream, as a number of figures. */
     private static final double MEAN_WEIGHT = 0.5;
 
+    /** Part of the logarithm of a reported level that other gateways answer for. */
+    private static final double SHARED_KNOWLEDGE = 0.75;
+
     private final long now;
     private final UpstreamSpeeds.Factors speeds;
     private final double meanLevel;
 
     /**
-     * Computes the mean of the levels, each by how much is known of it.
+     * Computes the geometric mean of the levels, each by how much is known of it.
      *
      * @param members upstreams of the service
-     * @param learned whether learned speeds count
+     * @param learned whether learned speeds count while no upstream reports a work factor; they always do otherwise, since they
+     *     hold what the reports leave unexplained
      * @param now current time in nanoseconds
      */
     ExpectedWork(Collection<UpstreamState> members, UpstreamSpeeds learned, long now) {
         this.now = now;
-        speeds = learned.factors(members, now);
         double weights = 0;
-        double levels = 0;
+        double logarithms = 0;
         for (final UpstreamState member : members) {
             final WorkPace pace = member.loadReport().workPace();
-            final double weight = Math.min(1, pace.weight());
+            final double weight = Math.min(1, pace.weight(now));
             weights += weight;
-            levels += weight * pace.level();
+            logarithms += weight * Math.log(pace.level());
         }
-        meanLevel = weights == 0 ? 1 : levels / weights;
+        speeds = (weights == 0 ? learned : UpstreamSpeeds.LEARNED).factors(members, now);
+        meanLevel = weights == 0 ? 1 : Math.exp(logarithms / weights);
     }
 
     /**
@@ -57,6 +61,14 @@
         return factor(member) * speeds.factor(member, work);
     }
 
+    /**
+     * Returns by how much the level of an upstream is to be left out of its service time when upstreams are compared. All gateways
+     * know the same upstreams to be fast, and each knows of few of the requests that the others have just sent there.
+     */
+    double sharedAdvantage(UpstreamState member) {
+        return Math.pow(level(member), SHARED_KNOWLEDGE);
+    }
+
     /** Returns the factor of the time between two events of a stream. */
     double eventFactor(UpstreamState member) {
         return level(member) * speeds.factor(member, ObservedSpeed.Work.STEP);
@@ -70,9 +82,8 @@
      */
     public double level(UpstreamState member) {
         final WorkPace pace = member.loadReport().workPace();
-        return pace.weight() == 0
-                ? meanLevel
-                : (pace.weight() * pace.level() + MEAN_WEIGHT * meanLevel) / (pace.weight() + MEAN_WEIGHT);
+        final double weight = pace.weight(now);
+        return weight == 0 ? meanLevel : (weight * pace.level() + MEAN_WEIGHT * meanLevel) / (weight + MEAN_WEIGHT);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -18,7 +18,7 @@
  * <p>Designed for workloads in which many requests share prompt segments and run on few engines; unlike {@link
  * UpstreamSelector} it scores all members.
  *
- * <p>Invariant: among upstreams of one failure domain that answer as expected and do not fail, a request is placed where it is
+ * <p>Invariant: among upstreams of one failure domain that report no work factor, answer as expected and do not fail, a request is placed where it is
  * predicted to start at most half of its prefill time later than at the best one, or 0.1 ms for each slot of a plain service.
  * Immutable and thread-safe; its methods have no side effects.
  */
@@ -115,8 +115,9 @@
         final double waitMillis = engine
                 ? engineWaitMillis(member, loads, workFactor)
                 : workFactor * Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
+        final double comparedMillis = serviceMillis / work.sharedAdvantage(member);
         final double latencyRatio = Math.max(1, member.performance().latencyRatio(now));
-        double score = (waitMillis + serviceMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
+        double score = (waitMillis + comparedMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
                 + member.performance().failureRate(now) * FAILURE_PENALTY_MILLIS;
         if (!member.upstream().failureDomain().equals(failureDomain)) {
             score += request.kilobytes() * CROSS_DOMAIN_MILLIS_PER_KILOBYTE;
@@ -139,7 +140,7 @@
 
     private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads, double workFactor) {
         return member.prefillBacklogMillis()
-                + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS * workFactor
+                + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS
                 + loads.waiting(member) * WAITING_REQUEST_MILLIS * workFactor;
     }
 
--- a/src/main/java/org/masticpaddle/routing/UpstreamSpeeds.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamSpeeds.java
@@ -7,7 +7,7 @@
 
 /** Whether the speeds that upstreams have shown in their answers count in their placement. Immutable and thread-safe. */
 public enum UpstreamSpeeds {
-    /** All upstreams of a service are expected to be equally fast, apart from the work factors that they report. */
+    /** All upstreams of a service are expected to be equally fast, unless they report work factors. */
     IGNORED {
         @Override
         Factors factors(Collection<UpstreamState> members, long now) {
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -247,7 +247,7 @@
             SettingType.UPSTREAM_SPEEDS,
             "ignored",
             "whether upstreams of a service are expected to be as fast as their answers were (learned) or equally fast"
-                    + " (ignored); takes effect at the start"),
+                    + " (ignored, unless they report work factors); takes effect at the start"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/test/java/org/masticpaddle/fleet/SelfReports.java
+++ b/src/test/java/org/masticpaddle/fleet/SelfReports.java
@@ -46,8 +46,21 @@
      * @return report with the load and the factor
      */
     public static SelfReport workFactor(double workFactor) {
+        return workFactor(0, 0, 8, OptionalDouble.of(workFactor));
+    }
+
+    /**
+     * Creates a load report with or without a work factor.
+     *
+     * @param running requests that the upstream processes
+     * @param waiting requests in its queue
+     * @param slots requests that it can process concurrently
+     * @param workFactor time that work takes, relative to the usual time; empty if it reports none
+     * @return report with the load and the factor
+     */
+    public static SelfReport workFactor(int running, int waiting, int slots, OptionalDouble workFactor) {
         return new SelfReport(
-                Optional.of(new ReportedLoad(0, 0, 8, OptionalDouble.of(workFactor))),
+                Optional.of(new ReportedLoad(running, waiting, slots, workFactor)),
                 OptionalDouble.empty(),
                 false,
                 OptionalDouble.empty(),
--- a/src/test/java/org/masticpaddle/gateway/UnevenEnginesReplay.java
+++ b/src/test/java/org/masticpaddle/gateway/UnevenEnginesReplay.java
@@ -3,6 +3,7 @@
 import java.net.URI;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.stream.IntStream;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -19,7 +20,7 @@
 
 /**
  * Replays prompts through the placement of many gateways in virtual time. Engines of unequal speed read prompts one after the other
- * and generate events side by side, the slower the more streams they run. They report their loads, but not their speeds. Not
+ * and generate events side by side, the slower the more streams they run. They report their loads and, if told to, a work factor. Not
  * thread-safe.
  */
 final class UnevenEnginesReplay {
@@ -78,6 +79,11 @@
         }
     }
 
+    /** Makes an engine report a work factor, true or not. */
+    void report(int engineIndex, double workFactor) {
+        engines.get(engineIndex).reportedFactor = OptionalDouble.of(workFactor);
+    }
+
     void resetCounts() {
         waitMillis = 0;
         answers = 0;
@@ -89,14 +95,17 @@
         return waitMillis / answers;
     }
 
-    /** Returns the largest ratio of an engine's part of the requests to its part of the speed of all. */
+    /** Returns the largest {@linkplain #part part} of an engine. */
     double largestPart() {
+        return IntStream.range(0, engines.size()).mapToDouble(this::part).max().orElseThrow();
+    }
+
+    /** Returns the ratio of an engine's part of the requests to its part of the speed of all. */
+    double part(int engineIndex) {
         final double speeds = engines.stream().mapToDouble(Engine::speed).sum();
         final long sum = engines.stream().mapToLong(engine -> engine.requests).sum();
-        return engines.stream()
-                .mapToDouble(engine -> engine.requests / (double) sum / (engine.speed() / speeds))
-                .max()
-                .orElseThrow();
+        final Engine engine = engines.get(engineIndex);
+        return engine.requests / (double) sum / (engine.speed() / speeds);
     }
 
     private long millis() {
@@ -151,6 +160,7 @@
         private int waiting;
         private int running;
         private long requests;
+        private OptionalDouble reportedFactor = OptionalDouble.empty();
 
         Engine(int index, double factor) {
             upstream = new Upstream("e" + index, "s", URI.create("http://127.0.0.1:1"), "d", "v", 64, false, 1);
@@ -184,7 +194,8 @@
         }
 
         private void report(UpstreamState state) {
-            state.onReport(SelfReports.load(running, waiting, 64), true, false, scheduler.nanos());
+            state.onReport(
+                    SelfReports.workFactor(running, waiting, 64, reportedFactor), true, false, scheduler.nanos());
         }
     }
 }
