--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -268,7 +268,7 @@
             SettingType.UPSTREAM_SPEEDS,
             "ignored",
             "whether upstreams of a service are expected to be as fast as their answers were (learned) or equally fast"
-                    + " (ignored); takes effect at the start"),
+                    + " (ignored, unless they report work factors); takes effect at the start"),
     /** How upstreams that have just started or recovered get their requests. */
     PACE(
             "gateway",
