Admit requests by expected time and the shares of organisations

Cause: a gateway sends each request at once to the upstream with the lowest score.

Change: ServiceAdmission decides for one service at one gateway whether a first attempt is sent, waits for at most an eighth of its objective, or is rejected at once with the time at which room is expected. FairShares gives max-min shares of the completed work to the organisations active in the last seconds, StartErrors corrects expected times by rank, Pressure tells overload from random clusters, WaitingLine orders what waits. AttemptAdmission joins them to AttemptPlanner; an organisation above its share keeps drafts under pressure. Counters for waits, time waited and both reasons of rejection; the event request.queued tells how a wait ended.

Without pressure the attempts are the same as without admission and nothing is rejected. Laws by random sequences in ServiceAdmissionPropertyTest.

--- /dev/null
+++ b/src/main/java/org/masticpaddle/admission/FairShares.java
@@ -0,0 +1,155 @@
+package org.masticpaddle.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Shares of the organisations in what a gateway gets done of one service: max-min fair over the organisations that were active in
+ * the last seconds.
+ *
+ * <p>Load pattern: one organisation sends many times its usual load and would take the room of all others. Invariants: the shares
+ * add up to no more than the capacity; what an organisation does not ask for is lent to the others, and since shares follow from
+ * the recent demand, it is returned as soon as the organisation asks for it. Each gateway divides only its own part, so that no
+ * messages between gateways are needed. Not thread-safe: used on the owner's thread only.
+ */
+public final class FairShares {
+    /** Time constant of the rates; an organisation counts as active for about this time. */
+    private static final long TIME_CONSTANT_NANOS = 2_000_000_000L;
+    /** Completions before which the capacity is not known, so that no organisation exceeds its share. */
+    private static final int MIN_COMPLETIONS = 8;
+    /** Demand below which an organisation is forgotten, relative to one unit of work in a second. */
+    private static final double FORGOTTEN_RATE = 1e-3;
+    /** Number of organisations from which inactive ones are removed. */
+    private static final int PRUNED_SIZE = 64;
+
+    private final Map<String, Usage> usages = new HashMap<>();
+    private final DecayingRate completed = new DecayingRate(TIME_CONSTANT_NANOS);
+    private int completions;
+
+    /** Creates shares without observations. */
+    public FairShares() {}
+
+    /**
+     * Records a request that has arrived, whether or not it is sent.
+     *
+     * @param organisation organisation that pays for it
+     * @param work expected work
+     * @param now current time in nanoseconds
+     */
+    public void offer(String organisation, double work, long now) {
+        if (usages.size() >= PRUNED_SIZE) {
+            usages.values().removeIf(usage -> usage.offered.perSecond(now) < FORGOTTEN_RATE);
+        }
+        usages.computeIfAbsent(organisation, name -> new Usage()).offered.add(work, now);
+    }
+
+    /**
+     * Records a request that is sent to an upstream.
+     *
+     * @param organisation organisation that pays for it
+     * @param rank its rank
+     * @param work expected work
+     * @param now current time in nanoseconds
+     */
+    public void send(String organisation, int rank, double work, long now) {
+        usages.computeIfAbsent(organisation, name -> new Usage())
+                .sentByRank
+                .computeIfAbsent(rank, each -> new DecayingRate(TIME_CONSTANT_NANOS))
+                .add(work, now);
+    }
+
+    /**
+     * Records that upstreams have completed a request.
+     *
+     * @param work its expected work
+     * @param now current time in nanoseconds
+     */
+    public void complete(double work, long now) {
+        completed.add(work, now);
+        completions = Math.min(MIN_COMPLETIONS, completions + 1);
+    }
+
+    /**
+     * Returns the work that upstreams complete for this gateway.
+     *
+     * @param now current time in nanoseconds
+     * @return moving average in units of work a second
+     */
+    public double capacity(long now) {
+        return completed.perSecond(now);
+    }
+
+    /**
+     * Returns the share of an organisation: its demand, or the fair rate if that is lower.
+     *
+     * @param organisation organisation
+     * @param now current time in nanoseconds
+     * @return units of work a second
+     */
+    public double share(String organisation, long now) {
+        final Usage usage = usages.get(organisation);
+        return usage == null ? 0 : Math.min(usage.offered.perSecond(now), fairRate(now));
+    }
+
+    /**
+     * Returns whether an organisation has recently got more than its share, so that its further requests come last. Its less
+     * urgent requests do not count against its more urgent ones.
+     *
+     * @param organisation organisation
+     * @param rank rank of its next request
+     * @param now current time in nanoseconds
+     * @return {@code false} also if the capacity is not known yet
+     */
+    public boolean exceeded(String organisation, int rank, long now) {
+        return excessRatio(organisation, rank, now) > 1;
+    }
+
+    /**
+     * Returns the time after which an organisation that sends nothing more is within its share again.
+     *
+     * @param organisation organisation
+     * @param rank rank of its next request
+     * @param now current time in nanoseconds
+     * @return milliseconds, 0 if it is within its share
+     */
+    public double millisUntilWithin(String organisation, int rank, long now) {
+        return Math.log(Math.max(1, excessRatio(organisation, rank, now))) * TIME_CONSTANT_NANOS / 1e6;
+    }
+
+    private double excessRatio(String organisation, int rank, long now) {
+        final Usage usage = usages.get(organisation);
+        return usage == null || completions < MIN_COMPLETIONS
+                ? 0
+                : usage.sentUpTo(rank, now) / Math.max(Double.MIN_NORMAL, fairRate(now));
+    }
+
+    /** Returns the rate that no share exceeds: all demands cut off at it add up to the capacity. */
+    private double fairRate(long now) {
+        final double[] demands = usages.values().stream()
+                .mapToDouble(usage -> usage.offered.perSecond(now))
+                .sorted()
+                .toArray();
+        double left = capacity(now);
+        for (int index = 0; index < demands.length; index++) {
+            final double equalPart = left / (demands.length - index);
+            if (demands[index] > equalPart) {
+                return equalPart;
+            }
+            left -= demands[index];
+        }
+        return Double.MAX_VALUE;
+    }
+
+    /** Recent demand of one organisation and what it got. Not thread-safe. */
+    private static final class Usage {
+        private final DecayingRate offered = new DecayingRate(TIME_CONSTANT_NANOS);
+        private final Map<Integer, DecayingRate> sentByRank = new HashMap<>();
+
+        double sentUpTo(int rank, long now) {
+            return sentByRank.entrySet().stream()
+                    .filter(entry -> entry.getKey() <= rank)
+                    .mapToDouble(entry -> entry.getValue().perSecond(now))
+                    .sum();
+        }
+    }
+}
--- a/src/main/java/org/masticpaddle/admission/RejectionReason.java
+++ b/src/main/java/org/masticpaddle/admission/RejectionReason.java
@@ -19,7 +19,9 @@
     /** The organisation's limit of concurrent requests is exceeded. */
     CONCURRENCY_LIMIT(429),
     /** The organisation's limit of spend is exceeded. */
-    SPEND_LIMIT(429);
+    SPEND_LIMIT(429),
+    /** The service is under pressure and the organisation has got more than its fair share. */
+    ABOVE_SHARE(503);
 
     private final int status;
 
--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -36,7 +36,7 @@
     ANSWER_OBSERVED("rollout.observed", Priority.ROUTINE),
     /** An upstream was lost while it began to answer, or the segments suspected of such crashes changed. */
     QUARANTINE_CHANGED("quarantine.changed", Priority.IMPORTANT),
-    /** A request was queued until an upstream has capacity. */
+    /** A request was queued until an upstream has capacity; of a gateway, the end of its wait. */
     REQUEST_QUEUED("request.queued", Priority.ROUTINE),
     /** A request was sent to an upstream. */
     REQUEST_SENT("request.sent", Priority.ROUTINE),
--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -3,12 +3,14 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.masticpaddle.admission.RejectionReason;
+import org.masticpaddle.admission.Verdict;
 import org.masticpaddle.quarantine.Admission;
 import org.masticpaddle.routing.UpstreamPlacement;
 
 /**
  * Decides whether the next attempt of one request starts now, and where: by the quarantine of its prompt segments, the upstreams
- * that are open, the limits that they state and the pauses that they ask for.
+ * that are open, the limits that they state, the pauses that they ask for, and the admission of the first attempt.
  *
  * <p>Invariant: a request that waits is planned again soon; one that cannot start in time fails at once. Used on the event loop
  * only.
@@ -18,12 +20,16 @@
     static final long MIN_ATTEMPT_MILLIS = 30;
     /** Longest delay after which a caller is asked to repeat a request that no upstream has a place for. */
     private static final double MAX_RETRY_AFTER_SECONDS = 60;
+    /** Time after which a request that waits for an upstream or for the quarantine is planned again. */
+    private static final Recheck RECHECK = new Recheck(40);
 
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final UpstreamChooser chooser;
     private final Escalation escalation;
     private final PromptGuard guard;
+    private final AttemptAdmission attemptAdmission;
+    private final RequestDecisions decisions;
     private final UpstreamWait upstreamWait;
 
     AttemptPlanner(
@@ -32,12 +38,15 @@
             String service,
             UpstreamChooser chooser,
             Escalation escalation,
-            PromptGuard guard) {
+            PromptGuard guard,
+            AttemptAdmission attemptAdmission) {
         this.context = Objects.requireNonNull(context, "context is null");
         this.admitted = Objects.requireNonNull(admitted, "admitted is null");
         this.chooser = Objects.requireNonNull(chooser, "chooser is null");
         this.escalation = Objects.requireNonNull(escalation, "escalation is null");
         this.guard = Objects.requireNonNull(guard, "guard is null");
+        this.attemptAdmission = Objects.requireNonNull(attemptAdmission, "attemptAdmission is null");
+        decisions = new RequestDecisions(context, admitted);
         upstreamWait = new UpstreamWait(context.state(), context.scheduler(), service, admitted.rank());
     }
 
@@ -57,7 +66,7 @@
         final boolean mayWait = remainingMillis > admitted.timeoutMillis() / 2;
         final Admission admission = guard.admission();
         if (admission.outcome() == Admission.Outcome.HELD && mayWait) {
-            return Recheck.INSTANCE;
+            return RECHECK;
         }
         if (admission.outcome().compareTo(Admission.Outcome.HELD) >= 0) {
             return quarantined(admission);
@@ -67,15 +76,13 @@
         if (choice.isPresent() && upstreamWait.isTurn(choice.get().member())) {
             upstreamWait.end();
             return sentAttempts == 0
-                    ? withoutDraft(choice.get(), admission, modelIndex, remainingMillis)
-                    : new Send(choice.get(), admission, modelIndex);
+                    ? admit(choice.get(), admission, modelIndex, remainingMillis)
+                    : sent(new Send(choice.get(), admission, modelIndex));
         }
         if (upstreamWait.blocked()) {
             return waitForUpstream(remainingMillis);
         }
-        return sentAttempts == 0 && mayWait
-                ? Recheck.INSTANCE
-                : new Fail("no upstream is open: " + upstreamWait.reasons(), 0);
+        return sentAttempts == 0 && mayWait ? RECHECK : new Fail("no upstream is open: " + upstreamWait.reasons(), 0);
     }
 
     /** Returns the end of a request that the quarantine does not admit. */
@@ -91,6 +98,44 @@
         upstreamWait.end();
     }
 
+    /** Sends the first attempt, or lets it wait or rejects it by its expected time and the share of its organisation. */
+    private Plan admit(UpstreamPlacement.Choice choice, Admission admission, int modelIndex, long remainingMillis) {
+        final Verdict verdict = attemptAdmission.decide(choice);
+        if (verdict instanceof Verdict.Wait wait) {
+            return new Recheck(wait.millis());
+        }
+        if (attemptAdmission.waited()) {
+            context.counters().add(GatewayCounters.Counter.WAITED);
+            context.counters().add(GatewayCounters.Counter.WAITED_MILLIS, Math.round(attemptAdmission.waitedMillis()));
+            decisions.waited(choice, attemptAdmission, verdict);
+        }
+        return verdict instanceof Verdict.Reject reject
+                ? rejected(choice, reject)
+                : sent(withoutDraft(choice, admission, modelIndex, remainingMillis));
+    }
+
+    private Send sent(Send send) {
+        attemptAdmission.onSent(send.choice());
+        return send;
+    }
+
+    private Fail rejected(UpstreamPlacement.Choice choice, Verdict.Reject reject) {
+        context.counters()
+                .add(
+                        reject.reason() == RejectionReason.ABOVE_SHARE
+                                ? GatewayCounters.Counter.REJECTED_ABOVE_SHARE
+                                : GatewayCounters.Counter.REJECTED_LATE);
+        // The random part spreads the returns of requests that are rejected together.
+        final double retryAfterMillis = reject.retryAfterMillis()
+                + Math.max(reject.retryAfterMillis(), reject.spreadMillis())
+                        * context.random().nextDouble();
+        return new Fail(
+                "no answer would start in time (" + reject.reason().label() + "): expected in "
+                        + Math.round(attemptAdmission.expectedMillis(choice)) + " ms, allowed "
+                        + Math.round(reject.limitMillis()) + " ms",
+                Math.min(MAX_RETRY_AFTER_SECONDS, retryAfterMillis / 1e3));
+    }
+
     /** Selects the largest model at once if the upstream is limited and the answer would come in time. */
     private Send withoutDraft(
             UpstreamPlacement.Choice draft, Admission admission, int modelIndex, long remainingMillis) {
@@ -112,7 +157,7 @@
                     Math.min(MAX_RETRY_AFTER_SECONDS, delaySeconds));
         }
         upstreamWait.begin();
-        return Recheck.INSTANCE;
+        return RECHECK;
     }
 
     /** What to do with a request that has no attempt in flight. */
@@ -127,11 +172,12 @@
      */
     record Send(UpstreamPlacement.Choice choice, Admission admission, int modelIndex) implements Plan {}
 
-    /** The request waits for a short time and is planned again. */
-    enum Recheck implements Plan {
-        /** The only instance. */
-        INSTANCE
-    }
+    /**
+     * The request waits for a short time and is planned again. Immutable.
+     *
+     * @param millis time until then
+     */
+    record Recheck(long millis) implements Plan {}
 
     /**
      * The request ends without another attempt. Immutable.
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -15,18 +15,21 @@
     private final String service;
     private final RequestModels models;
     private final UpstreamChooser chooser;
+    private final AttemptAdmission admission;
 
     Escalation(
             GatewayContext context,
             AdmittedRequest admitted,
             String service,
             RequestModels models,
-            UpstreamChooser chooser) {
+            UpstreamChooser chooser,
+            AttemptAdmission admission) {
         this.context = Objects.requireNonNull(context, "context is null");
         this.admitted = Objects.requireNonNull(admitted, "admitted is null");
         this.service = Objects.requireNonNull(service, "service is null");
         this.models = Objects.requireNonNull(models, "models is null");
         this.chooser = Objects.requireNonNull(chooser, "chooser is null");
+        this.admission = Objects.requireNonNull(admission, "admission is null");
     }
 
     /**
@@ -40,7 +43,7 @@
      */
     OptionalInt largerModel(int modelIndex, OptionalInt confidence, int sentAttempts, long remainingMillis) {
         final int modelCount = admitted.route().modelsBySize().size();
-        if (modelCount < 2 || sentAttempts >= admitted.route().maxAttempts()) {
+        if (modelCount < 2 || sentAttempts >= admitted.route().maxAttempts() || admission.restrained()) {
             return OptionalInt.empty();
         }
         final Optional<UpstreamPlacement.Choice> choice = chooser.bestPreferred(modelCount - 1);
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -22,6 +22,10 @@
         counts.get(counter).increment();
     }
 
+    void add(Counter counter, long amount) {
+        counts.get(counter).add(amount);
+    }
+
     long value(Counter counter) {
         return counts.get(counter).sum();
     }
@@ -53,6 +57,12 @@
         ESCALATED("escalated", "drafts dropped for a larger model"),
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
+        WAITED("admission_waited", "requests that waited since their service was under pressure"),
+        WAITED_MILLIS("admission_waited_ms", "time that these requests waited, in milliseconds"),
+        REJECTED_LATE("admission_rejected_late", "requests rejected since their answers would have started too late"),
+        REJECTED_ABOVE_SHARE(
+                "admission_rejected_above_share",
+                "requests rejected since their organisations were above their shares under pressure"),
         UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
         ANSWERS_DROPPED("answers_dropped", "answers of upstreams dropped since the memory for answers was used up"),
         STORE_CALLS("store_calls", "calls to the shared log"),
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -103,6 +103,7 @@
         bounds = GatewayBounds.of(settings);
         final UniformRandomProvider random = random(settings.text(Setting.INSTANCE));
         state = new GatewayState(bounds, random);
+        state.admissions().updateMode(AdmissionMode.of(settings));
         client = new HttpClient(loop, new ConnectionTimeouts(CONNECT_TIMEOUT, MAX_IDLE_TIME));
         sharedLog = new CountedSharedLog(ports.log(
                 client,
@@ -249,7 +250,11 @@
         final GatewayBounds newBounds = GatewayBounds.of(settings);
         log.write(Decision.RELOADED, "changed", !newBounds.equals(bounds), "bounds", newBounds);
         bounds = newBounds;
-        loop.execute(() -> state.updateBounds(newBounds));
+        final AdmissionMode admissionMode = AdmissionMode.of(settings);
+        loop.execute(() -> {
+            state.updateBounds(newBounds);
+            state.admissions().updateMode(admissionMode);
+        });
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -38,6 +38,7 @@
     private GatewayBounds bounds;
     private final UpstreamRegistry registry = new UpstreamRegistry(OUTAGE_GRACE_NANOS);
     private final UpstreamLimits limits;
+    private final ServiceAdmissions admissions = new ServiceAdmissions();
     private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private Optional<RoutingTable> table = Optional.empty();
@@ -109,6 +110,11 @@
         return limits;
     }
 
+    /** Returns the admission of requests by expected time and shares of organisations. */
+    ServiceAdmissions admissions() {
+        return admissions;
+    }
+
     /** Records that the list of upstreams was read from the log. */
     void markUpstreamsListed() {
         upstreamsListed = true;
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
+import org.masticpaddle.admission.Verdict;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.PromptSegment;
 import org.masticpaddle.fleet.ReportChange;
@@ -97,6 +98,31 @@
                         remainingMillis);
     }
 
+    /** Writes that the wait of a request at this gateway has ended, and how. */
+    void waited(UpstreamPlacement.Choice choice, AttemptAdmission admission, Verdict verdict) {
+        context.log()
+                .write(
+                        Decision.REQUEST_QUEUED,
+                        "request",
+                        admitted.request().id(),
+                        "route",
+                        admitted.route().name(),
+                        "organisation",
+                        admitted.keyOwner().map(KeyOwner::organisation).orElse(null),
+                        "rank",
+                        admitted.rank(),
+                        "upstream",
+                        choice.member().upstream().id(),
+                        "waited_ms",
+                        admission.waitedMillis(),
+                        "expected_ms",
+                        admission.expectedMillis(choice),
+                        "rejected",
+                        verdict instanceof Verdict.Reject reject
+                                ? reject.reason().label()
+                                : null);
+    }
+
     /** Writes that a draft is dropped for a larger model. */
     void escalated(Attempt draft, String model, String largerModel, int confidence) {
         context.log()
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -32,8 +32,6 @@
  */
 final class RequestForwarder implements Attempt.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    /** Delay after which a request that waits is planned again. */
-    private static final long RECHECK_MILLIS = 40;
     /** HTTP status of an instance that is not the one that the request names. */
     private static final int MISDIRECTED = 421;
     /** HTTP status of an upstream that rejects a request. */
@@ -46,6 +44,7 @@
     private final long deadlineNanos;
     private final RequestModels models;
     private final UpstreamChooser chooser;
+    private final AttemptAdmission attemptAdmission;
     private final Escalation escalation;
     private final EstimateRecorder estimates;
     private final RequestDecisions decisions;
@@ -71,7 +70,9 @@
         service = admitted.route().selectService(context.random().nextDouble());
         models = new RequestModels(context.state(), admitted, service);
         chooser = new UpstreamChooser(context, admitted, service, models);
-        escalation = new Escalation(context, admitted, service, models, chooser);
+        attemptAdmission = new AttemptAdmission(
+                context.state(), context.scheduler(), service, AttemptAdmission.candidate(admitted));
+        escalation = new Escalation(context, admitted, service, models, chooser, attemptAdmission);
         estimates = new EstimateRecorder(context, service, models);
         decisions = new RequestDecisions(context, admitted);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
@@ -85,7 +86,7 @@
         context.state().retryBudget(service).recordFirstAttempt(now());
         deadlineTimer = context.scheduler().schedule(remainingMillis(), this::onDeadline);
         guard = context.quarantine().guard(service, models.sharedSegments(), this::onQuarantineChange);
-        planner = new AttemptPlanner(context, admitted, service, chooser, escalation, guard);
+        planner = new AttemptPlanner(context, admitted, service, chooser, escalation, guard, attemptAdmission);
         caller.onDisconnect(this::cancel);
         startAttempt();
     }
@@ -106,8 +107,8 @@
             send(send.choice(), send.admission());
         } else if (plan instanceof AttemptPlanner.Fail failure) {
             fail(failure);
-        } else {
-            context.scheduler().schedule(RECHECK_MILLIS, this::startAttempt);
+        } else if (plan instanceof AttemptPlanner.Recheck recheck) {
+            context.scheduler().schedule(recheck.millis(), this::startAttempt);
         }
     }
 
@@ -302,6 +303,7 @@
             failed.upstream().tripCircuit(now());
         } else {
             failed.upstream().onNotRun(now());
+            attemptAdmission.onNotRun(failed.upstream());
         }
         endAttempt(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
         decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
@@ -310,6 +312,7 @@
 
     private void startStream(Attempt streaming, ResponseMetadata metadata) {
         estimates.recordAnswerStart(streaming, model, modelIndex, now());
+        attemptAdmission.onStarted();
         streaming.markStarted(now());
         eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
         if (relay.isPresent() && relay.get().started()) {
@@ -379,6 +382,7 @@
         }
         if (completed.status() < 300) {
             estimates.recordAnswerStart(completed, model, modelIndex, now());
+            attemptAdmission.onStarted();
             endAttempt(AttemptEnd.ANSWERED);
         } else if (completed.status() >= 500) {
             completed.upstream().onErrorResponse(now());
@@ -498,6 +502,7 @@
         deadlineTimer.cancel();
         guard.close();
         planner.close();
+        attemptAdmission.close(decision == Decision.REQUEST_ANSWERED);
         context.counters().add(counter);
         decisions.ended(
                 decision,
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -240,6 +240,13 @@
             SettingType.NON_NEGATIVE_DECIMAL,
             "5",
             "maximum time between two requests of a session"),
+    /** Whether requests wait and are rejected by their expected time and the shares of organisations. */
+    ADMISSION(
+            "gateway",
+            "admission",
+            SettingType.ADMISSION_MODE,
+            "immediate",
+            "fair to send requests by expected time and shares of organisations, immediate to send all at once"),
     /** Minimum confidence of a draft that is delivered, in percent. */
     MIN_DRAFT_CONFIDENCE_PERCENT(
             "gateway",
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -24,7 +24,9 @@
     /** Role of a process. */
     ROLE("entry, sidecar or gateway", "entry|sidecar|gateway"),
     /** Kind of an upstream. */
-    UPSTREAM_KIND("engine or plain", "engine|plain");
+    UPSTREAM_KIND("engine or plain", "engine|plain"),
+    /** Admission of requests to upstreams. */
+    ADMISSION_MODE("fair or immediate", "fair|immediate");
 
     private final String expected;
     private final Pattern pattern;
