Judge shares without the last request and put early repeats behind

Cause: with 21 gateways an organisation sends less than one request of a kind in two seconds to each of them. Callers that come back sooner than they were asked to competed like first attempts.

Change: FairShares leaves the last request of an organisation out of account. EarlyRepeats remembers the sessions of rejected requests for at most a third of the time that they had left; under pressure their next requests are treated as above the share.

--- a/src/main/java/org/masticpaddle/admission/AdmissionCandidate.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionCandidate.java
@@ -1,11 +1,13 @@
 package org.masticpaddle.admission;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * What the admission of a service needs to know of one request. Immutable and thread-safe.
  *
  * @param organisation organisation that pays for the request, empty text if it has none
+ * @param session session that the request belongs to, empty if there is none
  * @param rank priority class, 0 is the most urgent
  * @param work expected work: tokens read plus ten times the tokens generated, or 1 for a plain request; only compared within one
  *     service
@@ -14,7 +16,13 @@
  * @param timeoutMillis time from the arrival until the answer is of no use, in milliseconds
  */
 public record AdmissionCandidate(
-        String organisation, int rank, double work, long arrivalNanos, double objectiveMillis, double timeoutMillis) {
+        String organisation,
+        Optional<String> session,
+        int rank,
+        double work,
+        long arrivalNanos,
+        double objectiveMillis,
+        double timeoutMillis) {
     private static final double NANOS_PER_MILLI = 1e6;
     /**
      * Fraction of the objective that a request may wait at a gateway. A request that was held for longer and never offered to an
@@ -25,6 +33,7 @@
     /** Checks the arguments. */
     public AdmissionCandidate {
         Objects.requireNonNull(organisation, "organisation is null");
+        Objects.requireNonNull(session, "session is null");
         if (!(work > 0)) {
             throw new IllegalArgumentException("work is not positive: " + work);
         }
--- a/src/main/java/org/masticpaddle/admission/DecayingRate.java
+++ b/src/main/java/org/masticpaddle/admission/DecayingRate.java
@@ -16,6 +16,12 @@
         ratePerSecond += amount * 1e9 / timeConstantNanos;
     }
 
+    /** Forgets all amounts before this one. */
+    void replace(double amount, long now) {
+        decay(now);
+        ratePerSecond = amount * 1e9 / timeConstantNanos;
+    }
+
     double perSecond(long now) {
         decay(now);
         return ratePerSecond;
--- a/src/main/java/org/masticpaddle/admission/FairShares.java
+++ b/src/main/java/org/masticpaddle/admission/FairShares.java
@@ -52,10 +52,7 @@
      * @param now current time in nanoseconds
      */
     public void send(String organisation, int rank, double work, long now) {
-        usages.computeIfAbsent(organisation, name -> new Usage())
-                .sentByRank
-                .computeIfAbsent(rank, each -> new DecayingRate(TIME_CONSTANT_NANOS))
-                .add(work, now);
+        usages.computeIfAbsent(organisation, name -> new Usage()).send(rank, work, now);
     }
 
     /**
@@ -116,11 +113,12 @@
         return Math.log(Math.max(1, excessRatio(organisation, rank, now))) * TIME_CONSTANT_NANOS / 1e6;
     }
 
+    /** Returns the ratio of what an organisation got before its last request to its share, 0 if the capacity is not known. */
     private double excessRatio(String organisation, int rank, long now) {
         final Usage usage = usages.get(organisation);
         return usage == null || completions < MIN_COMPLETIONS
                 ? 0
-                : usage.sentUpTo(rank, now) / Math.max(Double.MIN_NORMAL, fairRate(now));
+                : usage.sentBeforeLast(rank, now) / Math.max(Double.MIN_NORMAL, fairRate(now));
     }
 
     /** Returns the rate that no share exceeds: all demands cut off at it add up to the capacity. */
@@ -144,12 +142,22 @@
     private static final class Usage {
         private final DecayingRate offered = new DecayingRate(TIME_CONSTANT_NANOS);
         private final Map<Integer, DecayingRate> sentByRank = new HashMap<>();
+        private final DecayingRate lastSent = new DecayingRate(TIME_CONSTANT_NANOS);
 
-        double sentUpTo(int rank, long now) {
+        void send(int rank, double work, long now) {
+            sentByRank
+                    .computeIfAbsent(rank, each -> new DecayingRate(TIME_CONSTANT_NANOS))
+                    .add(work, now);
+            lastSent.replace(work, now);
+        }
+
+        /** Returns the rate of what was sent of the given and more urgent ranks, but for one request of the last size. */
+        double sentBeforeLast(int rank, long now) {
             return sentByRank.entrySet().stream()
-                    .filter(entry -> entry.getKey() <= rank)
-                    .mapToDouble(entry -> entry.getValue().perSecond(now))
-                    .sum();
+                            .filter(entry -> entry.getKey() <= rank)
+                            .mapToDouble(entry -> entry.getValue().perSecond(now))
+                            .sum()
+                    - lastSent.perSecond(now);
         }
     }
 }
--- a/src/main/java/org/masticpaddle/admission/ServiceAdmission.java
+++ b/src/main/java/org/masticpaddle/admission/ServiceAdmission.java
@@ -42,6 +42,7 @@
     private final FairShares shares = new FairShares();
     private final StartErrors errors = new StartErrors();
     private final WaitingLine line = new WaitingLine();
+    private final EarlyRepeats repeats = new EarlyRepeats();
     private final DecayingRate rejectedWork = new DecayingRate(1_000_000_000L);
     private final Map<Integer, Long> lateRejections = new HashMap<>();
     private final Map<String, Map<Integer, Long>> shareRejections = new HashMap<>();
@@ -58,8 +59,9 @@
      * @return its ticket, to be closed at the end of the request
      */
     public Ticket open(AdmissionCandidate candidate, long now) {
+        Objects.requireNonNull(candidate, "candidate is null");
         shares.offer(candidate.organisation(), candidate.work(), now);
-        return new Ticket(candidate);
+        return new Ticket(line.place(candidate, repeats.early(candidate.session(), now)));
     }
 
     /**
@@ -129,7 +131,8 @@
 
     private void classify(WaitingLine.Place place, ServiceForecast forecast, long now) {
         final AdmissionCandidate candidate = place.candidate();
-        final Standing standing = restrains(candidate.organisation(), candidate.rank(), now)
+        final Standing standing = pressure.pressed(now) && place.earlyRepeat()
+                        || restrains(candidate.organisation(), candidate.rank(), now)
                 ? Standing.ABOVE_SHARE
                 : Standing.WITHIN_SHARE;
         place.update(standing, limitMillis(candidate, standing, forecast, now));
@@ -152,30 +155,32 @@
                 .anyMatch(entry -> entry.getKey() < rank && now - entry.getValue() < URGENT_REJECTION_NANOS);
     }
 
-    private Verdict reject(WaitingLine.Place place, ServiceForecast forecast, long now) {
+    private Verdict.Reject reject(WaitingLine.Place place, ServiceForecast forecast, long now) {
         final AdmissionCandidate candidate = place.candidate();
-        final double limitMillis = place.limitMillis();
-        final double excessMillis = forecast.startMillis() - limitMillis;
         rejectedWork.add(candidate.work(), now);
-        final double spreadMillis = 1e3 * rejectedWork.perSecond(now) / Math.max(1, shares.capacity(now));
-        if (place.standing() == Standing.WITHIN_SHARE) {
-            // A request whose caller leaves it little time is late without any load.
-            if (forecast.startMillis() > candidate.objectiveMillis()) {
-                lateRejections.put(candidate.rank(), now);
-            }
-            return new Verdict.Reject(RejectionReason.WAIT_EXCEEDS_DEADLINE, limitMillis, excessMillis, spreadMillis);
+        final boolean aboveShare = place.standing() == Standing.ABOVE_SHARE;
+        if (aboveShare) {
+            shareRejections
+                    .values()
+                    .removeIf(byRank ->
+                            byRank.values().stream().allMatch(nanos -> now - nanos >= URGENT_REJECTION_NANOS));
+            shareRejections
+                    .computeIfAbsent(candidate.organisation(), name -> new HashMap<>())
+                    .put(candidate.rank(), now);
+        } else if (forecast.startMillis() > candidate.objectiveMillis()) {
+            // Other requests are late without any load, since their callers leave them little time.
+            lateRejections.put(candidate.rank(), now);
         }
-        shareRejections
-                .values()
-                .removeIf(byRank -> byRank.values().stream().allMatch(nanos -> now - nanos >= URGENT_REJECTION_NANOS));
-        shareRejections
-                .computeIfAbsent(candidate.organisation(), name -> new HashMap<>())
-                .put(candidate.rank(), now);
+        final double excessMillis = forecast.startMillis() - place.limitMillis();
+        final double retryAfterMillis = aboveShare
+                ? Math.max(excessMillis, shares.millisUntilWithin(candidate.organisation(), candidate.rank(), now))
+                : excessMillis;
+        repeats.onRejected(candidate, retryAfterMillis, now);
         return new Verdict.Reject(
-                RejectionReason.ABOVE_SHARE,
-                limitMillis,
-                Math.max(excessMillis, shares.millisUntilWithin(candidate.organisation(), candidate.rank(), now)),
-                spreadMillis);
+                aboveShare ? RejectionReason.ABOVE_SHARE : RejectionReason.WAIT_EXCEEDS_DEADLINE,
+                place.limitMillis(),
+                retryAfterMillis,
+                1e3 * rejectedWork.perSecond(now) / Math.max(1, shares.capacity(now)));
     }
 
     private static int maxWaiting(ServiceForecast forecast) {
@@ -198,8 +203,8 @@
         private boolean started;
         private boolean rejected;
 
-        private Ticket(AdmissionCandidate candidate) {
-            place = line.place(Objects.requireNonNull(candidate, "candidate is null"));
+        private Ticket(WaitingLine.Place place) {
+            this.place = place;
         }
 
         /**
--- a/src/main/java/org/masticpaddle/admission/WaitingLine.java
+++ b/src/main/java/org/masticpaddle/admission/WaitingLine.java
@@ -17,8 +17,8 @@
     private long nextNumber;
 
     /** Creates the place of a request, outside the line until it {@linkplain #enter enters}. */
-    Place place(AdmissionCandidate candidate) {
-        return new Place(candidate, nextNumber++);
+    Place place(AdmissionCandidate candidate, boolean earlyRepeat) {
+        return new Place(candidate, earlyRepeat, nextNumber++);
     }
 
     void enter(Place place) {
@@ -67,13 +67,15 @@
     /** Place of one request. Not thread-safe; compared by identity. */
     static final class Place {
         private final AdmissionCandidate candidate;
+        private final boolean earlyRepeat;
         private final long number;
         private final double objectiveEndMillis;
         private Standing standing = Standing.WITHIN_SHARE;
         private double limitMillis;
 
-        private Place(AdmissionCandidate candidate, long number) {
+        private Place(AdmissionCandidate candidate, boolean earlyRepeat, long number) {
             this.candidate = candidate;
+            this.earlyRepeat = earlyRepeat;
             this.number = number;
             objectiveEndMillis = candidate.arrivalNanos() / 1e6 + candidate.objectiveMillis();
         }
@@ -82,6 +84,11 @@
             return candidate;
         }
 
+        /** Returns whether the caller has come back sooner after a rejection than it was asked to. */
+        boolean earlyRepeat() {
+            return earlyRepeat;
+        }
+
         Standing standing() {
             return standing;
         }
--- a/src/main/java/org/masticpaddle/gateway/AttemptAdmission.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptAdmission.java
@@ -47,6 +47,7 @@
                 request.maxOutputTokens(), request.estimatedOutputTokens().orElse(request.maxOutputTokens()));
         return new AdmissionCandidate(
                 admitted.keyOwner().map(KeyOwner::organisation).orElse(""),
+                request.session(),
                 admitted.rank(),
                 Math.max(1, request.promptTokens() + GENERATED_TOKEN_WORK * generatedTokens),
                 admitted.receivedNanos(),
