Leave free places to organisations above their shares

Cause: an organisation above its share was rejected under pressure from half of its objective on, also if the best upstream had a free place and only the observed times were long, for example on a slow gateway. One upstream with a queue, among many without, was enough for a service not to count as idle.

ServiceForecast has the queued requests as a fraction.

Result: ServiceAdmissionTest.shouldNotRejectForTheShareWhileAPlaceIsFree failed before (rejected at 700 ms of 1,000) and passes.

--- a/src/main/java/org/masticpaddle/admission/ServiceAdmission.java
+++ b/src/main/java/org/masticpaddle/admission/ServiceAdmission.java
@@ -14,8 +14,8 @@
  *   <li>while the upstreams have room, or the service is not under pressure, organisations are not compared, and each request
  *       whose answer can start within half of its time is sent at once;
  *   <li>a request is sent if its answer is expected to start in time: within the objective, or within half of the time left if its
- *       organisation is within its share; within half of the objective if its organisation is above it, so that work of the others
- *       always finds room;
+ *       organisation is within its share; within the objective in a free place, and within half of it in a queued one, if its
+ *       organisation is above its share, so that work of the others always finds room;
  *   <li>a request waits for an eighth of its objective at most, and only if it could still be sent by then;
  *   <li>while a more urgent kind of request is rejected, a less urgent one gets no queued place;
  *   <li>a request that waits ends exactly once: by {@link Ticket#close}.
@@ -141,7 +141,7 @@
     private double limitMillis(AdmissionCandidate candidate, Standing standing, ServiceForecast forecast, long now) {
         final boolean restricted =
                 standing == Standing.ABOVE_SHARE && pressure.upstreamsFull(now) || urgentRejected(candidate, now);
-        return restricted && !forecast.placeFree() ? 0 : standing.limitMillis(candidate, now);
+        return restricted && !forecast.placeFree() ? 0 : standing.limitMillis(candidate, forecast.placeFree(), now);
     }
 
     /** Returns whether a more urgent request was rejected a short time ago, for its time or in the same organisation. */
--- a/src/main/java/org/masticpaddle/gateway/ServiceForecaster.java
+++ b/src/main/java/org/masticpaddle/gateway/ServiceForecaster.java
@@ -51,7 +51,7 @@
                 expectedMillis(choice, now) * startRatio,
                 placeFree(choice.member(), share, now),
                 Math.max(takenFraction, (double) own / places),
-                waiting,
+                (double) waiting / Math.max(1, reportedPlaces),
                 ownPlaces);
     }
 
--- a/src/test/java/org/masticpaddle/admission/ServiceAdmissionTest.java
+++ b/src/test/java/org/masticpaddle/admission/ServiceAdmissionTest.java
@@ -84,6 +84,13 @@
         assertThat(open("small", 1).decide(full(700), now)).isInstanceOf(Verdict.Send.class);
     }
 
+    @Test
+    void shouldNotRejectForTheShareWhileAPlaceIsFree() {
+        flood();
+        final ServiceForecast free = new ServiceForecast(700, true, 0.9, 1, 100);
+        assertThat(open("flood", 1).decide(free, now)).isInstanceOf(Verdict.Send.class);
+    }
+
     @Test
     void shouldSendAllWithoutPressure() {
         flood();
--- a/src/test/java/org/masticpaddle/gateway/ServiceForecasterTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ServiceForecasterTest.java
@@ -29,7 +29,7 @@
         report(second, 10, 2);
         final ServiceForecast forecast = forecast(first);
         assertThat(forecast.takenFraction()).isWithin(1e-9).of(17.0 / 20);
-        assertThat(forecast.waiting()).isEqualTo(2);
+        assertThat(forecast.queuedFraction()).isWithin(1e-9).of(2.0 / 20);
         assertThat(forecast.placeFree()).isTrue();
         assertThat(forecast(second).placeFree()).isFalse();
     }
