--- a/src/test/java/org/masticpaddle/gateway/PressedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/PressedDeployment.java
@@ -1,13 +1,10 @@
 package org.masticpaddle.gateway;
 
-import java.net.URI;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -17,7 +14,6 @@
 import org.masticpaddle.admission.Verdict;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.SelfReports;
-import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.FakeScheduler;
 import org.masticpaddle.routing.ServiceTimes;
@@ -39,7 +35,7 @@
     private final AdmissionMode mode;
     private final UpstreamPlacement placement = new UpstreamPlacement(DOMAIN);
     private final List<GatewayState> gateways = new ArrayList<>();
-    private final List<FakeUpstream> upstreams = new ArrayList<>();
+    private final List<QueueingUpstream> upstreams = new ArrayList<>();
     private final List<Request> requests = new ArrayList<>();
     private boolean loadsReported = true;
 
@@ -48,7 +44,7 @@
         this.capacity = capacity;
         this.mode = mode;
         for (int index = 0; index < capacity.upstreams(); index++) {
-            upstreams.add(new FakeUpstream(index));
+            upstreams.add(new QueueingUpstream(index, SERVICE, DOMAIN, capacity, scheduler));
         }
         for (int index = 0; index < gatewayCount; index++) {
             gateways.add(newGateway());
@@ -59,7 +55,7 @@
     private GatewayState newGateway() {
         final GatewayState state = new GatewayState(RolloutDeployment.BOUNDS, random);
         state.admissions().updateMode(mode);
-        upstreams.forEach(upstream -> state.registry().applyEntry(upstream.entry, scheduler.nanos()));
+        upstreams.forEach(upstream -> state.registry().applyEntry(upstream.entry(), scheduler.nanos()));
         return state;
     }
 
@@ -155,7 +151,7 @@
 
     /** Returns the number of times that upstreams rejected a request for lack of room. */
     long upstreamRejections() {
-        return upstreams.stream().mapToLong(upstream -> upstream.rejections).sum();
+        return upstreams.stream().mapToLong(QueueingUpstream::rejections).sum();
     }
 
     /** Returns the longest time that a rejected request was held, as a fraction of its objective. */
@@ -195,73 +191,15 @@
         scheduler.schedule(GATEWAY_TICK_MILLIS, this::tick);
     }
 
-    /** One upstream. Not thread-safe. */
-    private final class FakeUpstream {
-        private final Upstream entry;
-        private final PriorityQueue<Queued> queue = new PriorityQueue<>(
-                Comparator.comparingInt((Queued queued) -> queued.rank).thenComparingLong(queued -> queued.number));
-        private final Set<Request> runningRequests = new HashSet<>();
-        private long accepted;
-        private long rejections;
-        private boolean crashed;
-
-        FakeUpstream(int index) {
-            entry = new Upstream(
-                    "upstream-" + index,
-                    SERVICE,
-                    URI.create("http://127.0.0.1:" + (index + 1)),
-                    DOMAIN,
-                    "v1",
-                    capacity.slots(),
-                    false,
-                    1);
-        }
-
-        boolean offer(Request request) {
-            if (runningRequests.size() >= capacity.slots() && queue.size() >= capacity.queue()) {
-                rejections++;
-                return false;
-            }
-            queue.add(new Queued(request, request.kind.rank, accepted++));
-            fill();
-            return true;
-        }
-
-        private void fill() {
-            while (runningRequests.size() < capacity.slots() && !queue.isEmpty()) {
-                final Request request = queue.poll().request;
-                runningRequests.add(request);
-                scheduler.schedule(request.scaled(request.kind.startMillis), request::onStarted);
-                scheduler.schedule(request.scaled(request.kind.holdMillis), () -> {
-                    if (runningRequests.remove(request)) {
-                        request.onEnded();
-                        fill();
-                    }
-                });
-            }
-        }
-
-        private void crash() {
-            crashed = true;
-            final List<Request> lost = new ArrayList<>(runningRequests);
-            queue.forEach(queued -> lost.add(queued.request));
-            runningRequests.clear();
-            queue.clear();
-            lost.forEach(Request::onLost);
-        }
-    }
-
-    private record Queued(Request request, int rank, long number) {}
-
     /** One request. Not thread-safe. */
-    private final class Request {
+    private final class Request implements QueueingUpstream.Job {
         private final Kind kind;
         private final long arrivalMillis;
         private final double scale;
         private final Set<String> tried = new HashSet<>();
         private GatewayState gateway;
         private AttemptAdmission admission;
-        private FakeUpstream upstream;
+        private QueueingUpstream upstream;
         private UpstreamPlacement.Choice choice;
         private InFlightRequest inFlight;
         private long sentNanos;
@@ -278,8 +216,19 @@
             this.scale = scale;
         }
 
-        long scaled(long millis) {
-            return Math.round(scale * millis);
+        @Override
+        public int rank() {
+            return kind.rank;
+        }
+
+        @Override
+        public long startMillis() {
+            return Math.round(scale * kind.startMillis);
+        }
+
+        @Override
+        public long holdMillis() {
+            return Math.round(scale * kind.holdMillis);
         }
 
         void start(GatewayState receiver) {
@@ -325,12 +274,8 @@
             heldMillis = millis() - arrivalMillis;
             final int places = capacity.upstreams() * capacity.slots();
             rejectedInVain = tried.isEmpty()
-                    && upstreams.stream()
-                                            .mapToInt(each -> each.runningRequests.size())
-                                            .sum()
-                                    * 2
-                            < places
-                    && upstreams.stream().allMatch(each -> each.queue.isEmpty());
+                    && upstreams.stream().mapToInt(each -> each.running()).sum() * 2 < places
+                    && upstreams.stream().allMatch(each -> each.queued() == 0);
             end(false);
         }
 
@@ -339,14 +284,14 @@
             final UpstreamState member = best.member();
             tried.add(member.upstream().id());
             upstream = upstreams.stream()
-                    .filter(each -> each.entry.id().equals(member.upstream().id()))
+                    .filter(each -> each.entry().id().equals(member.upstream().id()))
                     .findFirst()
                     .orElseThrow();
             admission.onSent(best);
             sentNanos = scheduler.nanos();
             inFlight = member.assign(
                     kind.model, List.of(), best.uncachedTokens(), best.serviceMillis(), 0, scheduler.nanos());
-            if (upstream.crashed) {
+            if (upstream.crashed()) {
                 member.release(inFlight);
                 member.onUnreachable(scheduler.nanos());
                 planAgain();
@@ -372,17 +317,14 @@
                 return;
             }
             member.onReport(
-                    SelfReports.load(
-                            upstream.runningRequests.size(),
-                            upstream.queue.size(),
-                            capacity.slots(),
-                            OptionalDouble.empty()),
+                    SelfReports.load(upstream.running(), upstream.queued(), capacity.slots(), OptionalDouble.empty()),
                     true,
                     rejection,
                     scheduler.nanos());
         }
 
-        void onStarted() {
+        @Override
+        public void onStarted() {
             if (ends > 0) {
                 return;
             }
@@ -401,12 +343,14 @@
             admission.onStarted();
         }
 
-        void onEnded() {
+        @Override
+        public void onEnded() {
             choice.member().release(inFlight);
             end(started);
         }
 
-        void onLost() {
+        @Override
+        public void onLost() {
             choice.member().release(inFlight);
             choice.member().onUnreachable(scheduler.nanos());
             answeredMillis = Long.MAX_VALUE;
