Compare shares only with recent capacity and while another organisation lacks work

Cause: the capacity counted as known for ever after eight completions, so that after a quiet spell each organisation was above its share; an organisation was held above its share although nobody else asked; requests without an organisation were compared as one; the fair rate was computed again for each waiting request.

Change: FairShares knows the capacity while the decaying count of completions is at least 8. An organisation is above its share only if another one that asked in the last two seconds is within its own. Requests of no organisation are not compared. What follows from all organisations is computed once for each time of a decision.

--- a/src/main/java/org/masticpaddle/admission/FairShares.java
+++ b/src/main/java/org/masticpaddle/admission/FairShares.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Shares of the organisations in what a gateway gets done of one service: max-min fair over the organisations that were active in
@@ -15,8 +16,8 @@
 public final class FairShares {
     /** Time constant of the rates; an organisation counts as active for about this time. */
     private static final long TIME_CONSTANT_NANOS = 2_000_000_000L;
-    /** Completions before which the capacity is not known, so that no organisation exceeds its share. */
-    private static final int MIN_COMPLETIONS = 8;
+    /** Recent completions below which the capacity is not known, so that no organisation exceeds its share. */
+    private static final double MIN_COMPLETIONS = 8;
     /** Demand below which an organisation is forgotten, relative to one unit of work in a second. */
     private static final double FORGOTTEN_RATE = 1e-3;
     /** Number of organisations from which inactive ones are removed. */
@@ -24,7 +25,8 @@
 
     private final Map<String, Usage> usages = new HashMap<>();
     private final DecayingRate completed = new DecayingRate(TIME_CONSTANT_NANOS);
-    private int completions;
+    private final DecayingRate completions = new DecayingRate(TIME_CONSTANT_NANOS);
+    private Optional<Snapshot> snapshot = Optional.empty();
 
     /** Creates shares without observations. */
     public FairShares() {}
@@ -40,7 +42,8 @@
         if (usages.size() >= PRUNED_SIZE) {
             usages.values().removeIf(usage -> usage.offered.perSecond(now) < FORGOTTEN_RATE);
         }
-        usages.computeIfAbsent(organisation, name -> new Usage()).offered.add(work, now);
+        usages.computeIfAbsent(organisation, name -> new Usage()).offer(work, now);
+        snapshot = Optional.empty();
     }
 
     /**
@@ -53,6 +56,7 @@
      */
     public void send(String organisation, int rank, double work, long now) {
         usages.computeIfAbsent(organisation, name -> new Usage()).send(rank, work, now);
+        snapshot = Optional.empty();
     }
 
     /**
@@ -63,7 +67,8 @@
      */
     public void complete(double work, long now) {
         completed.add(work, now);
-        completions = Math.min(MIN_COMPLETIONS, completions + 1);
+        completions.add(1, now);
+        snapshot = Optional.empty();
     }
 
     /**
@@ -76,6 +81,16 @@
         return completed.perSecond(now);
     }
 
+    /**
+     * Returns whether enough requests were completed recently to know the capacity.
+     *
+     * @param now current time in nanoseconds
+     * @return {@code false} after a start and after a quiet spell
+     */
+    public boolean capacityKnown(long now) {
+        return completions.perSecond(now) * TIME_CONSTANT_NANOS / 1e9 >= MIN_COMPLETIONS;
+    }
+
     /**
      * Returns the share of an organisation: its demand, or the fair rate if that is lower.
      *
@@ -85,20 +100,22 @@
      */
     public double share(String organisation, long now) {
         final Usage usage = usages.get(organisation);
-        return usage == null ? 0 : Math.min(usage.offered.perSecond(now), fairRate(now));
+        return usage == null ? 0 : Math.min(usage.offered.perSecond(now), snapshot(now).fairRate);
     }
 
     /**
-     * Returns whether an organisation has recently got more than its share, so that its further requests come last. Its less
-     * urgent requests do not count against its more urgent ones.
+     * Returns whether an organisation has recently got more than its share, while another active one got no more than its own, so
+     * that the further requests of the former come last. Its less urgent requests do not count against its more urgent ones.
      *
-     * @param organisation organisation
+     * @param organisation organisation; requests of none (empty text) are not compared
      * @param rank rank of its next request
      * @param now current time in nanoseconds
-     * @return {@code false} also if the capacity is not known yet
+     * @return {@code false} also if the capacity is not known
      */
     public boolean exceeded(String organisation, int rank, long now) {
-        return excessRatio(organisation, rank, now) > 1;
+        return !organisation.isEmpty()
+                && excessRatio(organisation, rank, now) > 1
+                && snapshot(now).anyWithin(rank);
     }
 
     /**
@@ -116,9 +133,16 @@
     /** Returns the ratio of what an organisation got before its last request to its share, 0 if the capacity is not known. */
     private double excessRatio(String organisation, int rank, long now) {
         final Usage usage = usages.get(organisation);
-        return usage == null || completions < MIN_COMPLETIONS
+        return usage == null || !capacityKnown(now)
                 ? 0
-                : usage.sentBeforeLast(rank, now) / Math.max(Double.MIN_NORMAL, fairRate(now));
+                : usage.sentBeforeLast(rank, now) / Math.max(Double.MIN_NORMAL, snapshot(now).fairRate);
+    }
+
+    private Snapshot snapshot(long now) {
+        if (snapshot.isEmpty() || snapshot.get().nanos != now) {
+            snapshot = Optional.of(new Snapshot(now, fairRate(now)));
+        }
+        return snapshot.get();
     }
 
     /** Returns the rate that no share exceeds: all demands cut off at it add up to the capacity. */
@@ -138,11 +162,46 @@
         return Double.MAX_VALUE;
     }
 
+    /**
+     * What follows from all organisations at one time, computed once for the decisions on all requests that wait. Not
+     * thread-safe.
+     */
+    private final class Snapshot {
+        private final long nanos;
+        private final double fairRate;
+        private final Map<Integer, Boolean> anyWithinByRank = new HashMap<>();
+
+        Snapshot(long nanos, double fairRate) {
+            this.nanos = nanos;
+            this.fairRate = fairRate;
+        }
+
+        /** Returns whether an active organisation has got no more than its share. */
+        boolean anyWithin(int rank) {
+            return anyWithinByRank.computeIfAbsent(
+                    rank,
+                    each -> usages.entrySet().stream()
+                            .anyMatch(entry -> !entry.getKey().isEmpty()
+                                    && entry.getValue().active(nanos)
+                                    && entry.getValue().sentBeforeLast(rank, nanos) <= fairRate));
+        }
+    }
+
     /** Recent demand of one organisation and what it got. Not thread-safe. */
     private static final class Usage {
         private final DecayingRate offered = new DecayingRate(TIME_CONSTANT_NANOS);
         private final Map<Integer, DecayingRate> sentByRank = new HashMap<>();
         private final DecayingRate lastSent = new DecayingRate(TIME_CONSTANT_NANOS);
+        private long offeredNanos = Long.MIN_VALUE / 2;
+
+        void offer(double work, long now) {
+            offered.add(work, now);
+            offeredNanos = now;
+        }
+
+        boolean active(long now) {
+            return now - offeredNanos < TIME_CONSTANT_NANOS;
+        }
 
         void send(int rank, double work, long now) {
             sentByRank
