Bound admission by free places, kinds of request and what has run

Cause: a request whose own service time exceeded its limit was rejected while places were free; one long urgent prompt held all less urgent work back; the kind with the longest timeout filled the queues; deadlines shorter than the objective were ignored; Retry-After was up to 60 s without a known capacity; requests waited for others that would be late in the same queue; a gateway with few places let one request wait; attempts that were withdrawn or unreachable counted as work received, and an escalation counted twice; an objective of 0 and relayed errors distorted pressure and capacity.

Change: a free place suffices within the time left, for organisations above their shares if no queue is expected. A late rejection holds others back only if queueing alone made it late. Answers start within twice the objective and half of the time left, within the objective while another kind of the rank is rejected. Retry-After and its spread end within a third of the time left. Claims compare the queue, not the sum with unlike service times. Between 4 and 16 requests wait. Ticket.onNotRun takes the work back.

--- a/src/main/java/org/masticpaddle/admission/AdmissionCandidate.java
+++ b/src/main/java/org/masticpaddle/admission/AdmissionCandidate.java
@@ -27,7 +27,7 @@
         double timeoutMillis) {
     private static final double NANOS_PER_MILLI = 1e6;
     /**
-     * Fraction of the objective that a request may wait at a gateway. A request that was held for longer and never offered to an
+     * Fraction of the objective, or of a shorter timeout, that a request may wait at a gateway. A request that was held for longer and never offered to an
      * upstream has cost its caller time for nothing.
      */
     private static final double MAX_WAIT_FRACTION = 0.125;
@@ -61,7 +61,7 @@
     }
 
     double maxWaitMillis() {
-        return MAX_WAIT_FRACTION * objectiveMillis;
+        return MAX_WAIT_FRACTION * Math.min(objectiveMillis, timeoutMillis);
     }
 
     double waitLeftMillis(long now) {
--- a/src/main/java/org/masticpaddle/admission/DecayingRate.java
+++ b/src/main/java/org/masticpaddle/admission/DecayingRate.java
@@ -16,6 +16,12 @@
         ratePerSecond += amount * 1e9 / timeConstantNanos;
     }
 
+    /** Takes an amount back, as far as the rate has not fallen below it. */
+    void remove(double amount, long now) {
+        decay(now);
+        ratePerSecond = Math.max(0, ratePerSecond - amount * 1e9 / timeConstantNanos);
+    }
+
     /** Forgets all amounts before this one. */
     void replace(double amount, long now) {
         decay(now);
--- a/src/main/java/org/masticpaddle/admission/FairShares.java
+++ b/src/main/java/org/masticpaddle/admission/FairShares.java
@@ -59,6 +59,23 @@
         snapshot = Optional.empty();
     }
 
+    /**
+     * Takes back a request that was not run after all.
+     *
+     * @param organisation organisation that {@link #send} was called with
+     * @param rank its rank
+     * @param work its expected work
+     * @param sentNanos time of the call of {@link #send} in nanoseconds
+     * @param now current time in nanoseconds
+     */
+    public void refund(String organisation, int rank, double work, long sentNanos, long now) {
+        final Usage usage = usages.get(organisation);
+        if (usage != null) {
+            usage.refund(rank, work * Math.exp((double) (sentNanos - now) / TIME_CONSTANT_NANOS), now);
+            snapshot = Optional.empty();
+        }
+    }
+
     /**
      * Records that upstreams have completed a request.
      *
@@ -210,6 +227,13 @@
             lastSent.replace(work, now);
         }
 
+        void refund(int rank, double work, long now) {
+            final DecayingRate sent = sentByRank.get(rank);
+            if (sent != null) {
+                sent.remove(work, now);
+            }
+        }
+
         /** Returns the rate of what was sent of the given and more urgent ranks, but for one request of the last size. */
         double sentBeforeLast(int rank, long now) {
             return sentByRank.entrySet().stream()
--- a/src/main/java/org/masticpaddle/admission/Pressure.java
+++ b/src/main/java/org/masticpaddle/admission/Pressure.java
@@ -29,7 +29,8 @@
             fraction = 0;
         }
         observedNanos = now;
-        fraction += SMOOTHING_FACTOR * (Math.min(MAX_FRACTION, expectedMillis / objectiveMillis) - fraction);
+        final double observed = objectiveMillis > 0 ? expectedMillis / objectiveMillis : 0;
+        fraction += SMOOTHING_FACTOR * (Math.min(MAX_FRACTION, observed) - fraction);
     }
 
     /** Records that an upstream rejected a request for lack of room. */
--- a/src/main/java/org/masticpaddle/admission/ServiceAdmission.java
+++ b/src/main/java/org/masticpaddle/admission/ServiceAdmission.java
@@ -13,9 +13,10 @@
  * <ul>
  *   <li>while the upstreams have room, or the service is not under pressure, organisations are not compared, and each request
  *       whose answer can start within half of its time is sent at once;
- *   <li>a request is sent if its answer is expected to start in time: within the objective, or within half of the time left if its
- *       organisation is within its share; within half of the objective if its organisation is above it, so that work of the others
- *       always finds room;
+ *   <li>a request is sent if its answer is expected to start in time: within the objective, or within twice the
+ *       objective and half of the time left if its organisation is within its share and no other kind of its rank is rejected as
+ *       late; within half of the objective if its organisation is above its share, so that work of the others always finds room;
+ *   <li>no request is rejected while the upstream that would get it has a free place and its answer could start in its time;
  *   <li>a request waits for an eighth of its objective at most, and only if it could still be sent by then;
  *   <li>while a more urgent kind of request is rejected, a less urgent one gets no queued place;
  *   <li>a request that waits ends exactly once: by {@link Ticket#close}.
@@ -29,13 +30,19 @@
     /** Fraction of this gateway's places up to which requests wait here. */
     private static final double MAX_WAITING_FRACTION = 0.25;
     /** Number up to which requests wait here, whatever the number of places. */
-    private static final int MAX_WAITING = 64;
+    private static final int MAX_WAITING = 16;
+    /** Number of requests that may wait here, however small this gateway's part of the places is. */
+    private static final int MIN_WAITING = 4;
     /** Shortest and longest time until a waiting request is decided on again. */
     private static final double MIN_RECHECK_MILLIS = 5;
 
     private static final double MAX_RECHECK_MILLIS = 40;
     /** Part of the longest wait after which a waiting request is decided on again. */
     private static final double RECHECK_FRACTION = 0.25;
+    /** Shortest time after which the caller of a rejected request is asked to return. */
+    private static final double MIN_RETURN_MILLIS = 1;
+    /** Fraction of the time left within which the caller of a rejected request is asked to return, spread included. */
+    private static final double MAX_RETURN_FRACTION = 1.0 / 3;
     /** Time that lies before all others; differences to it do not overflow. */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -44,7 +51,7 @@
     private final WaitingLine line = new WaitingLine();
     private final EarlyRepeats repeats = new EarlyRepeats();
     private final DecayingRate rejectedWork = new DecayingRate(1_000_000_000L);
-    private final Map<Integer, Long> lateRejections = new HashMap<>();
+    private final Map<String, LateRejection> lateRejections = new HashMap<>();
     private final Map<String, Map<Integer, Long>> shareRejections = new HashMap<>();
     private final Pressure pressure = new Pressure();
 
@@ -114,13 +121,18 @@
             return Verdict.Send.INSTANCE;
         }
         classify(place, forecast, now);
-        line.forEach(other -> classify(other, forecast, now));
+        line.forEach(other -> {
+            if (other != place) {
+                // The free place is one for this request; another one may get a different upstream.
+                classify(other, forecast.withoutPlace(), now);
+            }
+        });
         final double limitMillis = place.limitMillis();
         final double waitLeftMillis = candidate.waitLeftMillis(now);
         final double excessMillis = forecast.startMillis() - limitMillis;
         final boolean mayWait = waitLeftMillis >= 1 && line.ahead(place, now) < maxWaiting(forecast);
         if (excessMillis <= 0) {
-            return mayWait && line.hasClaimantAhead(place, forecast.startMillis(), now)
+            return mayWait && line.hasClaimantAhead(place, forecast.startMillis() - forecast.serviceMillis(), now)
                     ? new Verdict.Wait(recheckMillis(candidate, waitLeftMillis))
                     : Verdict.Send.INSTANCE;
         }
@@ -141,15 +153,39 @@
     private double limitMillis(AdmissionCandidate candidate, Standing standing, ServiceForecast forecast, long now) {
         final boolean restricted =
                 standing == Standing.ABOVE_SHARE && pressure.upstreamsFull(now) || urgentRejected(candidate, now);
-        return restricted && !forecast.placeFree() ? 0 : standing.limitMillis(candidate, now);
+        if (forecast.placeFree()) {
+            final double timeLeftMillis = Math.max(0, candidate.timeLeftMillis(now));
+            // The report that shows the free place may be old; those above their shares only use it if no queue is
+            // expected.
+            return standing == Standing.WITHIN_SHARE
+                    ? timeLeftMillis
+                    : Math.min(
+                            timeLeftMillis, Math.max(standing.limitMillis(candidate, now), forecast.serviceMillis()));
+        }
+        if (restricted) {
+            return 0;
+        }
+        final double limitMillis = standing.limitMillis(candidate, now);
+        return otherKindRejected(candidate, now)
+                ? Math.min(limitMillis, Standing.objectiveLimitMillis(candidate, now))
+                : limitMillis;
     }
 
     /** Returns whether a more urgent request was rejected a short time ago, for its time or in the same organisation. */
     private boolean urgentRejected(AdmissionCandidate candidate, long now) {
-        return moreUrgent(lateRejections, candidate.rank(), now)
+        return lateRejections.values().stream()
+                        .anyMatch(rejection -> rejection.rank < candidate.rank() && rejection.recent(now))
                 || moreUrgent(shareRejections.getOrDefault(candidate.organisation(), Map.of()), candidate.rank(), now);
     }
 
+    /** Returns whether a request of the same rank and of another kind was rejected a short time ago for its time. */
+    private boolean otherKindRejected(AdmissionCandidate candidate, long now) {
+        return lateRejections.entrySet().stream()
+                .anyMatch(entry -> !entry.getKey().equals(candidate.kind())
+                        && entry.getValue().rank == candidate.rank()
+                        && entry.getValue().recent(now));
+    }
+
     private static boolean moreUrgent(Map<Integer, Long> rejections, int rank, long now) {
         return rejections.entrySet().stream()
                 .anyMatch(entry -> entry.getKey() < rank && now - entry.getValue() < URGENT_REJECTION_NANOS);
@@ -167,24 +203,30 @@
             shareRejections
                     .computeIfAbsent(candidate.organisation(), name -> new HashMap<>())
                     .put(candidate.rank(), now);
-        } else if (forecast.startMillis() > candidate.objectiveMillis()) {
-            // Other requests are late without any load, since their callers leave them little time.
-            lateRejections.put(candidate.rank(), now);
+        } else if (forecast.startMillis() - forecast.serviceMillis() > candidate.objectiveMillis()) {
+            // Other requests are late without any load, since their prompts are long or their callers leave them little
+            // time.
+            lateRejections.values().removeIf(rejection -> !rejection.recent(now));
+            lateRejections.put(candidate.kind(), new LateRejection(candidate.rank(), now));
         }
         final double excessMillis = forecast.startMillis() - place.limitMillis();
-        final double retryAfterMillis = aboveShare
+        final double roomMillis = aboveShare
                 ? Math.max(excessMillis, shares.millisUntilWithin(candidate.organisation(), candidate.rank(), now))
                 : excessMillis;
+        final double maxReturnMillis = MAX_RETURN_FRACTION * candidate.timeLeftMillis(now);
+        final double retryAfterMillis = Math.max(MIN_RETURN_MILLIS, Math.min(roomMillis, maxReturnMillis / 2));
+        final double spreadMillis =
+                shares.capacityKnown(now) ? 1e3 * rejectedWork.perSecond(now) / shares.capacity(now) : 0;
         repeats.onRejected(candidate, retryAfterMillis, now);
         return new Verdict.Reject(
                 aboveShare ? RejectionReason.ABOVE_SHARE : RejectionReason.WAIT_EXCEEDS_DEADLINE,
                 place.limitMillis(),
                 retryAfterMillis,
-                1e3 * rejectedWork.perSecond(now) / Math.max(1, shares.capacity(now)));
+                Math.max(0, Math.min(spreadMillis, maxReturnMillis - retryAfterMillis)));
     }
 
     private static int maxWaiting(ServiceForecast forecast) {
-        return Math.max(1, Math.min(MAX_WAITING, (int) (MAX_WAITING_FRACTION * forecast.ownPlaces())));
+        return Math.max(MIN_WAITING, Math.min(MAX_WAITING, (int) (MAX_WAITING_FRACTION * forecast.ownPlaces())));
     }
 
     private static long recheckMillis(AdmissionCandidate candidate, double waitLeftMillis) {
@@ -195,6 +237,13 @@
                         Math.min(MAX_RECHECK_MILLIS, RECHECK_FRACTION * candidate.maxWaitMillis()))));
     }
 
+    /** Last rejection of a kind of request whose queueing alone would have made it late. Immutable. */
+    private record LateRejection(int rank, long nanos) {
+        boolean recent(long now) {
+            return now - nanos < URGENT_REJECTION_NANOS;
+        }
+    }
+
     /** One request from its arrival to its end. Not thread-safe. */
     public final class Ticket {
         private final WaitingLine.Place place;
@@ -202,6 +251,10 @@
         private long sentNanos = NEVER;
         private boolean started;
         private boolean rejected;
+        /** Whether the work counts as received by the organisation, and whether the current attempt is the reason. */
+        private boolean charged;
+
+        private boolean chargedByAttempt;
 
         private Ticket(WaitingLine.Place place) {
             this.place = place;
@@ -218,6 +271,7 @@
             if (rejected) {
                 throw new IllegalStateException("the request was rejected before");
             }
+            place.updateService(forecast.serviceMillis());
             final Verdict verdict = ServiceAdmission.this.decide(place, forecast, now);
             if (verdict instanceof Verdict.Wait) {
                 line.enter(place);
@@ -246,12 +300,49 @@
         public void onSent(double expectedMillis, long now) {
             line.leave(place);
             final AdmissionCandidate candidate = place.candidate();
-            shares.send(candidate.organisation(), candidate.rank(), candidate.work(), now);
+            chargedByAttempt = !charged;
+            if (chargedByAttempt) {
+                charged = true;
+                shares.send(candidate.organisation(), candidate.rank(), candidate.work(), now);
+            }
             sentExpectedMillis = expectedMillis;
             sentNanos = now;
             started = false;
         }
 
+        /**
+         * Records that the attempt that was sent last has not run, so that its work does not count as received.
+         *
+         * @param now current time in nanoseconds
+         */
+        public void onNotRun(long now) {
+            if (sentNanos == NEVER) {
+                return;
+            }
+            if (chargedByAttempt) {
+                final AdmissionCandidate candidate = place.candidate();
+                shares.refund(candidate.organisation(), candidate.rank(), candidate.work(), sentNanos, now);
+                charged = false;
+                chargedByAttempt = false;
+            }
+            sentNanos = NEVER;
+        }
+
+        /**
+         * Records that the attempt that was sent last was rejected for lack of room. It still counts, and so does a retry, so that
+         * an organisation that fills the upstreams is held back.
+         */
+        public void onUpstreamFull() {
+            sentNanos = NEVER;
+            charged = false;
+            chargedByAttempt = false;
+        }
+
+        /** Leaves the line without a decision, since the request waits for something else than its turn. */
+        public void leaveLine() {
+            line.leave(place);
+        }
+
         /**
          * Records that the answer has started.
          *
--- a/src/main/java/org/masticpaddle/admission/ServiceForecast.java
+++ b/src/main/java/org/masticpaddle/admission/ServiceForecast.java
@@ -20,6 +20,13 @@
     /** Fraction of the places below which a service counts as idle. */
     private static final double IDLE_FRACTION = 0.5;
 
+    /** Returns the same forecast without a free place. */
+    ServiceForecast withoutPlace() {
+        return placeFree
+                ? new ServiceForecast(startMillis, serviceMillis, false, takenFraction, waiting, ownPlaces)
+                : this;
+    }
+
     /** Returns whether the service has so much room that no request is held back, whatever its expected time. */
     boolean idle() {
         return takenFraction < IDLE_FRACTION && waiting == 0;
--- a/src/main/java/org/masticpaddle/admission/WaitingLine.java
+++ b/src/main/java/org/masticpaddle/admission/WaitingLine.java
@@ -49,12 +49,13 @@
                 .count();
     }
 
-    /** Returns whether a waiting request precedes one and would be sent at the same expected time. */
-    boolean hasClaimantAhead(Place place, double expectedMillis, long now) {
+    /** Returns whether a waiting request precedes one and would be sent after the same time in a queue. */
+    boolean hasClaimantAhead(Place place, double queueMillis, long now) {
         final Comparator<Place> order = order(now);
         return places.stream()
-                .anyMatch(other ->
-                        other != place && expectedMillis <= other.limitMillis && order.compare(other, place) < 0);
+                .anyMatch(other -> other != place
+                        && queueMillis + other.serviceMillis <= other.limitMillis
+                        && order.compare(other, place) < 0);
     }
 
     private static Comparator<Place> order(long now) {
@@ -72,6 +73,7 @@
         private final double objectiveEndMillis;
         private Standing standing = Standing.WITHIN_SHARE;
         private double limitMillis;
+        private double serviceMillis;
 
         private Place(AdmissionCandidate candidate, boolean earlyRepeat, long number) {
             this.candidate = candidate;
@@ -103,6 +105,11 @@
             limitMillis = newLimitMillis;
         }
 
+        /** Replaces the time for which an upstream works on the request. */
+        void updateService(double newServiceMillis) {
+            serviceMillis = newServiceMillis;
+        }
+
         private int agedRank(long now) {
             return candidate.waitedMillis(now) * 2 >= candidate.maxWaitMillis()
                     ? candidate.rank() - 1
--- a/src/main/java/org/masticpaddle/gateway/AttemptAdmission.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptAdmission.java
@@ -96,11 +96,24 @@
         ticket.ifPresent(each -> each.onStarted(now()));
     }
 
+    /** Records how an attempt ended; one that has not run does not count against the organisation. */
+    void onAttemptEnd(AttemptEnd end) {
+        if (!end.mayHaveRun()) {
+            ticket.ifPresent(each -> each.onNotRun(now()));
+        }
+    }
+
+    /** Gives the place among the waiting requests up while the request cannot be sent for another reason. */
+    void leaveLine() {
+        ticket.ifPresent(ServiceAdmission.Ticket::leaveLine);
+    }
+
     /** Records that an upstream did not run the request. It lacks room if its report shows that all its places are taken. */
     void onNotRun(UpstreamState upstream) {
         if (upstream.loadReport().waiting(now()) > 0
                 || upstream.loadReport().inFlightOfAllGateways(now()).orElse(0) >= upstream.slots()) {
             admission.onUpstreamRejected(now());
+            ticket.ifPresent(ServiceAdmission.Ticket::onUpstreamFull);
         }
     }
 
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -502,7 +502,7 @@
         deadlineTimer.cancel();
         guard.close();
         planner.close();
-        attemptAdmission.close(decision == Decision.REQUEST_ANSWERED);
+        attemptAdmission.close(decision == Decision.REQUEST_ANSWERED && status < 400);
         context.counters().add(counter);
         decisions.ended(
                 decision,
@@ -515,6 +515,7 @@
     /** Every end of an attempt passes through here, so that none that may have run is forgotten. */
     private void endAttempt(AttemptEnd end) {
         mayHaveRun |= end.mayHaveRun();
+        attemptAdmission.onAttemptEnd(end);
         buffered.close();
         relay.ifPresent(StreamRelay::discardPartialEvent);
         observer.onEnd(end);
--- a/src/test/java/org/masticpaddle/gateway/FairAdmissionTest.java
+++ b/src/test/java/org/masticpaddle/gateway/FairAdmissionTest.java
@@ -72,6 +72,16 @@
         assertThat(fair.attempts()).isEqualTo(immediate.attempts());
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 1", "1, 2", "4, 1", "4, 2", "21, 1", "21, 2"})
+    void shouldAnswerNoFewerInTimeInAllAndTheFloodAtItsUsualRate(int gateways, long seed) {
+        final PressedDeployment fair = flooded(AdmissionMode.FAIR, gateways, PLAIN, LOOKUP, 250, 6, seed);
+        final PressedDeployment immediate = flooded(AdmissionMode.IMMEDIATE, gateways, PLAIN, LOOKUP, 250, 6, seed);
+        assertThat(fair.inTime(kind -> true, START_MILLIS, END_MILLIS))
+                .isAtLeast(immediate.inTime(kind -> true, START_MILLIS, END_MILLIS));
+        assertThat(fair.inTime(SMALL.negate(), START_MILLIS, END_MILLIS)).isAtLeast(1.0 / 6);
+    }
+
     private static double inTimeOfSmall(
             AdmissionMode mode,
             int gateways,
@@ -84,6 +94,10 @@
         assertThat(deployment.notEndedOnce()).isEqualTo(0);
         if (mode == AdmissionMode.FAIR) {
             assertThat(deployment.rejectedInVain()).isEqualTo(0);
+            if (gateways <= 4) {
+                // With more gateways, the last report that one has received may be older than a service time.
+                assertThat(deployment.rejectedWithFreeSlot()).isEqualTo(0);
+            }
             assertThat(deployment.maxHeldFraction()).isAtMost(0.125);
         }
         return deployment.inTime(SMALL, START_MILLIS, END_MILLIS);
--- a/src/test/java/org/masticpaddle/gateway/PressedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/PressedDeployment.java
@@ -153,6 +153,11 @@
         return requests.stream().filter(request -> request.rejectedInVain).count();
     }
 
+    /** Returns the number of requests that were rejected untried while any upstream had a free slot. */
+    long rejectedWithFreeSlot() {
+        return requests.stream().filter(request -> request.rejectedWithFreeSlot).count();
+    }
+
     /** Returns the number of times that upstreams rejected a request for lack of room. */
     long upstreamRejections() {
         return upstreams.stream().mapToLong(upstream -> upstream.rejections).sum();
@@ -268,6 +273,7 @@
         private boolean started;
         private boolean rejected;
         private boolean rejectedInVain;
+        private boolean rejectedWithFreeSlot;
         private long heldMillis;
         private long answeredMillis = Long.MAX_VALUE;
         private int ends;
@@ -332,6 +338,9 @@
                                     * 2
                             < places
                     && upstreams.stream().allMatch(each -> each.queue.isEmpty());
+            rejectedWithFreeSlot = tried.isEmpty()
+                    && upstreams.stream()
+                            .anyMatch(each -> !each.crashed && each.runningRequests.size() < capacity.slots());
             end(false);
         }
 
@@ -350,12 +359,14 @@
             if (upstream.crashed) {
                 member.release(inFlight);
                 member.onUnreachable(scheduler.nanos());
+                admission.onAttemptEnd(AttemptEnd.UNREACHABLE);
                 planAgain();
             } else if (!upstream.offer(this)) {
                 report(member, true);
                 member.release(inFlight);
                 member.onNotRun(scheduler.nanos());
                 admission.onNotRun(member);
+                admission.onAttemptEnd(AttemptEnd.NOT_RUN);
                 planAgain();
             }
         }
