Leave the line of admission while a request cannot be sent

Cause: a request that the quarantine holds, or that no upstream takes, kept its place among those that wait for admission and blocked others; one that admission let wait lost its place in the queue for limited upstreams.

Change: AttemptPlanner leaves the line in each branch that waits for another reason, and ends the wait for an upstream only when the request is sent or fails.

Result: ServiceAdmissionTest.shouldNotBlockOthersAfterItLeftTheLine covers the line; no test replays the planner itself.

--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -66,6 +66,7 @@
         final boolean mayWait = remainingMillis > admitted.timeoutMillis() / 2;
         final Admission admission = guard.admission();
         if (admission.outcome() == Admission.Outcome.HELD && mayWait) {
+            attemptAdmission.leaveLine();
             return RECHECK;
         }
         if (admission.outcome().compareTo(Admission.Outcome.HELD) >= 0) {
@@ -74,11 +75,15 @@
         final Optional<UpstreamPlacement.Choice> choice =
                 chooser.choose(model, modelIndex, mayWait, admission.outcome() == Admission.Outcome.TRIAL);
         if (choice.isPresent() && upstreamWait.isTurn(choice.get().member())) {
-            upstreamWait.end();
-            return sentAttempts == 0
+            final Plan plan = sentAttempts == 0
                     ? admit(choice.get(), admission, modelIndex, remainingMillis)
                     : sent(new Send(choice.get(), admission, modelIndex));
+            if (!(plan instanceof Recheck)) {
+                upstreamWait.end();
+            }
+            return plan;
         }
+        attemptAdmission.leaveLine();
         if (upstreamWait.blocked()) {
             return waitForUpstream(remainingMillis);
         }
