Report a change of the admission mode in the log of a reload

Cause: a reload that changed only the admission mode was logged as changed = false.

Change: GatewayProcess compares the mode too and writes it.

Result: compilation and lint pass. No test of it was written or run.

--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -86,6 +86,7 @@
     private final CountedSharedLog sharedLog;
     private final UpstreamHealthProbe healthProbe;
     private volatile GatewayBounds bounds;
+    private volatile AdmissionMode admissionMode;
     private final HttpServer server;
     private final PeriodicTasks periodicTasks;
     private volatile boolean draining;
@@ -103,7 +104,8 @@
         bounds = GatewayBounds.of(settings);
         final UniformRandomProvider random = random(settings.text(Setting.INSTANCE));
         state = new GatewayState(bounds, random);
-        state.admissions().updateMode(AdmissionMode.of(settings));
+        admissionMode = AdmissionMode.of(settings);
+        state.admissions().updateMode(admissionMode);
         client = new HttpClient(loop, new ConnectionTimeouts(CONNECT_TIMEOUT, MAX_IDLE_TIME));
         sharedLog = new CountedSharedLog(ports.log(
                 client,
@@ -248,12 +250,14 @@
      */
     public void reload(ProcessSettings settings) {
         final GatewayBounds newBounds = GatewayBounds.of(settings);
-        log.write(Decision.RELOADED, "changed", !newBounds.equals(bounds), "bounds", newBounds);
+        final AdmissionMode newMode = AdmissionMode.of(settings);
+        final boolean changed = !newBounds.equals(bounds) || newMode != admissionMode;
+        log.write(Decision.RELOADED, "changed", changed, "bounds", newBounds, "admission", newMode);
         bounds = newBounds;
-        final AdmissionMode admissionMode = AdmissionMode.of(settings);
+        admissionMode = newMode;
         loop.execute(() -> {
             state.updateBounds(newBounds);
-            state.admissions().updateMode(admissionMode);
+            state.admissions().updateMode(newMode);
         });
     }
 
