--- a/src/main/java/org/masticpaddle/control/StoreCadence.java
+++ b/src/main/java/org/masticpaddle/control/StoreCadence.java
@@ -10,8 +10,9 @@
  * <p>Held reads return as soon as there is a record, so that their hold does not delay a change. It limits for how long a
  * connection that has gone silent goes unnoticed: the hold, the response timeout and a short read that confirms the present state
  * have to fit into the time within which a gateway must know all changes again after a disturbance, into the time for which
- * revoked keys may still be accepted, and into the time after which an evacuated failure domain must get no requests. Reads that return at once (periodic reads) see a change after the pause, its jitter and the
- * response of a slow log; a request that was placed before still needs the time to connect. Immutable and thread-safe.
+ * revoked keys may still be accepted, and into the time after which an evacuated failure domain must get no requests. Reads that
+ * return at once (periodic reads) see a change after the pause, its jitter and the response of a slow log; a request that was
+ * placed before still needs the time to connect. Immutable and thread-safe.
  *
  * @param operatorStream timing of reads of configurations, keys and rollout orders, which are rare
  * @param upstreamList timing of reads of the list of upstreams, each of which renews its entry about once a second
--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -12,9 +12,10 @@
 
 /**
  * State that one gateway keeps about one upstream: its entry, the requests in flight from this gateway, the last
- * reported load, and a circuit breaker.
+ * reported load, and what limits its requests.
  *
- * <p>Invariants: the circuit decides whether the upstream may get a request. While the upstream states a limit, requests are paced. Health, reported load, stated limit and
+ * <p>Invariants: {@link #availability} is the one place that says whether the upstream may get a request, by its circuit and pauses,
+ * the evacuation of its failure domain, the limit that it states, its coldness and its pace. Health, reported load, stated limit and
  * estimated cache of an earlier incarnation are discarded. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamState {
@@ -355,11 +356,11 @@
         performance.recordFailure(now);
         pace.onFailure();
         circuit.onUnreachable(now);
-        coolDownIfLost(now);
+        markColdIfLost(now);
     }
 
     /** An upstream that was lost has probably started again when it responds, before its entry says so. */
-    private void coolDownIfLost(long now) {
+    private void markColdIfLost(long now) {
         if (circuit.certainlyFailed()) {
             cold.recordReturn(now);
         }
@@ -374,7 +375,7 @@
     public void tripCircuit(long now) {
         performance.recordFailure(now);
         circuit.trip(now);
-        coolDownIfLost(now);
+        markColdIfLost(now);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
+++ b/src/main/java/org/masticpaddle/routing/ExpectedLoads.java
@@ -9,8 +9,8 @@
  *
  * <p>Load pattern: with many gateways and upstreams most load reports are old. An upstream that was not heard of for some time is
  * expected to be as loaded as the others, not idle: if it counted as idle, the gateways would send most of their requests to the
- * upstreams that they know least about. For the same reason an upstream that is cold or paced, which every gateway sees idle, is expected to be at
- * least as loaded as the warm ones. Not thread-safe: used for one decision on the thread that owns the upstreams' states.
+ * upstreams that they know least about. For the same reason an upstream that is cold or paced, which every gateway sees idle, is
+ * expected to be at least as loaded as the warm ones. Not thread-safe: used for one decision on the thread that owns the upstreams' states.
  */
 final class ExpectedLoads {
     /** Weight of an idle upstream in the mean, so that upstreams that nothing is known of are tried. */
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -18,8 +18,9 @@
  * <p>Designed for workloads in which many requests share prompt segments and run on few engines; unlike {@link
  * UpstreamSelector} it scores all members.
  *
- * <p>Invariant: among upstreams of one failure domain that report no work factor, answer as expected and do not fail, a request is placed where it is
- * predicted to start at most half of its prefill time later than at the best one, or 0.1 ms for each slot of a plain service.
+ * <p>Invariant: among upstreams of one failure domain that report no work factor, answer as expected and do not fail, a request is
+ * placed where it is predicted to start at most half of its prefill time later than at the best one, or 0.1 ms for each slot of a
+ * plain service.
  * Immutable and thread-safe; its methods have no side effects.
  */
 public final class UpstreamPlacement {
--- a/src/main/java/org/masticpaddle/wire/RequestBodyReader.java
+++ b/src/main/java/org/masticpaddle/wire/RequestBodyReader.java
@@ -83,7 +83,7 @@
      * @param scheduler clock and timers of the exchange's I/O thread
      * @param limits largest size and times
      * @param listener receives the body or the reason why there is none
-     * @return the reader
+     * @return reader that has begun, and ends by one call of the listener or with its connection
      */
     public static RequestBodyReader start(
             HttpServerExchange exchange,
