Read the crash reports of many gateways together

Cause: a read of the crash reports returns with each record, so that every gateway read once for each report of every other one after the loss of upstreams. Change: while an upstream was lost a short time ago, a gateway pauses for 0.5 s between two such reads. The read that it holds in calm times returns the first report at once as before. CrashingDeployment sends at the stated rate above 50 a second too (one request for each step of 20 ms was the most before), so that the test of a large deployment has the 150 a second that it states.

--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -43,8 +43,12 @@
 final class QuarantineCoordinator {
     /** Timing of reads while no upstream is lost. */
     private static final ReadTiming CALM = new ReadTiming(Duration.ofSeconds(20), Duration.ZERO, Duration.ofSeconds(2));
-    /** Timing of reads after the loss of an upstream; a connection that has gone silent is noticed in time. */
-    private static final ReadTiming ALERT = ReadTiming.longPoll(Duration.ofSeconds(2));
+    /**
+     * Timing of reads after the loss of an upstream; a connection that has gone silent is noticed in time. The first report of a
+     * loss is read at once. The pause lets one read return the reports of many gateways that have seen the same loss.
+     */
+    private static final ReadTiming ALERT =
+            new ReadTiming(Duration.ofSeconds(2), Duration.ofMillis(500), Duration.ofSeconds(2));
     /** Time for which reads stay frequent after the loss of an upstream. */
     private static final long ALERT_NANOS = 8_000_000_000L;
     /** Shortest interval between two writes of this gateway's report. */
--- a/src/test/java/org/masticpaddle/gateway/CrashingDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/CrashingDeployment.java
@@ -116,8 +116,10 @@
     void run(long durationMillis, double soundPerSecond, double crashingPerSecond) {
         final long end = millis() + durationMillis;
         while (millis() < end) {
-            if (random.nextDouble() < soundPerSecond * TICK_MILLIS / 1_000) {
-                send(Set.of("system-" + random.nextInt(4), "subject-" + random.nextInt(200)));
+            for (double expected = soundPerSecond * TICK_MILLIS / 1_000; expected > 0; expected--) {
+                if (random.nextDouble() < expected) {
+                    send(Set.of("system-" + random.nextInt(4), "subject-" + random.nextInt(200)));
+                }
             }
             if (random.nextDouble() < crashingPerSecond * TICK_MILLIS / 1_000) {
                 send(Set.of("system-" + random.nextInt(4), CRASHING));
--- a/src/test/java/org/masticpaddle/gateway/CrashingSegmentTest.java
+++ b/src/test/java/org/masticpaddle/gateway/CrashingSegmentTest.java
@@ -17,6 +17,8 @@
     private static final int MAX_ARRIVALS = 3;
     private static final double MIN_SOUND_SHARE = 0.5;
     private static final long EPISODE_MILLIS = 30_000;
+    /** Two a second for ten seconds, and the one that returns the first report. */
+    private static final int MAX_READS_AFTER_CRASH = 21;
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
@@ -99,6 +101,20 @@
         assertThat(deployment.sharedLog().crashReports()).isEqualTo(0);
     }
 
+    /** Load pattern: many engines crash at the same moment while many gateways have requests there. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void shouldReadReportsOfManyGatewaysTogether(long seed) {
+        final int gateways = 25;
+        final CrashingDeployment deployment = new CrashingDeployment(gateways, 32, seed);
+        deployment.run(2_000, 600, 0);
+        final int readsBefore = deployment.sharedLog().crashReportReads();
+        deployment.crashEngines(16);
+        deployment.run(10_000, 600, 0);
+        assertThat(deployment.sharedLog().crashReports()).isAtLeast(gateways / 2);
+        assertThat(deployment.sharedLog().crashReportReads() - readsBefore).isAtMost(gateways * MAX_READS_AFTER_CRASH);
+    }
+
     private static void assertStopped(CrashingDeployment deployment, long firstCrashMillis) {
         final long stableMillis = deployment.crashMillis().size() < 5
                 ? firstCrashMillis + EPISODE_MILLIS
--- a/src/test/java/org/masticpaddle/gateway/FakeStreams.java
+++ b/src/test/java/org/masticpaddle/gateway/FakeStreams.java
@@ -22,6 +22,7 @@
     private final Map<LogStream, FakeSharedLog> logs = new EnumMap<>(LogStream.class);
     private final List<RolloutProgress> writtenStatuses = new ArrayList<>();
     private int crashReports;
+    private int crashReportReads;
 
     FakeStreams(FakeScheduler scheduler) {
         for (final LogStream stream : LogStream.values()) {
@@ -46,6 +47,11 @@
         return crashReports;
     }
 
+    /** Returns the number of reads of the crash reports. */
+    int crashReportReads() {
+        return crashReportReads;
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(LogStream stream, String after) {
         return logs.get(stream).newest(stream, after);
@@ -53,6 +59,7 @@
 
     @Override
     public CompletableFuture<LogBatch> read(LogStream stream, long from, Duration wait) {
+        crashReportReads += stream == LogStream.CRASH_REPORTS ? 1 : 0;
         return logs.get(stream).read(stream, from, wait);
     }
 
