Check the platform's configuration before it is sent

Cause: check and diff knew the routing document only. A gateway takes the operator's configuration as far as it can read it: of eight mistakes tried by hand (unknown service, hidden prefix, key of two organisations, lower version and others) none gave an error. Change: CheckCommand runs one flow over both forms (CheckedForm). The platform's form is read by ConfigurationFormat, which the adapter provides and the service loader finds; it reports syntax and fields with the file's names, and decodes sound entries by ConfigurationDecoder, so that there is one decoder. DraftCheck and DraftDifference are pure over ConfigurationDraft, which keeps the digests of keys only, so that no message can contain a key. Messages of the JSON parser are not passed on, since they quote the file.

--- a/src/main/java/org/masticpaddle/command/LogOptions.java
+++ b/src/main/java/org/masticpaddle/command/LogOptions.java
@@ -25,6 +25,13 @@
     @Parameter(names = "--timeout-seconds", description = "Maximum time to wait for the log, in seconds")
     private int timeoutSeconds = 15;
 
+    /** Returns the options for a log. */
+    static LogOptions of(URI origin) {
+        final LogOptions options = new LogOptions();
+        options.log = origin.toString();
+        return options;
+    }
+
     /** Returns whether the origin of a log is set, by the option or by the environment variable. */
     boolean hasOrigin() {
         return !log.isEmpty();
--- a/src/main/java/org/masticpaddle/command/PartFile.java
+++ b/src/main/java/org/masticpaddle/command/PartFile.java
@@ -1,7 +1,6 @@
 package org.masticpaddle.command;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -39,8 +38,13 @@
      * {@code select}, sections of other teams are dropped.
      */
     static PartFile read(String file, String team, boolean select) {
-        final Path path = Path.of(file);
-        final byte[] bytes = readBytes(path);
+        return of(SourceFile.read(file), team, select);
+    }
+
+    /** Takes content that was read from a file as the part of a team, as {@link #read} does. */
+    static PartFile of(SourceFile source, String team, boolean select) {
+        final String file = source.name();
+        final byte[] bytes = source.content();
         if (select && bytes.length > DocumentCheck.MAX_BYTES + MAX_HEADER_BYTES) {
             throw new CommandException(
                     ExitCode.NEGATIVE, file + ": expected at most " + DocumentCheck.MAX_BYTES + " bytes");
@@ -56,19 +60,11 @@
         final String text = hasHeader ? "\n" + content.text().substring(matcher.end()) : content.text();
         final String partText = select ? TeamText.split(text).getOrDefault(team, "") : text;
         return new PartFile(
-                path,
+                Path.of(file),
                 new Part(team, file, partText),
                 hasHeader ? OptionalLong.of(Long.parseLong(matcher.group(2))) : OptionalLong.empty());
     }
 
-    private static byte[] readBytes(Path path) {
-        try (InputStream input = Files.newInputStream(path)) {
-            return input.readNBytes(DocumentCheck.MAX_BYTES + 2 * MAX_HEADER_BYTES);
-        } catch (IOException e) {
-            throw new CommandException(ExitCode.USAGE, "cannot read " + path + ": " + e.getMessage());
-        }
-    }
-
     /** Updates the revision in the header, if there is one, so that the next edit has the new base revision. */
     void updateHeader(long revision) {
         if (baseRevision.isEmpty()) {
--- a/src/main/java/org/masticpaddle/document/Problem.java
+++ b/src/main/java/org/masticpaddle/document/Problem.java
@@ -58,6 +58,31 @@
         return text.toString();
     }
 
+    /** Severity of a problem. */
+    public enum Severity {
+        /** The configuration must not take effect. */
+        ERROR {
+            @Override
+            public boolean rejects() {
+                return true;
+            }
+        },
+        /** The configuration may take effect, but part of it has no effect or contradicts another part. */
+        WARNING {
+            @Override
+            public boolean rejects() {
+                return false;
+            }
+        };
+
+        /**
+         * Returns whether a configuration with such a problem is rejected.
+         *
+         * @return {@code true} for errors
+         */
+        public abstract boolean rejects();
+    }
+
     /** Kind of a problem. */
     public enum Kind {
         /** The bytes are not UTF-8, or contain control characters. */
@@ -89,6 +114,57 @@
         /** The target version of a rollout is withdrawn. */
         WITHDRAWN_TARGET,
         /** The floors of all ranks add up to more than 1. */
-        FLOORS_ABOVE_ONE
+        FLOORS_ABOVE_ONE,
+        /** The file does not have the syntax of its form, or ends too early. */
+        BAD_SYNTAX,
+        /** The version is not above that of the configuration in force. */
+        STALE_VERSION,
+        /** The weights of a route's targets add up to nothing. */
+        NO_WEIGHT,
+        /** A route has the host and the prefix of another one, which gets all requests. */
+        HIDDEN_PREFIX(Severity.WARNING),
+        /** The host of a route has a form that no request's host is compared with. */
+        UNMATCHABLE_HOST(Severity.WARNING),
+        /** A target has the weight 0 and gets no requests. */
+        WEIGHTLESS_TARGET(Severity.WARNING),
+        /** An organisation has no key, so that it cannot send requests. */
+        ORGANISATION_WITHOUT_KEYS(Severity.WARNING),
+        /** A key is listed twice for one organisation. */
+        REPEATED_KEY(Severity.WARNING),
+        /** No route leads to a service. */
+        UNREACHED_SERVICE(Severity.WARNING),
+        /** A service offers a model that no route to it selects. */
+        UNREACHED_MODEL(Severity.WARNING),
+        /** A latency objective is longer than the time limit. */
+        OBJECTIVE_OVER_TIME_LIMIT(Severity.WARNING),
+        /** An objective for the time between events is longer than the time limit. */
+        GAP_OVER_TIME_LIMIT(Severity.WARNING),
+        /** A stream that may resume has too few attempts to do so. */
+        TOO_FEW_ATTEMPTS(Severity.WARNING),
+        /** The limit of bodies is above what a gateway accepts. */
+        BODY_LIMIT_OVER_GATEWAY(Severity.WARNING),
+        /** Upstreams are cold for a time in which their requests are not limited. */
+        UNLIMITED_COLD_TIME(Severity.WARNING),
+        /** An unknown field resembles one that is absent and has its default. */
+        MISSPELT_FIELD(Severity.WARNING);
+
+        private final Severity severity;
+
+        Kind() {
+            this(Severity.ERROR);
+        }
+
+        Kind(Severity severity) {
+            this.severity = severity;
+        }
+
+        /**
+         * Returns whether such problems keep a configuration from taking effect.
+         *
+         * @return severity of all problems of the kind
+         */
+        public Severity severity() {
+            return severity;
+        }
     }
 }
