Use more of what cold upstreams may get from many gateways

The sum of the shares was 0.95 and 0.91, and 0.64 and 0.52 six seconds after the start: a load report counts the request that it answers, and the first report, of a busy upstream, kept its weight for 3 s. Gateways with waiting requests lost their share to gateways that used few of their permits.

For this, the law allows for shares that add up to 1.15 (1.1 before), and a permit lives for 0.06 s (0.1 s), which is longer than the 0.04 s between two looks of a waiting request.

The target isn't met with 33: independent gateways that know their shares exactly can use 0.74 there under the same law. ColdUpstreamsTest asserts 0.7 with 22 gateways (0.35 before) and 0.7 of what is attainable with 33; ColdLimitTest's law now holds while all gateways have waiting requests. mvn -o test -Dtest='ColdUpstreamsTest,ColdLimitTest,TrafficShareTest,SharedSumTest,SharedLimitTest'

--- a/src/main/java/org/masticpaddle/admission/TrafficShare.java
+++ b/src/main/java/org/masticpaddle/admission/TrafficShare.java
@@ -14,6 +14,8 @@
 public final class TrafficShare {
     /** Time constant of the moving averages. */
     private static final double TIME_CONSTANT_NANOS = 3e9;
+    /** Part of the time since the first observation that the time constant does not exceed. */
+    private static final double OBSERVED_FRACTION = 0.5;
     /** Largest sum of the shares of all gateways, with the errors of their estimates. */
     public static final double MAX_SUM = 1.4;
     /**
@@ -30,6 +32,7 @@
 
     private double own;
     private double total;
+    private long firstNanos;
     private long updatedNanos;
     private boolean observed;
 
@@ -44,13 +47,22 @@
      * @param now current time in nanoseconds
      */
     public void observe(double ownInFlight, double totalInFlight, long now) {
-        final double weight = observed ? 1 - Math.exp(-Math.max(0, now - updatedNanos) / TIME_CONSTANT_NANOS) : 1;
+        final double weight = observed ? weight(now) : 1;
+        if (!observed) {
+            firstNanos = now;
+        }
         own += weight * (ownInFlight - own);
         total += weight * (totalInFlight - total);
         updatedNanos = now;
         observed = true;
     }
 
+    /** Returns the weight of a new observation; higher at first, so that the first ones do not outweigh those that follow. */
+    private double weight(long now) {
+        final double timeConstant = Math.max(1, Math.min(TIME_CONSTANT_NANOS, OBSERVED_FRACTION * (now - firstNanos)));
+        return 1 - Math.exp(-Math.max(0, now - updatedNanos) / timeConstant);
+    }
+
     /**
      * Returns the share of this gateway by its own traffic alone. Unlike {@link #share}, it has no lower limit, so that the sum
      * does not grow with the number of gateways.
--- a/src/main/java/org/masticpaddle/fleet/ColdLimit.java
+++ b/src/main/java/org/masticpaddle/fleet/ColdLimit.java
@@ -7,7 +7,7 @@
  * permits at regular intervals, at a rate by its share of the traffic and at times that are independent of those of the others.
  * The number of permits that all of them can use in one second is then the sum of independent numbers, each of which is its mean
  * rounded up or down. Invariant: with permits at the rate of {@link #permitsPerSecond}, and as long as the shares add up to
- * 1.1, that sum exceeds {@link #maxRequests} in fewer than one of a million seconds, also if every permit is used.
+ * 1.15, those of gateways with waiting requests counted 1.1 times, that sum exceeds {@link #maxRequests} in fewer than one of a million seconds, also if every permit is used.
  *
  * @param coldSeconds time in seconds for which an upstream is cold after it has started
  * @param requestsPerSecond requests a second that a cold upstream accepts; 0 for no limit
@@ -22,12 +22,14 @@
      * Time for which a permit can be used. Short, since permits that were issued in this time before a second can be used in it;
      * longer than the time after which a waiting request looks for a permit again.
      */
-    static final long PERMIT_LIFETIME_NANOS = 100_000_000L;
+    static final long PERMIT_LIFETIME_NANOS = 60_000_000L;
 
     /** Largest probability that more permits than allowed can be used in a second. */
     private static final double MAX_EXCESS_PROBABILITY = 1e-6;
-    /** Sum of the shares of all gateways, with the usual errors of their estimates. */
-    private static final double SUM_OF_SHARES = 1.1;
+    /** Sum of the shares of all gateways, with the usual errors of their estimates and while all of them have waiting requests. */
+    private static final double SUM_OF_SHARES = 1.15;
+    /** Factor of the rate of a gateway whose requests wait. */
+    private static final double WAITING_FACTOR = 1.1;
     /** Number of gateways beyond which the distribution of the sum hardly changes. */
     private static final double MAX_GATEWAYS = 1_000;
     /** Halvings of the interval that contains the largest mean. */
@@ -56,6 +58,22 @@
     /**
      * Returns the rate at which one gateway issues permits for a cold upstream.
      *
+     * <p>A gateway whose requests wait issues more, as long as that is within its share of {@link #requestsPerSecond}. Otherwise
+     * the share of a gateway that uses all of its permits would fall behind that of gateways that use few of them.
+     *
+     * @param share part of the gateway in the traffic of the service, between 0 and 1; the other gateways are assumed to have the
+     *     same
+     * @param waiting whether requests of the gateway wait for a permit
+     * @return permits a second, at most the share of {@link #requestsPerSecond}
+     */
+    public double permitsPerSecond(double share, boolean waiting) {
+        final double permits = permitsPerSecond(share);
+        return waiting ? Math.min(share * requestsPerSecond, WAITING_FACTOR * permits) : permits;
+    }
+
+    /**
+     * Returns the rate at which one gateway issues permits for a cold upstream while none of its requests waits for one.
+     *
      * @param share part of the gateway in the traffic of the service, between 0 and 1; the other gateways are assumed to have the
      *     same
      * @return permits a second, at most the share of {@link #requestsPerSecond}
--- a/src/main/java/org/masticpaddle/gateway/ColdUpstreams.java
+++ b/src/main/java/org/masticpaddle/gateway/ColdUpstreams.java
@@ -50,7 +50,7 @@
         state.registry().services().forEach(service -> {
             final List<UpstreamState> members = state.registry().members(service);
             final ColdLimit limit = limit(service);
-            final double permitsPerSecond = limit.permitsPerSecond(share(service, members, now));
+            final double permitsPerSecond = permitsPerSecond(service, limit, members, now);
             members.forEach(member -> apply(member, limit, permitsPerSecond, now));
         });
         coldIds.removeIf(id -> state.registry().find(id).isEmpty());
@@ -62,7 +62,7 @@
             final String service = member.upstream().service();
             final ColdLimit limit = limit(service);
             final List<UpstreamState> members = state.registry().members(service);
-            apply(member, limit, limit.permitsPerSecond(share(service, members, now)), now);
+            apply(member, limit, permitsPerSecond(service, limit, members, now), now);
         });
     }
 
@@ -75,6 +75,11 @@
                 .orElse(ColdLimit.NONE);
     }
 
+    private double permitsPerSecond(String service, ColdLimit limit, List<UpstreamState> members, long now) {
+        final boolean waiting = state.limits().queue(service).size() > 0;
+        return limit.permitsPerSecond(share(service, members, now), waiting);
+    }
+
     private double share(String service, List<UpstreamState> members, long now) {
         final OptionalDouble observed = state.limits().observedShare(service, now);
         final boolean othersOpen =
--- a/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamLimits.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.admission.PermitQueue;
@@ -94,13 +95,26 @@
     }
 
     /**
-     * Returns the mean number of requests in flight at upstreams, from their recent reports. Limited upstreams and others have
+     * Estimates the mean number of requests in flight at upstreams, from their recent reports. Limited upstreams and others have
      * different loads, and a gateway hears less often from limited ones.
+     *
+     * <p>A report counts the request that was answered with it. If requests are spread at random, the mean is therefore too large
+     * by one; if they are spread evenly over idle upstreams, it is not. The dispersion of the reports tells one from the other,
+     * so that the estimate is not below the mean in either case.
      */
     private static OptionalDouble reportedMean(List<UpstreamState> upstreams, long now) {
-        return upstreams.stream()
+        final int[] reports = upstreams.stream()
                 .map(upstream -> upstream.loadReport().inFlightOfAllGateways(now))
                 .flatMapToInt(OptionalInt::stream)
-                .average();
+                .toArray();
+        if (reports.length < 2) {
+            return IntStream.of(reports).average();
+        }
+        final double mean = IntStream.of(reports).average().orElseThrow();
+        final double variance = IntStream.of(reports)
+                        .mapToDouble(report -> (report - mean) * (report - mean))
+                        .sum()
+                / (reports.length - 1);
+        return OptionalDouble.of(mean - (mean > 0 ? Math.min(1, Math.min(mean, variance / mean)) : 0));
     }
 }
--- a/src/test/java/org/masticpaddle/admission/TrafficShareTest.java
+++ b/src/test/java/org/masticpaddle/admission/TrafficShareTest.java
@@ -55,6 +55,16 @@
         assertThat(sum).isAtMost(0.2);
     }
 
+    /** The first observation comes with the first answer, before a gateway's own requests are many. */
+    @Test
+    void shouldNotHoldFirstObservationForLong() {
+        final TrafficShare share = new TrafficShare();
+        share.observe(0, 150, 0);
+        observe(share, 10, 40, 1, 30);
+        assertThat(share.observedShare(29 * TICK).orElseThrow()).isAtLeast(0.2);
+        assertThat(share.observedShare(29 * TICK).orElseThrow()).isAtMost(0.25);
+    }
+
     private static void observe(TrafficShare share, double own, double total, int fromTick, int toTick) {
         for (int tick = fromTick; tick < toTick; tick++) {
             share.observe(own, total, tick * TICK);
--- a/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
+++ b/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
@@ -23,7 +23,7 @@
     private static final double MIN_USED = 0.7;
     private static final int LARGEST_FLEET = 300;
 
-    /** Every gateway uses every permit. Gateways end and start at random times, and their parts of the traffic change. */
+    /** Every gateway uses every permit and has more requests waiting. Gateways end and start at random times, and their parts of the traffic change. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void shouldNeverExceedLimitInAnySecond(long seed) {
@@ -71,6 +71,13 @@
         assertThat(new ColdLimit(3, 0.1, 1, 0).permitsPerSecond(0.5)).isAtMost(1e-6);
     }
 
+    @Test
+    void shouldGiveMoreToGatewayWithWaitingRequests() {
+        final ColdLimit limit = new ColdLimit(3, 9.8, 1.5, 5);
+        assertThat(limit.permitsPerSecond(0.01, true)).isGreaterThan(limit.permitsPerSecond(0.01));
+        assertThat(limit.permitsPerSecond(0.25, true)).isWithin(1e-6).of(0.25 * 9.8);
+    }
+
     private static int mostInSecond(List<Long> times) {
         int most = 0;
         int first = 0;
@@ -142,7 +149,7 @@
             }
 
             void setShare(double share, long now) {
-                upstream.setLimit(limit, limit.permitsPerSecond(share), random.nextDouble(), now);
+                upstream.setLimit(limit, limit.permitsPerSecond(share, true), random.nextDouble(), now);
             }
         }
     }
--- a/src/test/java/org/masticpaddle/gateway/ColdUpstreamsTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ColdUpstreamsTest.java
@@ -16,10 +16,20 @@
     private static final double COLD_PER_SECOND = 9.8;
     private static final double MAX_IN_SECOND = 1.5 * COLD_PER_SECOND + 5;
     private static final int ENGINES = 12;
-    /** Target for the part of the rate that is used. Many gateways with uneven traffic use at least half of it. */
+    /** Target for the part of the rate that is used. */
     private static final double TARGET_USE = 0.7;
+    /**
+     * Largest part of the rate that 33 independent gateways with this traffic can use if they exceed the bound in one of a million
+     * seconds, know their shares exactly and use every permit at once.
+     */
+    private static final double ATTAINABLE_BY_33 = 0.74;
+
+    private static final int FLEET_OF_ATTAINABLE = 33;
 
     private static final double REQUESTS_PER_SECOND = 70;
+    private static final double MIN_SUM_OF_SHARES = 0.6;
+    private static final double MAX_SUM_OF_SHARES = 1.15;
+    private static final int SAMPLES = 50;
 
     @ParameterizedTest
     @CsvSource({"1,1", "4,2", "22,3", "22,4", "33,5", "100,6", "300,7"})
@@ -61,7 +71,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"1,1", "4,2", "22,3", "33,4"})
+    @CsvSource({"1,1", "4,2", "22,3", "22,5", "22,6", "33,4", "33,5", "33,6"})
     void shouldServeWithinLimitWhenAllTurnColdTogether(int gateways, long seed) {
         final LimitedDeployment deployment = deployment(gateways, seed);
         deployment.turnCold(0, ENGINES, 20_000);
@@ -75,7 +85,24 @@
             served += deployment.arrivals(engine, steadyMillis, deployment.millis());
         }
         final double used = served / (15 * ENGINES * COLD_PER_SECOND);
-        assertThat(used).isAtLeast(gateways > 4 ? TARGET_USE / 2 : TARGET_USE);
+        assertThat(used).isAtLeast(gateways < FLEET_OF_ATTAINABLE ? TARGET_USE : TARGET_USE * ATTAINABLE_BY_33);
+    }
+
+    /** Shares that add up to less leave a part of the bound unused; shares that add up to more may exceed it. */
+    @ParameterizedTest
+    @CsvSource({"4,1", "22,2", "33,3"})
+    void shouldKnowSharesThatAddUpToTheWhole(int gateways, long seed) {
+        final LimitedDeployment deployment = deployment(gateways, seed);
+        deployment.run(2_000, REQUESTS_PER_SECOND);
+        double sum = 0;
+        double largest = 0;
+        for (int count = 0; count < SAMPLES; count++) {
+            deployment.run(100, REQUESTS_PER_SECOND);
+            sum += deployment.sumOfShares();
+            largest = Math.max(largest, deployment.sumOfShares());
+        }
+        assertThat(sum / SAMPLES).isAtLeast(MIN_SUM_OF_SHARES);
+        assertThat(largest).isAtMost(MAX_SUM_OF_SHARES);
     }
 
     /** A gateway that knows nothing of its share uses the warm upstreams only. */
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -163,6 +163,16 @@
                 .orElse(0);
     }
 
+    /** Returns the sum of the shares that the gateways know. */
+    double sumOfShares() {
+        return gateways.stream()
+                .mapToDouble(gateway -> gateway.state
+                        .limits()
+                        .observedShare(SERVICE, scheduler.nanos())
+                        .orElse(0))
+                .sum();
+    }
+
     /** Sends requests at a mean rate over all gateways. */
     void run(long durationMillis, double requestsPerSecond) {
         final long end = millis() + durationMillis;
