Reserve what slow callers have not taken and slow their upstreams down

Cause: each stream kept up to 512 KB for a slow caller, each whole answer up to 4 MB, and nobody owned the sum. With 64 MB of heap, 24 callers that do not read answers of 3.9 MB, or 120 that do not read streams, ended in OutOfMemoryError (SlowCallerTest on, both cases).

Change: CallerBacklog reserves what waits for a caller in the memory for answers until its connection has taken it. Above 64 KB the upstream is not read (StreamHandle.pause), which slows it down instead of keeping its bytes; after 500 ms 64 KB more are read, up to 512 KB, since an upstream cuts off what stays unread for some seconds. A caller that takes nothing for 10 s is given up, and earlier if its bytes are needed (after 1 s). Of the others, who has given back bytes least recently goes first, so that a caller that reads is not cut off for one that does not. Whole answers are written in parts of 64 KB and freed as they are taken. An upstream that cuts off an answer that was not read is not blamed.

MemoryBudgetTest names the kind of each reservation, since open() takes it; no check changed.

--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -54,6 +54,8 @@
     REQUEST_REJECTED("request.refused", Priority.IMPORTANT),
     /** A request failed and may have run. */
     REQUEST_FAILED("request.failed", Priority.IMPORTANT),
+    /** The connection of a caller was closed since the caller did not take its answer. */
+    ANSWER_GIVEN_UP("answer.given_up", Priority.IMPORTANT),
     /** The caller disconnected before the end of the answer. */
     REQUEST_CANCELLED("request.cancelled", Priority.IMPORTANT);
 
--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -8,6 +8,7 @@
 
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.UpstreamState;
+import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.wire.HttpClient;
 import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
@@ -31,6 +32,8 @@
     private final boolean sentWithoutBacklog;
     private final long sentNanos;
     private final Listener listener;
+    private MemoryBudget.Reservation reservation =
+            new MemoryBudget(Long.MAX_VALUE).open(MemoryBudget.Kind.COLLECTED, () -> {});
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private StreamHandle handle;
     private int status;
@@ -39,6 +42,7 @@
     private OptionalLong answerStartNanos = OptionalLong.empty();
     private int events;
     private boolean ended;
+    private boolean heldBack;
     private Runnable endAction = () -> {};
 
     Attempt(
@@ -58,6 +62,19 @@
         this.listener = Objects.requireNonNull(listener, "listener is null");
     }
 
+    /**
+     * Sets the memory in which parts of the answer are reserved until the attempt ends. The attempt fails if it loses its part.
+     *
+     * @param memory memory for answers
+     * @param onDropped runs before the attempt fails
+     */
+    void reserveIn(MemoryBudget memory, Runnable onDropped) {
+        reservation = memory.open(MemoryBudget.Kind.COLLECTED, () -> {
+            onDropped.run();
+            fail("the memory for answers is used up");
+        });
+    }
+
     void send(HttpClient client, HttpRequest request) {
         handle = client.stream(request, new StreamListener() {
             @Override
@@ -108,6 +125,7 @@
 
     private void end() {
         ended = true;
+        reservation.close();
         upstream.release(inFlight);
         endAction.run();
     }
@@ -140,13 +158,32 @@
     void bufferBody(byte[] bytes) {
         if (body.size() + bytes.length > MAX_BODY_BYTES) {
             fail("the body exceeds " + MAX_BODY_BYTES + " bytes");
-        } else {
+        } else if (reservation.resize(body.size() + bytes.length)) {
             body.writeBytes(bytes);
         }
     }
 
-    int bodyBytes() {
-        return body.size();
+    /** Reserves the bytes of a stream that are kept until an event is complete, or fails the attempt. */
+    void holdPartialEvent(int bytes) {
+        reservation.resize(bytes);
+    }
+
+    /** Reads the answer on, or leaves it to the upstream while the caller does not take what was read. */
+    void setReading(boolean reading) {
+        if (ended || handle == null) {
+            return;
+        }
+        if (reading) {
+            handle.resume();
+        } else {
+            heldBack = true;
+            handle.pause();
+        }
+    }
+
+    /** Returns whether the answer was not read for a time, so that its end says nothing of the upstream. */
+    boolean heldBack() {
+        return heldBack;
     }
 
     /** Returns the bytes of the body and keeps none of them, since an attempt may be referenced for longer than its answer. */
--- a/src/main/java/org/masticpaddle/gateway/CallerExchange.java
+++ b/src/main/java/org/masticpaddle/gateway/CallerExchange.java
@@ -47,4 +47,22 @@
      * @param action action that runs at most once
      */
     void onDisconnect(Runnable action);
+
+    /**
+     * Registers a receiver of whether the answer is to be read on, while the caller has not taken what was sent before.
+     *
+     * @param control called with {@code false} to pause and {@code true} to go on, repeatedly
+     */
+    void onReading(ReadingListener control);
+
+    /** Receives whether an answer is to be read on. */
+    @FunctionalInterface
+    interface ReadingListener {
+        /**
+         * Called repeatedly.
+         *
+         * @param reading {@code false} to pause, {@code true} to go on
+         */
+        void read(boolean reading);
+    }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -79,6 +79,7 @@
         SENT_COLD("sent_cold", "requests sent to cold upstreams"),
         UNREADABLE_VALUES("unreadable_values", "values in upstreams' responses that could not be read"),
         ANSWERS_DROPPED("answers_dropped", "answers of upstreams dropped since the memory for answers was used up"),
+        ANSWERS_GIVEN_UP("answers_given_up", "answers cut off since their callers did not take them"),
         REFUSED_FOR_MEMORY(
                 "refused_for_memory", "requests refused since no memory for their bodies became free in time"),
         STORE_CALLS("store_calls", "calls to the shared log"),
--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -188,7 +188,8 @@
                 headers,
                 body,
                 receivedNanos);
-        final RequestForwarder forwarder = new RequestForwarder(context, new UndertowCaller(exchange), admitted);
+        final RequestForwarder forwarder =
+                new RequestForwarder(context, new UndertowCaller(exchange, context, request.id()), admitted);
         forwarders.put(exchange, forwarder);
         forwarder.start();
     }
@@ -205,9 +206,10 @@
                     retryAfter.delaySeconds(objectiveMillis(exchange), context.random())));
         }
         context.counters().add(GatewayCounters.Counter.REFUSED);
+        final String id = context.headerCodec().parseRequest(headers(exchange)).id();
         final List<Object> line = new ArrayList<>(Arrays.asList(
                 "request",
-                context.headerCodec().parseRequest(headers(exchange)).id(),
+                id,
                 "status",
                 status,
                 "reason",
@@ -222,7 +224,7 @@
                 context.state().confirmedAgeMillis(context.scheduler().nanos()).orElse(-1)));
         line.addAll(Arrays.asList(fields));
         context.log().write(Decision.REQUEST_REJECTED, line.toArray());
-        new UndertowCaller(exchange).respond(status, headers, LocalResponses.errorBody(status, reason));
+        new UndertowCaller(exchange, context, id).respond(status, headers, LocalResponses.errorBody(status, reason));
     }
 
     private double objectiveMillis(HttpServerExchange exchange) {
--- a/src/main/java/org/masticpaddle/gateway/RequestBodies.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestBodies.java
@@ -105,6 +105,8 @@
             memory.heldBytes(RequestMemory.Kind.KEPT),
             "bytes_of_answers",
             answerMemory.heldBytes(),
+            "bytes_for_slow_callers",
+            answerMemory.heldBytes(MemoryBudget.Kind.QUEUED),
             "requests_waiting",
             memory.waiting()
         };
@@ -118,7 +120,15 @@
     List<Gauge> gauges() {
         return List.of(
                 Gauge.of("gateway.body_bytes_held", "bytes reserved for bodies of requests", memory::heldBytes),
-                Gauge.of("gateway.bodies_waiting", "requests that wait for memory", memory::waiting));
+                Gauge.of("gateway.bodies_waiting", "requests that wait for memory", memory::waiting),
+                Gauge.of(
+                        "gateway.answer_bytes_collected",
+                        "bytes of answers that are not complete",
+                        () -> answerMemory.heldBytes(MemoryBudget.Kind.COLLECTED)),
+                Gauge.of(
+                        "gateway.answer_bytes_queued",
+                        "bytes of answers that their callers have not taken",
+                        () -> answerMemory.heldBytes(MemoryBudget.Kind.QUEUED)));
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -16,7 +16,6 @@
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
-import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.quarantine.Admission;
 import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -55,7 +54,6 @@
     private AttemptPlanner planner;
     private Attempt attempt;
     private AttemptObserver observer;
-    private MemoryBudget.Reservation buffered;
     private Optional<StreamRelay> relay = Optional.empty();
     private String model;
     private int modelIndex;
@@ -88,6 +86,11 @@
         guard = context.quarantine().guard(service, models.sharedSegments(), this::onQuarantineChange);
         planner = new AttemptPlanner(context, admitted, service, chooser, escalation, guard);
         caller.onDisconnect(this::cancel);
+        caller.onReading(reading -> {
+            if (attempt != null) {
+                attempt.setReading(reading);
+            }
+        });
         startAttempt();
     }
 
@@ -148,10 +151,10 @@
                 models.tokenCapacity(),
                 now());
         sentAttempts++;
-        final Attempt sent = new Attempt(
+        attempt = new Attempt(
                 upstream, inFlight, choice.expectedMillis(), choice.serviceMillis(), sentWithoutBacklog, now(), this);
-        attempt = sent;
-        buffered = context.answerMemory().open(() -> dropAnswer(sent));
+        attempt.reserveIn(
+                context.answerMemory(), () -> context.counters().add(GatewayCounters.Counter.ANSWERS_DROPPED));
         final AttemptObserver versionObserver = context.versionRouter()
                 .attemptSent(new VersionRouter.SentAttempt(
                         request.id(),
@@ -167,12 +170,6 @@
         attempt.send(context.client(), upstreamRequest(upstream.upstream()));
     }
 
-    /** Ends an attempt whose answer takes more memory than all others when the memory for answers is used up. */
-    private void dropAnswer(Attempt largest) {
-        context.counters().add(GatewayCounters.Counter.ANSWERS_DROPPED);
-        largest.fail("the memory for answers is used up");
-    }
-
     private HttpRequest upstreamRequest(Upstream upstream) {
         final UpstreamRequestMetadata metadata = new UpstreamRequestMetadata(
                 upstream.id(),
@@ -344,9 +341,7 @@
     public void onResponseBytes(Attempt receiving, byte[] bytes) {
         receiving.upstream().recordActivity(now());
         if (relay.isEmpty()) {
-            if (buffered.resize(receiving.bodyBytes() + bytes.length)) {
-                receiving.bufferBody(bytes);
-            }
+            receiving.bufferBody(bytes);
             return;
         }
         relay.get().accept(bytes);
@@ -360,7 +355,7 @@
         } else if (relay.get().eventTooLarge()) {
             receiving.fail("an event does not end");
         } else {
-            buffered.resize(relay.get().partialEventBytes());
+            receiving.holdPartialEvent(relay.get().partialEventBytes());
         }
     }
 
@@ -398,9 +393,11 @@
     public void onAttemptFailed(Attempt failed, HttpRequestException error) {
         lastFailure = error.reason();
         final boolean possiblySent = error.delivery() == HttpRequestException.Delivery.POSSIBLY_SENT;
-        failed.upstream().onUnreachable(now());
+        if (!failed.heldBack()) {
+            failed.upstream().onUnreachable(now());
+        }
         if (possiblySent) {
-            endAttempt(AttemptEnd.LOST);
+            endAttempt(failed.heldBack() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
         } else {
             endAttempt(AttemptEnd.UNREACHABLE);
             sentAttempts--;
@@ -513,7 +510,6 @@
     /** Every end of an attempt passes through here, so that none that may have run is forgotten. */
     private void endAttempt(AttemptEnd end) {
         mayHaveRun |= end.mayHaveRun();
-        buffered.close();
         relay.ifPresent(StreamRelay::discardPartialEvent);
         observer.onEnd(end);
     }
--- a/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
+++ b/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
@@ -7,22 +7,49 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import org.masticpaddle.decisions.Decision;
+import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.wire.CloseListeners;
 import org.masticpaddle.wire.DisconnectDetector;
 import org.masticpaddle.wire.ResponseStream;
 import org.masticpaddle.wire.UnreadBody;
 import org.xnio.IoUtils;
 
-/** Responds through an Undertow exchange; discards what was not read of the request body. Used on the event loop only. */
-final class UndertowCaller implements CallerExchange {
-    /** Limit of the bytes of a stream that are buffered for a caller that reads slowly. */
-    private static final long MAX_PENDING_BYTES = 512 * 1024;
+/**
+ * Responds through an Undertow exchange; discards what was not read of the request body.
+ *
+ * <p>Invariant: the bytes of an answer are reserved in the memory for answers until the connection has taken them or is closed. Used on
+ * the event loop only.
+ */
+final class UndertowCaller implements CallerExchange, CallerBacklog.Listener {
+    /** Size above which an answer is written in parts. */
+    private static final int MAX_SINGLE_WRITE_BYTES = 16 * 1024;
 
     private final HttpServerExchange exchange;
+    private final GatewayContext context;
+    private final String requestId;
+    private final CallerBacklog backlog;
+    private ReadingListener readingListener = reading -> {};
     private ResponseStream stream;
 
-    UndertowCaller(HttpServerExchange exchange) {
+    /**
+     * Creates a caller that has received nothing.
+     *
+     * @param exchange exchange of the request
+     * @param context memory for answers, clock, log and counters
+     * @param requestId identifier of the request, for the log
+     */
+    UndertowCaller(HttpServerExchange exchange, GatewayContext context, String requestId) {
         this.exchange = Objects.requireNonNull(exchange, "exchange is null");
+        this.context = Objects.requireNonNull(context, "context is null");
+        this.requestId = Objects.requireNonNull(requestId, "requestId is null");
+        backlog = new CallerBacklog(context.answerMemory(), context.scheduler(), this);
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            backlog.close();
+            next.proceed();
+        });
+        CloseListeners.add(exchange, backlog::close);
     }
 
     @Override
@@ -32,7 +59,17 @@
         }
         exchange.setStatusCode(status);
         headers.forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
-        UnreadBody.respond(exchange, body);
+        backlog.send(body.length, () -> {
+            if (body.length > MAX_SINGLE_WRITE_BYTES && exchange.isRequestComplete() && !isHead()) {
+                stream = ResponseStream.send(exchange, body, backlog::taken);
+            } else {
+                UnreadBody.respond(exchange, body);
+            }
+        });
+    }
+
+    private boolean isHead() {
+        return Methods.HEAD.equals(exchange.getRequestMethod());
     }
 
     @Override
@@ -46,12 +83,12 @@
             exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         }
         stream = ResponseStream.start(
-                exchange, status, contentType == null ? "text/event-stream" : contentType, MAX_PENDING_BYTES);
+                exchange, status, contentType == null ? "text/event-stream" : contentType, backlog::taken);
     }
 
     @Override
     public void writeChunk(byte[] bytes) {
-        stream.write(bytes);
+        backlog.send(bytes.length, () -> stream.write(bytes));
     }
 
     @Override
@@ -74,4 +111,39 @@
         CloseListeners.add(exchange, action);
         DisconnectDetector.start(exchange, DisconnectDetector.HalfClosePolicy.CLOSE);
     }
+
+    @Override
+    public void onReading(ReadingListener listener) {
+        readingListener = listener;
+    }
+
+    @Override
+    public void onReading(boolean reading) {
+        readingListener.read(reading);
+    }
+
+    @Override
+    public void onGivenUp(String reason) {
+        context.counters().add(GatewayCounters.Counter.ANSWERS_GIVEN_UP);
+        context.log()
+                .write(
+                        Decision.ANSWER_GIVEN_UP,
+                        "request",
+                        requestId,
+                        "reason",
+                        reason,
+                        "bytes_waiting",
+                        backlog.waitingBytes(),
+                        "nothing_taken_ms",
+                        backlog.stallMillis(),
+                        "bytes_collected",
+                        context.answerMemory().heldBytes(MemoryBudget.Kind.COLLECTED),
+                        "bytes_queued",
+                        context.answerMemory().heldBytes(MemoryBudget.Kind.QUEUED));
+        if (stream != null) {
+            stream.abort();
+        } else {
+            abort();
+        }
+    }
 }
--- a/src/main/java/org/masticpaddle/memory/MemoryBudget.java
+++ b/src/main/java/org/masticpaddle/memory/MemoryBudget.java
@@ -1,21 +1,28 @@
 package org.masticpaddle.memory;
 
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Number of bytes that several holders share. Whoever holds most loses its bytes when they are used up, so that a peer that sends
- * without end ends its own request and not those of others.
+ * Number of bytes that several holders share. When they are used up, the largest of the holders that are marked as stalled loses
+ * its bytes; if none is, the one that has given back bytes least recently of those that hold at least half as much as the largest. A
+ * peer that does not read thus goes before one that does, and one that sends without end ends its own request.
  *
  * <p>Invariants: the reservations never hold more than the capacity together; a reservation that was evicted or closed holds
- * nothing and gets nothing more; each one is evicted at most once. Not thread-safe: used on one event loop.
+ * nothing and gets nothing more; each one is evicted at most once. Not thread-safe: used on one event loop, except for the numbers of
+ * bytes that are held, which any thread may read.
  */
 public final class MemoryBudget {
     private final long capacityBytes;
     private final Set<Reservation> holders = new LinkedHashSet<>();
-    private long heldBytes;
+    private final Map<Kind, AtomicLong> heldByKind = new EnumMap<>(Kind.class);
+    private long releases;
 
     /**
      * Creates a budget of which nothing is held.
@@ -27,6 +34,9 @@
             throw new IllegalArgumentException("the capacity is negative: " + capacityBytes);
         }
         this.capacityBytes = capacityBytes;
+        for (final Kind kind : Kind.values()) {
+            heldByKind.put(kind, new AtomicLong());
+        }
     }
 
     /**
@@ -42,11 +52,12 @@
     /**
      * Opens a reservation that holds nothing.
      *
+     * @param kind what is held
      * @param onEvicted runs if the reservation loses its bytes to others; must drop what it holds
      * @return the reservation, to be closed by its holder
      */
-    public Reservation open(Runnable onEvicted) {
-        return new Reservation(onEvicted);
+    public Reservation open(Kind kind, Runnable onEvicted) {
+        return new Reservation(kind, onEvicted);
     }
 
     /**
@@ -55,21 +66,46 @@
      * @return number of bytes, at most the capacity
      */
     public long heldBytes() {
-        return heldBytes;
+        return heldByKind.values().stream().mapToLong(AtomicLong::get).sum();
+    }
+
+    /**
+     * Returns what all reservations of one kind hold.
+     *
+     * @param kind what is held
+     * @return number of bytes
+     */
+    public long heldBytes(Kind kind) {
+        return heldByKind.get(kind).get();
+    }
+
+    /** What the bytes of a reservation are. */
+    public enum Kind {
+        /** Parts of answers that cannot be sent to the caller before more of them has arrived. */
+        COLLECTED,
+        /** Bytes for a caller that its connection has not taken. */
+        QUEUED
     }
 
     /** Part of the budget for one holder. Not thread-safe. */
     public final class Reservation {
+        private final Kind kind;
         private final Runnable onEvicted;
         private long bytes;
+        /** Number of releases of all holders at the last one of this holder, or at its opening. */
+        private long lastRelease;
+
+        private boolean stalled;
         private boolean ended;
 
-        private Reservation(Runnable onEvicted) {
+        private Reservation(Kind kind, Runnable onEvicted) {
+            this.kind = Objects.requireNonNull(kind, "kind is null");
+            lastRelease = releases++;
             this.onEvicted = Objects.requireNonNull(onEvicted, "onEvicted is null");
         }
 
         /**
-         * Sets the number of bytes that the holder needs. Evicts the largest reservations, which may be this one, until they fit.
+         * Sets the number of bytes that the holder needs. Evicts large reservations, which may be this one, until they fit.
          *
          * @param newBytes number of bytes in all, at least 0
          * @return {@code false} if the reservation has ended or was evicted, so that the holder may keep nothing
@@ -82,12 +118,21 @@
                 return true;
             }
             hold(newBytes);
-            while (heldBytes > capacityBytes) {
-                largest().evict();
+            while (heldBytes() > capacityBytes) {
+                nextToEvict().evict();
             }
             return !ended;
         }
 
+        /**
+         * Marks whether the holder waits for a peer that takes nothing, so that it goes first if bytes are needed.
+         *
+         * @param newStalled whether it does
+         */
+        public void markStalled(boolean newStalled) {
+            stalled = newStalled;
+        }
+
         /** Gives all bytes back for good; has no effect on a reservation that has ended. */
         public void close() {
             if (!ended) {
@@ -97,7 +142,10 @@
         }
 
         private void hold(long newBytes) {
-            heldBytes += newBytes - bytes;
+            heldByKind.get(kind).addAndGet(newBytes - bytes);
+            if (newBytes < bytes) {
+                lastRelease = releases++;
+            }
             bytes = newBytes;
             if (bytes > 0) {
                 holders.add(this);
@@ -112,9 +160,17 @@
         }
     }
 
-    private Reservation largest() {
+    private Reservation nextToEvict() {
+        final Optional<Reservation> largestStalled =
+                holders.stream().filter(holder -> holder.stalled).max(Comparator.comparingLong(holder -> holder.bytes));
+        if (largestStalled.isPresent()) {
+            return largestStalled.get();
+        }
+        final long largest =
+                holders.stream().mapToLong(holder -> holder.bytes).max().orElseThrow();
         return holders.stream()
-                .max(Comparator.comparingLong(holder -> holder.bytes))
+                .filter(holder -> holder.bytes >= largest - largest / 2)
+                .min(Comparator.comparingLong(holder -> holder.lastRelease))
                 .orElseThrow();
     }
 }
--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -56,6 +56,8 @@
     private volatile boolean sent;
     private volatile XnioExecutor.Key idleTimer;
     private long lastByteNanos;
+    private StreamSourceChannel responseChannel;
+    private boolean paused;
 
     ActiveRequest(
             HttpRequest request,
@@ -78,6 +80,22 @@
         fail(currentDelivery(), "cancelled", null);
     }
 
+    @Override
+    public void pause() {
+        paused = true;
+    }
+
+    @Override
+    public void resume() {
+        if (paused) {
+            paused = false;
+            lastByteNanos = System.nanoTime();
+            if (responseChannel != null && !finished.isDone()) {
+                responseChannel.resumeReads();
+            }
+        }
+    }
+
     void armConnectTimeout(XnioIoThread thread, Duration timeout) {
         LoopTimeout.start(
                 thread,
@@ -251,6 +269,7 @@
                                 values.getHeaderName().toString().toLowerCase(Locale.ROOT), values.getFirst()));
                 notifyListener(() -> listener.onHead(exchange.getResponse().getResponseCode(), headers));
                 final StreamSourceChannel channel = exchange.getResponseChannel();
+                responseChannel = channel;
                 channel.getReadSetter().set(source -> readBody(source, framingLimit));
                 readBody(channel, framingLimit);
             }
@@ -266,6 +285,10 @@
         try (PooledByteBuffer pooled = buffers.allocate()) {
             final ByteBuffer buffer = pooled.getBuffer();
             for (int reads = 0; !finished.isDone(); reads++) {
+                if (paused) {
+                    channel.suspendReads();
+                    return;
+                }
                 if (reads == MAX_READS_PER_TURN) {
                     // A wake-up would run before the next selection, so that busy connections would keep out all
                     // others.
--- a/src/main/java/org/masticpaddle/wire/ResponseStream.java
+++ b/src/main/java/org/masticpaddle/wire/ResponseStream.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Objects;
+import java.util.function.LongConsumer;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -11,15 +13,19 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /**
- * Streams a response of unknown length in chunks.
+ * Streams a response: one of unknown length in chunks, or a whole one as fast as the peer reads it.
  *
  * <p>Invariants: chunks are sent in the order of {@link #write(byte[])}; at most {@code maxPendingBytes} are buffered
- * for a slow peer, beyond which the stream is aborted; the close action runs at most once, when the peer disconnects or
- * the stream is aborted. Thread-safe.
+ * for a slow peer, beyond which the stream is aborted; nothing is kept after that; the close action runs at most once, when the peer
+ * disconnects or the stream is aborted. Thread-safe.
  */
 public final class ResponseStream {
+    /** Largest number of bytes of one write, each of which is copied through a buffer of that size. */
+    private static final int MAX_WRITE_BYTES = 64 * 1024;
+
     private final HttpServerExchange exchange;
     private final long maxPendingBytes;
+    private final LongConsumer onTaken;
     private final ArrayDeque<ByteBuffer> pending = new ArrayDeque<>();
     private StreamSinkChannel channel;
     private long pendingBytes;
@@ -28,9 +34,10 @@
     private boolean writing;
     private Runnable closeAction = () -> {};
 
-    private ResponseStream(HttpServerExchange exchange, long maxPendingBytes) {
-        this.exchange = exchange;
+    private ResponseStream(HttpServerExchange exchange, long maxPendingBytes, LongConsumer onTaken) {
+        this.exchange = Objects.requireNonNull(exchange, "exchange is null");
         this.maxPendingBytes = maxPendingBytes;
+        this.onTaken = Objects.requireNonNull(onTaken, "onTaken is null");
     }
 
     /**
@@ -44,14 +51,51 @@
      */
     public static ResponseStream start(
             HttpServerExchange exchange, int status, String contentType, long maxPendingBytes) {
-        Objects.requireNonNull(exchange, "exchange is null");
+        return start(exchange, status, contentType, new ResponseStream(exchange, maxPendingBytes, ignored -> {}));
+    }
+
+    /**
+     * Starts the response of an exchange. The caller bounds what is buffered.
+     *
+     * @param exchange exchange whose other response headers have been set
+     * @param status HTTP status
+     * @param contentType value of the {@code Content-Type} header
+     * @param onTaken receives the number of bytes of the body whenever the connection has taken some, on the I/O thread
+     * @return stream of the response body
+     */
+    public static ResponseStream start(
+            HttpServerExchange exchange, int status, String contentType, LongConsumer onTaken) {
+        return start(exchange, status, contentType, new ResponseStream(exchange, Long.MAX_VALUE, onTaken));
+    }
+
+    private static ResponseStream start(
+            HttpServerExchange exchange, int status, String contentType, ResponseStream stream) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
-        final ResponseStream stream = new ResponseStream(exchange, maxPendingBytes);
         exchange.getIoThread().execute(stream::open);
         return stream;
     }
 
+    /**
+     * Sends a whole response, on the I/O thread of the exchange.
+     *
+     * @param exchange exchange whose status and other response headers have been set
+     * @param body body of the response, not empty
+     * @param onTaken receives the number of bytes of the body whenever the connection has taken some, on the I/O thread
+     * @return stream of the response body, which needs no further call
+     */
+    public static ResponseStream send(HttpServerExchange exchange, byte[] body, LongConsumer onTaken) {
+        exchange.setResponseContentLength(body.length);
+        final ResponseStream stream = new ResponseStream(exchange, Long.MAX_VALUE, onTaken);
+        // Parts of their own, so that those that the connection has taken are not kept.
+        for (int from = 0; from < body.length; from += MAX_WRITE_BYTES) {
+            stream.write(Arrays.copyOfRange(body, from, Math.min(body.length, from + MAX_WRITE_BYTES)));
+        }
+        stream.end();
+        stream.open();
+        return stream;
+    }
+
     /**
      * Queues a chunk for sending.
      *
@@ -135,6 +179,7 @@
             }
             closed = true;
             action = closeAction;
+            pending.clear();
         }
         action.run();
     }
@@ -158,33 +203,14 @@
 
     private void writePending() {
         try {
-            while (true) {
-                final ByteBuffer next;
-                synchronized (this) {
-                    next = pending.peek();
-                    if (next == null) {
-                        if (!ended) {
-                            if (channel.flush()) {
-                                channel.suspendWrites();
-                                writing = false;
-                            } else {
-                                channel.resumeWrites();
-                            }
-                            return;
-                        }
-                        break;
-                    }
-                }
-                if (channel.write(next) == 0 && next.hasRemaining()) {
+            for (ByteBuffer next = nextPending(); next != null; next = nextPending()) {
+                if (writePart(next) == 0) {
                     channel.resumeWrites();
                     return;
                 }
-                if (!next.hasRemaining()) {
-                    synchronized (this) {
-                        pendingBytes -= next.capacity();
-                        pending.poll();
-                    }
-                }
+            }
+            if (waitsForChunks()) {
+                return;
             }
             channel.shutdownWrites();
             if (channel.flush()) {
@@ -197,4 +223,44 @@
             IoUtils.safeClose(exchange.getConnection());
         }
     }
+
+    /** Returns the first chunk that is not written, {@code null} if there is none. */
+    private synchronized ByteBuffer nextPending() {
+        while (!pending.isEmpty() && !pending.peek().hasRemaining()) {
+            pending.poll();
+        }
+        return pending.peek();
+    }
+
+    /** Suspends writing if all chunks are written; returns whether there is nothing to end either. */
+    private synchronized boolean waitsForChunks() throws IOException {
+        if (closed) {
+            // An aborted response must not be ended, since it would look complete.
+            return true;
+        }
+        if (ended && pending.isEmpty()) {
+            return false;
+        }
+        if (pending.isEmpty() && channel.flush()) {
+            channel.suspendWrites();
+            writing = false;
+        } else {
+            channel.resumeWrites();
+        }
+        return true;
+    }
+
+    /** Writes a bounded part; returns the number of bytes that the connection has taken. */
+    private int writePart(ByteBuffer next) throws IOException {
+        final ByteBuffer part = next.slice();
+        part.limit(Math.min(MAX_WRITE_BYTES, part.limit()));
+        channel.write(part);
+        final int count = part.position();
+        next.position(next.position() + count);
+        synchronized (this) {
+            pendingBytes -= count;
+        }
+        onTaken.accept(count);
+        return count;
+    }
 }
--- a/src/test/java/org/masticpaddle/gateway/RecordingCaller.java
+++ b/src/test/java/org/masticpaddle/gateway/RecordingCaller.java
@@ -43,6 +43,9 @@
         disconnectAction = action;
     }
 
+    @Override
+    public void onReading(ReadingListener control) {}
+
     void disconnect() {
         disconnectAction.run();
     }
--- a/src/test/java/org/masticpaddle/memory/MemoryBudgetTest.java
+++ b/src/test/java/org/masticpaddle/memory/MemoryBudgetTest.java
@@ -47,6 +47,45 @@
         assertThat(sound.resize(CAPACITY)).isTrue();
     }
 
+    @Test
+    void shouldEvictTheLargeReservationThatHasGivenBackBytesLeastRecently() {
+        final MemoryBudget.Reservation small = open("small");
+        final MemoryBudget.Reservation stalled = open("stalled");
+        final MemoryBudget.Reservation draining = open("draining");
+        assertThat(small.resize(100)).isTrue();
+        assertThat(stalled.resize(300)).isTrue();
+        assertThat(draining.resize(500)).isTrue();
+        assertThat(draining.resize(450)).isTrue();
+        assertThat(open("next").resize(200)).isTrue();
+        assertThat(evicted).containsExactly("stalled");
+    }
+
+    @Test
+    void shouldEvictAStalledReservationBeforeLargerOnes() {
+        final MemoryBudget.Reservation stalled = open("stalled");
+        final MemoryBudget.Reservation goesOn = open("goes on");
+        final MemoryBudget.Reservation large = open("large");
+        stalled.resize(100);
+        goesOn.resize(100);
+        large.resize(750);
+        stalled.markStalled(true);
+        goesOn.markStalled(true);
+        goesOn.markStalled(false);
+        assertThat(open("next").resize(150)).isTrue();
+        assertThat(evicted).containsExactly("stalled");
+    }
+
+    @Test
+    void shouldTellWhatIsHeldByKind() {
+        final MemoryBudget.Reservation queued = budget.open(MemoryBudget.Kind.QUEUED, () -> {});
+        queued.resize(30);
+        open("collected").resize(10);
+        assertThat(budget.heldBytes(MemoryBudget.Kind.QUEUED)).isEqualTo(30);
+        assertThat(budget.heldBytes(MemoryBudget.Kind.COLLECTED)).isEqualTo(10);
+        queued.close();
+        assertThat(budget.heldBytes()).isEqualTo(10);
+    }
+
     @Test
     void shouldEvictNoMoreReservationsThanNeeded() {
         final List<MemoryBudget.Reservation> holders = new ArrayList<>();
@@ -77,10 +116,10 @@
         final Runnable[] restart = new Runnable[1];
         restart[0] = () -> {
             restarts.incrementAndGet();
-            current[0] = budget.open(restart[0]);
+            current[0] = budget.open(MemoryBudget.Kind.COLLECTED, restart[0]);
             current[0].resize(1);
         };
-        current[0] = budget.open(restart[0]);
+        current[0] = budget.open(MemoryBudget.Kind.COLLECTED, restart[0]);
         current[0].resize(CAPACITY + 1);
         assertThat(restarts.get()).isEqualTo(1);
         assertThat(budget.heldBytes()).isEqualTo(1);
@@ -119,6 +158,6 @@
     }
 
     private MemoryBudget.Reservation open(String name) {
-        return budget.open(() -> evicted.add(name));
+        return budget.open(MemoryBudget.Kind.COLLECTED, () -> evicted.add(name));
     }
 }
