Do not blame an upstream for an answer that the gateway dropped

Cause: an answer that lost its memory counted as a lost upstream.

Change: an attempt knows that the gateway itself has limited its answer, by a pause or by dropping it. Its end is neither evidence against the upstream nor against a version, and its speed is not learned.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -42,7 +42,7 @@
     private OptionalLong answerStartNanos = OptionalLong.empty();
     private int events;
     private boolean ended;
-    private boolean heldBack;
+    private boolean limited;
     private Runnable endAction = () -> {};
 
     Attempt(
@@ -71,6 +71,7 @@
     void reserveIn(MemoryBudget memory, Runnable onDropped) {
         reservation = memory.open(MemoryBudget.Kind.COLLECTED, () -> {
             onDropped.run();
+            limited = true;
             fail("the memory for answers is used up");
         });
     }
@@ -176,14 +177,17 @@
         if (reading) {
             handle.resume();
         } else {
-            heldBack = true;
+            limited = true;
             handle.pause();
         }
     }
 
-    /** Returns whether the answer was not read for a time, so that its end says nothing of the upstream. */
-    boolean heldBack() {
-        return heldBack;
+    /**
+     * Returns whether the gateway itself has limited the answer, by not reading it for a time or by dropping it for want of memory, so
+     * that its end says nothing of the upstream.
+     */
+    boolean limited() {
+        return limited;
     }
 
     /** Returns the bytes of the body and keeps none of them, since an attempt may be referenced for longer than its answer. */
--- a/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
+++ b/src/main/java/org/masticpaddle/gateway/EstimateRecorder.java
@@ -59,7 +59,7 @@
     /** Records the mean time between the events of a complete stream. */
     void recordAnswerEnd(Attempt attempt, String model, long now) {
         final int intervals = attempt.events() - 1;
-        if (intervals > 0 && !model.isEmpty() && !attempt.heldBack() && updatesEstimates(attempt)) {
+        if (intervals > 0 && !model.isEmpty() && !attempt.limited() && updatesEstimates(attempt)) {
             final long answerNanos = now - attempt.answerStartNanos().orElseThrow();
             final double usualMillis =
                     answerNanos / 1e6 / intervals / expectedWork(now).level(attempt.upstream());
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -393,11 +393,11 @@
     public void onAttemptFailed(Attempt failed, HttpRequestException error) {
         lastFailure = error.reason();
         final boolean possiblySent = error.delivery() == HttpRequestException.Delivery.POSSIBLY_SENT;
-        if (!failed.heldBack()) {
+        if (!failed.limited()) {
             failed.upstream().onUnreachable(now());
         }
         if (possiblySent) {
-            endAttempt(failed.heldBack() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
+            endAttempt(failed.limited() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
         } else {
             endAttempt(AttemptEnd.UNREACHABLE);
             sentAttempts--;
