Check the platform's configuration in linear work

Cause: a search of all offers for each model of each service made the check quadratic in the number of services; a document that is too large was compared all the same. Change: models that are reached are kept by service; no comparison of a document that was not read whole.

--- a/src/main/java/org/masticpaddle/command/DocumentForm.java
+++ b/src/main/java/org/masticpaddle/command/DocumentForm.java
@@ -12,6 +12,7 @@
 import org.masticpaddle.document.DocumentCheck;
 import org.masticpaddle.document.Part;
 import org.masticpaddle.document.PartDifference;
+import org.masticpaddle.document.Problem;
 import org.masticpaddle.document.Publisher;
 import org.masticpaddle.document.TeamText;
 import org.masticpaddle.routes.check.Aspect;
@@ -57,7 +58,9 @@
                         + result.document().versions().size() + " versions, "
                         + result.document().services().size() + " services, "
                         + result.document().rollouts().size() + " roll-outs",
-                base.map(before -> compare(before, parts)));
+                base.filter(before -> result.problems().stream()
+                                .noneMatch(problem -> problem.kind() == Problem.Kind.TOO_LARGE))
+                        .map(before -> compare(before, parts)));
     }
 
     private List<Part> parts(List<SourceFile> files) {
--- a/src/main/java/org/masticpaddle/routes/check/DraftCheck.java
+++ b/src/main/java/org/masticpaddle/routes/check/DraftCheck.java
@@ -243,17 +243,22 @@
         final Set<String> seen = new HashSet<>();
         for (int index = 0; index < models.size(); index++) {
             final String model = models.get(index);
-            final String place = FieldNames.element(names.in(route.place(), Field.ROUTE_MODELS), index);
             if (!seen.add(model)) {
-                problems.add(Problem.Kind.DUPLICATE_NAME, place, "each model once", ProblemList.quote(model));
+                problems.add(
+                        Problem.Kind.DUPLICATE_NAME,
+                        modelPlace(route, index, names),
+                        "each model once",
+                        ProblemList.quote(model));
                 continue;
             }
             final List<String> offering = intersection(servicesByModel.getOrDefault(model, Set.of()), targets);
-            offering.forEach(service -> reach.models.add(new Offer(service, model)));
+            offering.forEach(service -> reach.models
+                    .computeIfAbsent(service, ignored -> new HashSet<>())
+                    .add(model));
             if (known && offering.isEmpty()) {
                 problems.add(
                         Problem.Kind.UNKNOWN_REFERENCE,
-                        place,
+                        modelPlace(route, index, names),
                         "a model of the route's services",
                         ProblemList.quote(model),
                         suggestions.nearest(model));
@@ -261,6 +266,10 @@
         }
     }
 
+    private static String modelPlace(Placed<Route> route, int index, FieldNames names) {
+        return FieldNames.element(names.in(route.place(), Field.ROUTE_MODELS), index);
+    }
+
     private static List<String> intersection(Set<String> first, Set<String> second) {
         final Set<String> smaller = first.size() < second.size() ? first : second;
         final Set<String> larger = smaller == first ? second : first;
@@ -278,8 +287,9 @@
                         "a service that a route leads to",
                         ProblemList.quote(name));
             } else if (!reach.servicesOfAnyModel.contains(name)) {
+                final Set<String> reached = reach.models.getOrDefault(name, Set.of());
                 service.value().modelCosts().keySet().stream()
-                        .filter(model -> !reach.models.contains(new Offer(name, model)))
+                        .filter(model -> !reached.contains(model))
                         .sorted()
                         .forEach(model -> problems.add(
                                 Problem.Kind.UNREACHED_MODEL,
@@ -347,10 +357,8 @@
     private static final class Reach {
         private final Set<String> services = new HashSet<>();
         private final Set<String> servicesOfAnyModel = new HashSet<>();
-        private final Set<Offer> models = new HashSet<>();
+        private final Map<String, Set<String>> models = new HashMap<>();
     }
 
-    private record Offer(String service, String model) {}
-
     private record KeyPlace(String organisation, String place) {}
 }
