--- a/src/main/java/org/masticpaddle/fleet/ColdLimit.java
+++ b/src/main/java/org/masticpaddle/fleet/ColdLimit.java
@@ -7,7 +7,8 @@
  * permits at regular intervals, at a rate by its share of the traffic and at times that are independent of those of the others.
  * The number of permits that all of them can use in one second is then the sum of independent numbers, each of which is its mean
  * rounded up or down. Invariant: with permits at the rate of {@link #permitsPerSecond}, and as long as the shares add up to
- * 1.15, those of gateways with waiting requests counted 1.1 times, that sum exceeds {@link #maxRequests} in fewer than one of a million seconds, also if every permit is used.
+ * 1.15, those of gateways with waiting requests counted 1.1 times, that sum exceeds {@link #maxRequests} in fewer than one of a
+ * million seconds, also if every permit is used.
  *
  * @param coldSeconds time in seconds for which an upstream is cold after it has started
  * @param requestsPerSecond requests a second that a cold upstream accepts; 0 for no limit
--- a/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
+++ b/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
@@ -23,7 +23,10 @@
     private static final double MIN_USED = 0.7;
     private static final int LARGEST_FLEET = 300;
 
-    /** Every gateway uses every permit and has more requests waiting. Gateways end and start at random times, and their parts of the traffic change. */
+    /**
+     * Every gateway uses every permit and has more requests waiting. Gateways end and start at random times, and their parts of the
+     * traffic change.
+     */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
     void shouldNeverExceedLimitInAnySecond(long seed) {
