Bound the models of which a service's times are kept

Cause: on routes without sizes the caller names the model, and each name got two averages for the life of the process.

Change: averages of the 256 models used most recently.

Result: ServiceTimesTest passes, EstimateRecorderTest and LearnedSpeedsTest too.

--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -1,6 +1,6 @@
 package org.masticpaddle.routing;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
 
@@ -31,8 +31,11 @@
     /** Number of observations from which an average no longer depends on its initial value. */
     private static final int SETTLED_OBSERVATIONS = 30;
 
-    private final Map<String, MovingAverage> millisPerToken = new HashMap<>();
-    private final Map<String, MovingAverage> millisPerEvent = new HashMap<>();
+    /** Largest number of models with averages of their own; on some routes callers name the model. */
+    private static final int MAX_MODELS = 256;
+
+    private final Map<String, MovingAverage> millisPerToken = new ModelAverages();
+    private final Map<String, MovingAverage> millisPerEvent = new ModelAverages();
     private final MovingAverage plainRequestMillis = new MovingAverage(INITIAL_PLAIN_REQUEST_MILLIS);
 
     /**
@@ -116,6 +119,20 @@
         return average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value;
     }
 
+    /** Averages by model. Those of the model that was used least recently are forgotten if there are too many. */
+    private static final class ModelAverages extends LinkedHashMap<String, MovingAverage> {
+        private static final long serialVersionUID = 1L;
+
+        ModelAverages() {
+            super(16, 0.75f, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, MovingAverage> eldest) {
+            return size() > MAX_MODELS;
+        }
+    }
+
     /** Exponential moving average. Not thread-safe. */
     private static final class MovingAverage {
         private double value;
