Forget peers that have no idle connection

Cause: the client kept an empty queue for each peer that it ever had a connection to, also of upstreams that never return; closeExpired() closed connections and left the queues (by reading; the test counts them by a method that did not exist before).

Change: a peer without connections is removed, atomically with additions.

--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -113,22 +113,30 @@
         }
     }
 
-    /** Closes connections that have been idle for longer than the keep-alive timeout. */
+    /** Closes connections that have been idle for longer than the keep-alive timeout, and forgets peers without connections. */
     public void closeExpired() {
         final long now = System.nanoTime();
         idleConnections
-                .values()
-                .forEach(connections -> connections.removeIf(pooled -> {
-                    final boolean expired = !pooled.connection().isOpen()
-                            || now - pooled.sinceNanos()
-                                    > timeouts.keepAliveTimeout().toNanos();
-                    if (expired) {
-                        IoUtils.safeClose(pooled.connection());
-                    }
-                    return expired;
+                .keySet()
+                .forEach(origin -> idleConnections.computeIfPresent(origin, (key, connections) -> {
+                    connections.removeIf(pooled -> {
+                        final boolean expired = !pooled.connection().isOpen()
+                                || now - pooled.sinceNanos()
+                                        > timeouts.keepAliveTimeout().toNanos();
+                        if (expired) {
+                            IoUtils.safeClose(pooled.connection());
+                        }
+                        return expired;
+                    });
+                    return connections.isEmpty() ? null : connections;
                 }));
     }
 
+    /** Returns the number of peers for which anything is kept. */
+    int idleOrigins() {
+        return idleConnections.size();
+    }
+
     /**
      * Sends a request and collects the whole response.
      *
@@ -236,13 +244,15 @@
     }
 
     private void release(URI origin, ClientConnection connection) {
-        final Deque<IdleConnection> connections =
-                idleConnections.computeIfAbsent(origin, key -> new ConcurrentLinkedDeque<>());
-        if (!connection.isOpen() || connections.size() >= MAX_IDLE_PER_ORIGIN) {
-            IoUtils.safeClose(connection);
-            return;
-        }
-        connections.addFirst(new IdleConnection(connection, System.nanoTime()));
+        idleConnections.compute(origin, (key, present) -> {
+            final Deque<IdleConnection> connections = present == null ? new ConcurrentLinkedDeque<>() : present;
+            if (connection.isOpen() && connections.size() < MAX_IDLE_PER_ORIGIN) {
+                connections.addFirst(new IdleConnection(connection, System.nanoTime()));
+            } else {
+                IoUtils.safeClose(connection);
+            }
+            return connections;
+        });
     }
 
     private record IdleConnection(ClientConnection connection, long sinceNanos) {}
