Show the requests in flight as a gauge

Cause: nothing showed whether a gateway forgets requests whose callers have left while their upstreams work. The suspicion that the map of forwarders keeps them (its values refer to its weak keys) did not hold: the server completes the exchange when the connection closes.

--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -46,6 +46,7 @@
     // Weak references, since an exchange never completes if its connection is closed while it is processed.
     private final Set<HttpServerExchange> activeRequests = Collections.newSetFromMap(new WeakHashMap<>());
     private final Map<HttpServerExchange, RequestForwarder> forwarders = new WeakHashMap<>();
+    private volatile int requestsInFlight;
     private boolean draining;
     private boolean rejecting;
 
@@ -79,6 +80,11 @@
         List.copyOf(forwarders.values()).forEach(RequestForwarder::stop);
     }
 
+    /** Returns the number of requests whose exchange is not complete; may be called by any thread. */
+    int requestsInFlight() {
+        return requestsInFlight;
+    }
+
     /** Returns the number of requests in flight on open connections. */
     long activeRequests() {
         return activeRequests.stream()
@@ -93,6 +99,7 @@
         exchange.addExchangeCompleteListener((ended, next) -> {
             activeRequests.remove(ended);
             forwarders.remove(ended);
+            requestsInFlight = forwarders.size();
             next.proceed();
         });
         if (draining) {
@@ -191,6 +198,7 @@
         final RequestForwarder forwarder =
                 new RequestForwarder(context, new UndertowCaller(exchange, context, request.id()), admitted);
         forwarders.put(exchange, forwarder);
+        requestsInFlight = forwarders.size();
         forwarder.start();
     }
 
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -293,7 +293,9 @@
      * @return gauges that read live counters, which start at zero when the gateway is created
      */
     public List<Gauge> gauges() {
-        return Stream.of(counters.gauges(), List.of(sharedLog.gauge()), bodies.gauges())
+        final Gauge inFlight = Gauge.of(
+                "gateway.requests_in_flight", "requests whose answers are not complete", handler::requestsInFlight);
+        return Stream.of(counters.gauges(), List.of(sharedLog.gauge(), inFlight), bodies.gauges())
                 .flatMap(List::stream)
                 .toList();
     }
