Show that the check visits each entry once in all its loops

Cause: the test of linear work counted the visits of four of the six loops over all entries, and no test knew all aspects of a difference. Change: checkReferences and checkReach take iterables, which the test counts; a test changes everything and expects every aspect but that of the routing document. Hosts are quoted in messages, so that a very long one is shortened.

--- a/src/main/java/org/masticpaddle/routes/check/DraftCheck.java
+++ b/src/main/java/org/masticpaddle/routes/check/DraftCheck.java
@@ -40,7 +40,10 @@
             checkTimes(route, names, problems);
             checkAttempts(route, names, problems);
         });
-        checkReferences(draft, problems);
+        final Reach reach = checkReferences(draft.routes(), draft.services(), draft.unreadServices(), names, problems);
+        if (draft.complete()) {
+            checkReach(draft.services(), reach, names, problems);
+        }
         checkServices(draft.services(), names, problems);
         checkOrganisations(draft.organisations(), names, problems);
         if (draft.limits().maxBodyBytes() > maxBodyBytes) {
@@ -100,7 +103,7 @@
                 problems.add(
                         Problem.Kind.HIDDEN_PREFIX,
                         names.in(route.place(), Field.PATH_PREFIX),
-                        "a prefix of its own among the routes of " + host,
+                        "a prefix of its own among the routes of " + ProblemList.quote(host),
                         "that of " + earlier + ", which gets all requests");
             }
         }
@@ -183,11 +186,16 @@
         }
     }
 
-    private static void checkReferences(ConfigurationDraft draft, ProblemList problems) {
-        final FieldNames names = draft.names();
+    /** Reports services and models that are not declared. Returns those that the routes lead to. */
+    static Reach checkReferences(
+            Iterable<Placed<Route>> routes,
+            Iterable<Placed<ServicePolicy>> services,
+            Set<String> unreadServices,
+            FieldNames names,
+            ProblemList problems) {
         final Map<String, Set<String>> servicesByModel = new HashMap<>();
         final Set<String> declared = new LinkedHashSet<>();
-        for (final Placed<ServicePolicy> service : draft.services()) {
+        for (final Placed<ServicePolicy> service : services) {
             final String name = service.value().name();
             declared.add(name);
             service.value()
@@ -198,26 +206,24 @@
                             .add(name));
         }
         final Reach reach = new Reach();
-        final Suggestions services = new Suggestions(declared);
-        final Suggestions models = new Suggestions(servicesByModel.keySet());
-        for (final Placed<Route> route : draft.routes()) {
+        final Suggestions serviceNames = new Suggestions(declared);
+        final Suggestions modelNames = new Suggestions(servicesByModel.keySet());
+        for (final Placed<Route> route : routes) {
             final List<Route.Target> targets = route.value().targets();
             for (int index = 0; index < targets.size(); index++) {
                 final String service = targets.get(index).service();
-                if (!declared.contains(service) && !draft.unreadServices().contains(service)) {
+                if (!declared.contains(service) && !unreadServices.contains(service)) {
                     problems.add(
                             Problem.Kind.UNKNOWN_REFERENCE,
                             targetPlace(route, index, Field.TARGET_SERVICE, names),
                             "a service of " + names.of(Field.SERVICES),
                             ProblemList.quote(service),
-                            services.nearest(service));
+                            serviceNames.nearest(service));
                 }
             }
-            checkModels(route, declared, servicesByModel, reach, models, names, problems);
-        }
-        if (draft.complete()) {
-            checkReach(draft.services(), reach, names, problems);
+            checkModels(route, declared, servicesByModel, reach, modelNames, names, problems);
         }
+        return reach;
     }
 
     /** Reports models that none of a route's services offers, unless one of the services is not known. */
@@ -276,7 +282,7 @@
         return smaller.stream().filter(larger::contains).toList();
     }
 
-    private static void checkReach(
+    static void checkReach(
             Iterable<Placed<ServicePolicy>> services, Reach reach, FieldNames names, ProblemList problems) {
         for (final Placed<ServicePolicy> service : services) {
             final String name = service.value().name();
@@ -354,7 +360,7 @@
     }
 
     /** What the routes lead to. */
-    private static final class Reach {
+    static final class Reach {
         private final Set<String> services = new HashSet<>();
         private final Set<String> servicesOfAnyModel = new HashSet<>();
         private final Map<String, Set<String>> models = new HashMap<>();
--- a/src/test/java/org/masticpaddle/routes/check/DraftCheckTest.java
+++ b/src/test/java/org/masticpaddle/routes/check/DraftCheckTest.java
@@ -7,8 +7,8 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -159,7 +159,7 @@
         assertFound(
                 Drafts.sound().route(Drafts.plain("other", "/chat/", "plain")),
                 Problem.Kind.HIDDEN_PREFIX,
-                "routes[2].path_prefix: expected a prefix of its own among the routes of a.example, found that of "
+                "routes[2].path_prefix: expected a prefix of its own among the routes of \"a.example\", found that of "
                         + "routes[1], which gets all requests",
                 false);
         assertThat(check(Drafts.sound().route(Drafts.plain("other", "/chat/deep/", "plain"))))
@@ -270,25 +270,29 @@
     @ValueSource(ints = {100, 20_000})
     void shouldVisitEachEntryOnce(int size) {
         final FieldNames names = Drafts.names();
-        final List<Placed<Route>> routes = places(
-                size,
-                (place, index) -> new Placed<>(place, Set.of(), Drafts.plain("r" + index, "/same/", "s" + index)));
+        final ProblemList problems = new ProblemList("file");
+        final List<Placed<Route>> routes = entries(size, Drafts::sameAddress);
         final List<Placed<ServicePolicy>> services =
-                places(size, (place, index) -> new Placed<>(place, Set.of(), Drafts.service("s" + index / 2)));
-        final List<Placed<Organisation>> organisations = places(size, (place, index) -> {
-            final Placed<KeyDigest> key = new Placed<>(place, Set.of(), KeyDigest.of("shared"));
-            return new Placed<>(
-                    place, Set.of(), new Organisation(new KeyOwner("o" + index, OptionalInt.empty()), List.of(key)));
-        });
-        assertThat(visits(routes, counted -> DraftCheck.checkPrefixes(counted, names, new ProblemList("file"))))
+                entries(size, index -> Drafts.engines("s" + index / 2, "m" + index % 3, "m"));
+        final List<Placed<Organisation>> organisations = entries(
+                size,
+                index -> new Organisation(
+                        new KeyOwner("o" + index, OptionalInt.empty()),
+                        List.of(new Placed<>("key", Set.of(), KeyDigest.of("shared")))));
+        final DraftCheck.Reach reach = DraftCheck.checkReferences(routes, services, Set.of(), names, problems);
+        assertThat(visits(routes, counted -> DraftCheck.checkPrefixes(counted, names, problems)))
+                .isEqualTo(size);
+        assertThat(visits(routes, counted -> DraftCheck.checkRouteNames(counted, names, problems)))
+                .isEqualTo(size);
+        assertThat(visits(routes, counted -> DraftCheck.checkReferences(counted, services, Set.of(), names, problems)))
+                .isEqualTo(size);
+        assertThat(visits(services, counted -> DraftCheck.checkReferences(routes, counted, Set.of(), names, problems)))
                 .isEqualTo(size);
-        assertThat(visits(routes, counted -> DraftCheck.checkRouteNames(counted, names, new ProblemList("file"))))
+        assertThat(visits(services, counted -> DraftCheck.checkReach(counted, reach, names, problems)))
                 .isEqualTo(size);
-        assertThat(visits(services, counted -> DraftCheck.checkServices(counted, names, new ProblemList("file"))))
+        assertThat(visits(services, counted -> DraftCheck.checkServices(counted, names, problems)))
                 .isEqualTo(size);
-        assertThat(visits(
-                        organisations,
-                        counted -> DraftCheck.checkOrganisations(counted, names, new ProblemList("file"))))
+        assertThat(visits(organisations, counted -> DraftCheck.checkOrganisations(counted, names, problems)))
                 .isEqualTo(size);
     }
 
@@ -304,9 +308,9 @@
                 .isEqualTo(20);
     }
 
-    private static <T> List<T> places(int size, BiFunction<String, Integer, T> create) {
+    private static <T> List<Placed<T>> entries(int size, IntFunction<T> create) {
         return IntStream.range(0, size)
-                .mapToObj(index -> create.apply("entries[" + index + "]", index))
+                .mapToObj(index -> new Placed<>("entries[" + index + "]", Set.of(), create.apply(index)))
                 .toList();
     }
 
--- a/src/test/java/org/masticpaddle/routes/check/DraftDifferenceTest.java
+++ b/src/test/java/org/masticpaddle/routes/check/DraftDifferenceTest.java
@@ -1,13 +1,16 @@
 package org.masticpaddle.routes.check;
 
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.masticpaddle.routes.RequestKind;
 import org.masticpaddle.routes.Route;
+import org.masticpaddle.routes.ServicePolicy;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -125,6 +128,45 @@
                 .inOrder();
     }
 
+    @Test
+    void shouldKnowAllAspects() {
+        final Route before = Drafts.stream("r", "/r/", 3, "small");
+        final Route after = new Route(
+                "s",
+                before.host(),
+                before.pathPrefix(),
+                RequestKind.NON_IDEMPOTENT,
+                false,
+                1,
+                2,
+                3,
+                4,
+                true,
+                5,
+                List.of(new Route.Target("plain", 1)),
+                List.of());
+        final ServicePolicy service = new ServicePolicy("plain", 7, 8, 9, Map.of("m", 1.0), 10, 11);
+        final ConfigurationDraft next = Drafts.sound()
+                .version(8)
+                .withoutRoute(0)
+                .route(after)
+                .route(Drafts.plain("fresh", "/fresh/", "plain"))
+                .withoutService(1)
+                .withoutService(0)
+                .service(service)
+                .service(Drafts.service("fresh"))
+                .withoutOrganisation(1)
+                .organisation("west", "key-3", "key-4")
+                .limits(1, 2)
+                .build();
+        final Set<Aspect> found = DraftDifference.between(
+                        Drafts.sound().route(before).build(), next)
+                .stream()
+                .map(RoutingChange::aspect)
+                .collect(Collectors.toSet());
+        assertThat(found).containsExactlyElementsIn(EnumSet.complementOf(EnumSet.of(Aspect.DOCUMENT)));
+    }
+
     private static void assertChanges(Drafts after, String... expected) {
         final List<RoutingChange> changes =
                 DraftDifference.between(Drafts.sound().build(), after.build());
--- a/src/test/java/org/masticpaddle/routes/check/Drafts.java
+++ b/src/test/java/org/masticpaddle/routes/check/Drafts.java
@@ -56,6 +56,12 @@
         return withTargets(route, List.of(new Route.Target("engines", 1)), List.of(models));
     }
 
+    /** Returns one of many routes with the same address, to the services s0, s1 and so on. */
+    static Route sameAddress(int index) {
+        final Route route = plain("r" + index, "/same/", "s" + index);
+        return withTargets(route, route.targets(), List.of("m0", "m"));
+    }
+
     /** Returns a route of the host a.example to the service plain, whose streams may resume. */
     static Route route(
             String name,
