Say which mistake a model without a service is

Cause: a route whose weights are all 0 got, beside that error, one for each of its models, and a model that only other services offer was reported with itself as the suggestion (check of a file with both weights 0: 3 errors for one mistake). Change: the models of a route without weights are not looked up; a model that only other services offer is reported as that. Result: 1 error; DraftCheckTest with two tests more passes, as do ConfigurationCheckTest, DraftDifferenceTest and PlatformConfigurationFormatTest.

--- a/src/main/java/org/masticpaddle/routes/check/DraftCheck.java
+++ b/src/main/java/org/masticpaddle/routes/check/DraftCheck.java
@@ -245,7 +245,8 @@
             reach.servicesOfAnyModel.addAll(targets);
             return;
         }
-        final boolean known = declared.containsAll(targets);
+        // Targets that are not known, or without any weight, are reported as such.
+        final boolean known = !targets.isEmpty() && declared.containsAll(targets);
         final Set<String> seen = new HashSet<>();
         for (int index = 0; index < models.size(); index++) {
             final String model = models.get(index);
@@ -262,12 +263,13 @@
                     .computeIfAbsent(service, ignored -> new HashSet<>())
                     .add(model));
             if (known && offering.isEmpty()) {
+                final boolean offered = servicesByModel.containsKey(model);
                 problems.add(
                         Problem.Kind.UNKNOWN_REFERENCE,
                         modelPlace(route, index, names),
                         "a model of the route's services",
-                        ProblemList.quote(model),
-                        suggestions.nearest(model));
+                        ProblemList.quote(model) + (offered ? ", which only other services offer" : ""),
+                        offered ? "" : suggestions.nearest(model));
             }
         }
     }
--- a/src/test/java/org/masticpaddle/routes/check/DraftCheckTest.java
+++ b/src/test/java/org/masticpaddle/routes/check/DraftCheckTest.java
@@ -73,6 +73,26 @@
                 true);
     }
 
+    @Test
+    void shouldReportAModelThatOnlyOtherServicesOffer() {
+        final Route route = Drafts.withTargets(
+                Drafts.stream("other", "/other/", 3), List.of(new Route.Target("plain", 1)), List.of("small"));
+        assertFound(
+                Drafts.sound().route(route),
+                Problem.Kind.UNKNOWN_REFERENCE,
+                "routes[2].route_models[0]: expected a model of the route's services, found \"small\", which only other "
+                        + "services offer",
+                true);
+    }
+
+    @Test
+    void shouldNotReportTheModelsOfARouteWithoutWeights() {
+        final Route route = Drafts.withTargets(
+                Drafts.stream("other", "/other/", 3), List.of(new Route.Target("engines", 0)), List.of("small"));
+        assertThat(check(Drafts.sound().route(route)).stream().map(Problem::kind))
+                .containsExactly(Problem.Kind.NO_WEIGHT);
+    }
+
     @Test
     void shouldTakeAModelOfOneOfTheServicesAsKnown() {
         final Route route = Drafts.withTargets(
