--- a/src/main/java/org/masticpaddle/fleet/PrefixCacheEstimate.java
+++ b/src/main/java/org/masticpaddle/fleet/PrefixCacheEstimate.java
@@ -10,7 +10,8 @@
  * recently used segments are evicted first.
  *
  * <p>Invariant: after each {@link #add}, the segments kept do not exceed the share of the engine's capacity that is
- * assumed to be cache, and are at most {@link #MAX_SEGMENTS}, since callers state their lengths. Not thread-safe: confined to the thread of its owner.
+ * assumed to be cache, and are at most {@link #MAX_SEGMENTS}, since callers state their lengths. Not thread-safe: confined to the
+ * thread of its owner.
  */
 final class PrefixCacheEstimate {
     /** Share of an engine's KV memory assumed to hold cached segments; running requests use the rest. */
