Let new connections wait for the selector

Cause: Undertow reads a connection when it is accepted, in a task of the event loop, and the loop selects and looks at its timers only when it has no tasks left. Callers that connect again at once keep the queue filled: 283 of 383 samples of the loop in one stop beside 150 such callers are in the task that accepts, and no timer runs from 1.1 s on; the upstreams' answers are not read, and requests in flight end with 502 although they were answered.

Change: the first read of an accepted connection finds nothing, so that it is read once the selector reports it. HttpServer builds Undertow's listener itself, with the options that Undertow.Builder sets, since the builder has no hook for accepted connections. A limit of accepted connections a turn was not used: accepting without a read is cheap, and open connections are served once a turn. stop() stays without effect on a stopped server, as before.

--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -1,22 +1,35 @@
 package org.masticpaddle.wire;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collections;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.WeakHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import org.masticpaddle.kernel.Service;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /**
  * HTTP server on one address, backed by Undertow.
  *
+ * <p>Invariant: an I/O thread reads new connections as it reads the others, once the operating system reports them as readable,
+ * so that connections which follow each other without a pause leave time for open connections and timers.
+ *
  * <p>{@link #start()} and {@link #stop()} must be called by one thread; the handler is called by several.
  */
 public final class HttpServer implements Service {
@@ -27,8 +40,12 @@
     private static final long STOP_TIMEOUT_NANOS = 2_000_000_000L;
     // The owner of a shared loop ends the exchanges itself, within the time that it has for its stop.
     private static final long SHARED_LOOP_STOP_TIMEOUT_NANOS = 200_000_000L;
-    // One read of this size holds most requests; on a small heap, Undertow would choose smaller buffers.
-    private static final int SHARED_LOOP_BUFFER_BYTES = 16 * 1024;
+    // One read of this size holds most requests.
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_BUFFERS_OF_A_THREAD = 4;
+    // Connections that the operating system has established and the server has not accepted.
+    private static final int BACKLOG = 1_000;
+    private static final int NO_REQUEST_TIMEOUT_MILLIS = 60_000;
     private static final long STOP_POLL_INTERVAL_NANOS = 5_000_000L;
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
 
@@ -46,7 +63,8 @@
     // Weak references, since an exchange whose connection closes early never completes.
     private final Set<HttpServerExchange> openExchanges =
             Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
-    private Undertow undertow;
+    private XnioWorker worker;
+    private AcceptingChannel<StreamConnection> listener;
 
     /**
      * Creates a server with its own I/O threads, which {@link #start()} starts.
@@ -91,33 +109,77 @@
 
     @Override
     public void start() {
-        final Undertow.Builder builder = Undertow.builder();
-        sharedLoop.ifPresent(loop -> builder.setWorker(loop.worker()).setBufferSize(SHARED_LOOP_BUFFER_BYTES));
-        undertow = builder.addHttpListener(port, host)
-                .setIoThreads(ioThreads)
-                .setWorkerThreads(Math.max(2, ioThreads))
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, ENTITY_LIMIT_FACTOR * maxBodyBytes)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
-                .setHandler(this::handle)
-                .build();
-        undertow.start();
+        final HttpOpenListener openListener = new HttpOpenListener(
+                new DefaultByteBufferPool(true, BUFFER_BYTES, -1, MAX_BUFFERS_OF_A_THREAD),
+                OptionMap.builder()
+                        .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, ENTITY_LIMIT_FACTOR * maxBodyBytes)
+                        .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                        .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.NO_REQUEST_TIMEOUT, NO_REQUEST_TIMEOUT_MILLIS)
+                        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
+                        .getMap());
+        openListener.setRootHandler(this::handle);
+        try {
+            worker = sharedLoop.isPresent() ? sharedLoop.get().worker() : createWorker();
+            listener = worker.createStreamConnectionServer(
+                    new InetSocketAddress(host, port),
+                    ChannelListeners.openListenerAdapter((StreamConnection connection) -> {
+                        DeferredRead.install(connection);
+                        openListener.handleEvent(connection);
+                    }),
+                    OptionMap.builder()
+                            .set(Options.TCP_NODELAY, true)
+                            .set(Options.REUSE_ADDRESSES, true)
+                            .set(Options.BACKLOG, BACKLOG)
+                            .set(Options.BALANCING_TOKENS, 1)
+                            .set(Options.BALANCING_CONNECTIONS, 2)
+                            .getMap());
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot listen on " + host + ":" + port, e);
+        }
+        listener.resumeAccepts();
+    }
+
+    private XnioWorker createWorker() throws IOException {
+        return EventLoop.transport()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, ioThreads)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, Math.max(2, ioThreads))
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.WORKER_NAME, "http-server")
+                        .getMap());
     }
 
     /**
      * Waits until the open exchanges have sent their responses, for two seconds at most, or for a fifth of a second on a shared
-     * loop; then closes all connections.
+     * loop; then closes all connections. Has no effect on a server that was stopped.
      */
     @Override
     public void stop() {
+        if (!listener.isOpen()) {
+            return;
+        }
         final long deadline =
                 System.nanoTime() + (sharedLoop.isPresent() ? SHARED_LOOP_STOP_TIMEOUT_NANOS : STOP_TIMEOUT_NANOS);
         while (hasOpenExchanges() && System.nanoTime() < deadline) {
             LockSupport.parkNanos(STOP_POLL_INTERVAL_NANOS);
         }
-        undertow.stop();
+        IoUtils.safeClose(listener);
+        if (sharedLoop.isEmpty()) {
+            worker.shutdownNow();
+            awaitTermination();
+        }
+    }
+
+    private void awaitTermination() {
+        try {
+            worker.awaitTermination(STOP_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void handle(HttpServerExchange exchange) throws Exception {
@@ -143,6 +205,6 @@
      * @return configured port, or the one that the operating system chose
      */
     public int port() {
-        return ((InetSocketAddress) undertow.getListenerInfo().get(0).getAddress()).getPort();
+        return listener.getLocalAddress(InetSocketAddress.class).getPort();
     }
 }
