--- a/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
+++ b/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
@@ -71,6 +71,18 @@
         assertThat(new ColdLimit(3, 0.1, 1, 0).permitsPerSecond(0.5)).isAtMost(1e-6);
     }
 
+    /** Deployments that state no overage get no limit, whatever an upstream says of itself. */
+    @Test
+    void shouldLimitNothingWithoutOverage() {
+        final ColdAllowance upstream = new ColdAllowance();
+        upstream.setLimit(new ColdLimit(3, 18, 0, 0), 0, 0, 0);
+        upstream.recordStart(0);
+        upstream.recordListed(5_000, 0);
+        upstream.recordReported(5_000, 0);
+        assertThat(upstream.cold(1)).isFalse();
+        assertThat(upstream.permits(1)).isEqualTo(Integer.MAX_VALUE);
+    }
+
     @Test
     void shouldGiveMoreToGatewayWithWaitingRequests() {
         final ColdLimit limit = new ColdLimit(3, 9.8, 1.5, 5);
