Publish the lag of the event loop as a histogram

Change: the periodic work of a gateway, due every 0.1 s, records by how much it is late; gateway.loop_lag_bucket with the label le, _sum and _count are gauges, since the metrics library is loaded at the first scrape only and would miss what was recorded before.

Result: mvn test -Dtest=LagHistogramTest,DaemonSignalTest passes.

--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -27,6 +27,7 @@
 import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.memory.RequestMemory;
 import org.masticpaddle.metrics.Gauge;
+import org.masticpaddle.metrics.LagHistogram;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.routing.UpstreamSpeeds;
@@ -91,6 +92,8 @@
     private final DecisionLog log;
     private final HttpClient client;
     private final GatewayCounters counters = new GatewayCounters();
+    private final LagHistogram loopLag =
+            new LagHistogram("gateway.loop_lag", TimeUnit.MILLISECONDS.toNanos(TICK_INTERVAL_MILLIS));
     private final CountedSharedLog sharedLog;
     private final UpstreamHealthProbe healthProbe;
     private final ColdUpstreams coldUpstreams;
@@ -288,12 +291,12 @@
     }
 
     /**
-     * Lists the counters of requests, and of calls to the shared log by stream and kind.
+     * Lists the counters of requests, of calls to the shared log by stream and kind, and the lag of the event loop.
      *
      * @return gauges that read live counters, which start at zero when the gateway is created
      */
     public List<Gauge> gauges() {
-        return Stream.of(counters.gauges(), List.of(sharedLog.gauge()), bodies.gauges())
+        return Stream.of(counters.gauges(), List.of(sharedLog.gauge()), bodies.gauges(), loopLag.gauges())
                 .flatMap(List::stream)
                 .toList();
     }
@@ -313,6 +316,7 @@
 
     private PeriodicTasks periodicTasks() {
         return new PeriodicTasks(loop, TICK_INTERVAL_MILLIS, log::writeError)
+                .add("loop lag", () -> loopLag.tick(loop.nanos()))
                 .add("expired upstreams", logFollower::removeExpiredUpstreams)
                 .add("log cadence", () -> logFollower.updateTiming(quarantine.alert(loop.nanos())))
                 .add("rollouts", rollouts::tick)
