Tell why a doubtful draft is delivered

Cause: what callers lose under load is neither waiting nor rejection but poor answers, and no log line said so.

Change: the decision on a draft is typed and has its reason: the largest model is reserved for more urgent requests, would answer too late, or the retry budget is used up. Each has a counter, and all a log line. The decisions are the same.

--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -48,6 +48,8 @@
     ATTEMPT_FAILED("request.attempt_failed", Priority.IMPORTANT),
     /** A draft was discarded in favour of the answer of a larger model. */
     REQUEST_ESCALATED("request.escalated", Priority.ROUTINE),
+    /** A draft that its model doubts is delivered, for lack of room or time for a larger model. */
+    DRAFT_KEPT("request.draft_kept", Priority.ROUTINE),
     /** An answer was relayed completely. */
     REQUEST_ANSWERED("request.answered", Priority.ROUTINE),
     /** A request was rejected without having run. */
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.ServiceTimes;
 import org.masticpaddle.routing.UpstreamPlacement;
@@ -30,36 +31,40 @@
     }
 
     /**
-     * Decides whether a draft is dropped for a larger model.
+     * Decides whether a draft is dropped for the largest model.
      *
      * @param modelIndex index of the model that made the draft
      * @param confidence confidence of that model in percent, empty if it reports none
      * @param sentAttempts number of attempts so far
      * @param remainingMillis time until the deadline of the request
-     * @return index of the larger model, empty to keep the draft; an escalation takes one retry from the budget
+     * @return the decision; an escalation takes one retry from the budget
      */
-    OptionalInt largerModel(int modelIndex, OptionalInt confidence, int sentAttempts, long remainingMillis) {
-        final int modelCount = admitted.route().modelsBySize().size();
-        if (modelCount < 2 || sentAttempts >= admitted.route().maxAttempts()) {
-            return OptionalInt.empty();
+    DraftDecision decide(int modelIndex, OptionalInt confidence, int sentAttempts, long remainingMillis) {
+        if (!context.modelCascade().doubtful(modelCount(), modelIndex, confidence)) {
+            return DraftDecision.SUFFICIENT;
         }
-        final Optional<UpstreamPlacement.Choice> choice = chooser.bestPreferred(modelCount - 1);
-        if (choice.isEmpty()) {
-            return OptionalInt.empty();
+        if (sentAttempts >= admitted.route().maxAttempts()) {
+            return DraftDecision.NO_RETRY;
         }
-        final OptionalInt largerModelIndex = context.modelCascade()
-                .escalationTarget(
-                        modelCount,
-                        modelIndex,
-                        confidence,
-                        admitted.rank(),
-                        latencyEstimate(choice.get(), modelCount - 1, remainingMillis));
-        return largerModelIndex.isPresent()
-                        && context.state()
+        final DraftDecision decision = chooser.bestPreferred(largestIndex())
+                .map(choice -> context.modelCascade()
+                        .decide(admitted.rank(), latencyEstimate(choice, largestIndex(), remainingMillis)))
+                .orElse(DraftDecision.TOO_LATE);
+        return decision == DraftDecision.ESCALATED
+                        && !context.state()
                                 .retryBudget(service)
                                 .tryRetryWithReserve(now(), GatewayState.FAILURE_RETRY_RESERVE)
-                ? largerModelIndex
-                : OptionalInt.empty();
+                ? DraftDecision.NO_RETRY
+                : decision;
+    }
+
+    /** Returns the index of the largest model. */
+    int largestIndex() {
+        return modelCount() - 1;
+    }
+
+    private int modelCount() {
+        return admitted.route().modelsBySize().size();
     }
 
     /**
@@ -74,7 +79,7 @@
      */
     Optional<UpstreamPlacement.Choice> insteadOfDraft(
             UpstreamPlacement.Choice draft, int modelIndex, long remainingMillis) {
-        final int largestIndex = admitted.route().modelsBySize().size() - 1;
+        final int largestIndex = largestIndex();
         if (modelIndex >= largestIndex || draft.member().limit().isEmpty()) {
             return Optional.empty();
         }
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -7,6 +7,7 @@
 
 import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.metrics.Gauge;
+import org.masticpaddle.routing.DraftDecision;
 
 /** Counters of a gateway since its start. Thread-safe. */
 public final class GatewayCounters {
@@ -41,6 +42,18 @@
         }
     }
 
+    /** Counts a doubtful draft that is delivered for lack of room or time. */
+    void addDraftKept(DraftDecision reason) {
+        add(
+                switch (reason) {
+                    case RESERVED -> Counter.DRAFTS_RESERVED;
+                    case TOO_LATE -> Counter.DRAFTS_TOO_LATE;
+                    case NO_RETRY -> Counter.DRAFTS_NO_RETRY;
+                    case SUFFICIENT, ESCALATED ->
+                        throw new IllegalArgumentException("the draft is not constrained: " + reason);
+                });
+    }
+
     long value(Counter counter) {
         return counts.get(counter).sum();
     }
@@ -71,6 +84,9 @@
         RETRIED("retried", "requests sent once more after a failure"),
         RESUMED("resumed", "streams that went on at another upstream"),
         ESCALATED("escalated", "drafts dropped for a larger model"),
+        DRAFTS_RESERVED("drafts_reserved", "doubtful drafts delivered to leave the largest model to urgent requests"),
+        DRAFTS_TOO_LATE("drafts_too_late", "doubtful drafts delivered as the largest model would answer too late"),
+        DRAFTS_NO_RETRY("drafts_no_retry", "doubtful drafts delivered as the retry budget was used up"),
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
         EVACUATED_MOVED("evacuated_moved", "requests moved as the failure domain chosen for them was evacuated"),
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -12,6 +12,7 @@
 import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.routes.KeyOwner;
+import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.UpstreamPlacement;
 
 /** Writes the decisions about one request to the decision log, with their inputs. Used on the event loop only. */
@@ -121,6 +122,26 @@
                         confidence);
     }
 
+    /** Writes and counts that a doubtful draft is delivered for lack of room or time. */
+    void draftKept(Attempt draft, String model, DraftDecision reason, int confidence) {
+        context.counters().addDraftKept(reason);
+        context.log()
+                .write(
+                        Decision.DRAFT_KEPT,
+                        "request",
+                        admitted.request().id(),
+                        "upstream",
+                        draft.upstream().upstream().id(),
+                        "model",
+                        model,
+                        "confidence",
+                        confidence,
+                        "reason",
+                        reason,
+                        "rank",
+                        admitted.rank());
+    }
+
     /** Writes that an attempt has ended without a usable answer. */
     void attemptFailed(Attempt failed, int attempt, String reason, boolean mayHaveRun) {
         context.log()
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -19,6 +18,7 @@
 import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.quarantine.Admission;
 import org.masticpaddle.routes.KeyOwner;
+import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
@@ -316,12 +316,15 @@
         if (relay.isPresent() && relay.get().started()) {
             return;
         }
-        final OptionalInt largerModel =
-                escalation.largerModel(modelIndex, metadata.confidence(), sentAttempts, remainingMillis());
-        if (largerModel.isPresent()) {
-            escalate(streaming, largerModel.getAsInt(), metadata.confidence().orElse(-1));
+        final DraftDecision draft =
+                escalation.decide(modelIndex, metadata.confidence(), sentAttempts, remainingMillis());
+        if (draft == DraftDecision.ESCALATED) {
+            escalate(streaming, escalation.largestIndex(), metadata.confidence().orElse(-1));
             return;
         }
+        if (draft.constrained()) {
+            decisions.draftKept(streaming, model, draft, metadata.confidence().orElse(-1));
+        }
         relay = Optional.of(new StreamRelay(
                 caller,
                 streaming.status(),
--- a/src/main/java/org/masticpaddle/routing/ModelCascade.java
+++ b/src/main/java/org/masticpaddle/routing/ModelCascade.java
@@ -55,14 +55,37 @@
      */
     public OptionalInt escalationTarget(
             int modelCount, int draftIndex, OptionalInt confidence, int rank, LatencyEstimate estimate) {
-        if (draftIndex >= modelCount - 1 || confidence.isEmpty() || confidence.getAsInt() >= confidenceThreshold) {
-            return OptionalInt.empty();
+        return doubtful(modelCount, draftIndex, confidence) && decide(rank, estimate) == DraftDecision.ESCALATED
+                ? OptionalInt.of(modelCount - 1)
+                : OptionalInt.empty();
+    }
+
+    /**
+     * Returns whether a larger model should answer in place of a draft.
+     *
+     * @param modelCount number of models
+     * @param draftIndex index of the drafting model
+     * @param confidence confidence between 0 and 100 that the drafting model reports, empty if it reports none
+     * @return {@code true} if there is a larger model and the confidence is below the threshold
+     */
+    public boolean doubtful(int modelCount, int draftIndex, OptionalInt confidence) {
+        return draftIndex < modelCount - 1 && confidence.isPresent() && confidence.getAsInt() < confidenceThreshold;
+    }
+
+    /**
+     * Decides on a doubtful draft.
+     *
+     * @param rank priority class, 0 for the most urgent
+     * @param estimate latency estimate for the largest model
+     * @return the decision, with its reason
+     */
+    public DraftDecision decide(int rank, LatencyEstimate estimate) {
+        if (!estimate.meetsTimeLimits()) {
+            return DraftDecision.TOO_LATE;
         }
         final double maxWaitMillis =
                 MAX_WAIT_MILLIS_BY_RANK[Math.min(Math.max(rank, 0), MAX_WAIT_MILLIS_BY_RANK.length - 1)];
-        return estimate.waitMillis() <= maxWaitMillis && estimate.meetsTimeLimits()
-                ? OptionalInt.of(modelCount - 1)
-                : OptionalInt.empty();
+        return estimate.waitMillis() <= maxWaitMillis ? DraftDecision.ESCALATED : DraftDecision.RESERVED;
     }
 
     /**
--- a/src/test/java/org/masticpaddle/routing/ModelCascadeTest.java
+++ b/src/test/java/org/masticpaddle/routing/ModelCascadeTest.java
@@ -56,6 +56,16 @@
                 .isEqualTo(KEEP);
     }
 
+    @Test
+    void shouldTellWhyADoubtfulDraftIsKept() {
+        assertThat(cascade.doubtful(3, 0, OptionalInt.of(59))).isTrue();
+        assertThat(cascade.doubtful(3, 0, OptionalInt.empty())).isFalse();
+        assertThat(cascade.doubtful(3, 2, OptionalInt.of(0))).isFalse();
+        assertThat(cascade.decide(2, estimate(9_000, 100, 900))).isEqualTo(DraftDecision.ESCALATED);
+        assertThat(cascade.decide(2, estimate(9_000, 300, 900))).isEqualTo(DraftDecision.RESERVED);
+        assertThat(cascade.decide(2, estimate(800, 300, 900))).isEqualTo(DraftDecision.TOO_LATE);
+    }
+
     @Test
     void shouldStartWithTheLargestModelOnlyIfItsAnswerEndsWellBeforeTheDeadline() {
         assertThat(cascade.startsWithLargest(new ModelCascade.LatencyEstimate(500, 8_000, 100, 400, 3_900)))
