Order requests by the rank of their routes within that of organisations

Change: a setting `urgency = rank|route_within_rank` (default rank) orders the requests of organisations of equal rank by the rank of their routes: in the priority that engines are told, in the queue for limited and paused upstreams and in the reservation of the largest model. An organisation's rank always goes first; requests without a ranked organisation are ordered as before.

--- a/src/main/java/org/masticpaddle/gateway/AdmittedRequest.java
+++ b/src/main/java/org/masticpaddle/gateway/AdmittedRequest.java
@@ -58,6 +58,11 @@
         return Math.min(request.timeoutMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
     }
 
+    /** Returns whether the rank is that of the organisation and not of the route. */
+    boolean organisationRanked() {
+        return keyOwner.map(KeyOwner::rank).filter(OptionalInt::isPresent).isPresent();
+    }
+
     /** Returns the rank of the caller, or of the route if the caller has none; 0 is the most urgent. */
     int rank() {
         return keyOwner.map(KeyOwner::rank)
--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -41,7 +41,11 @@
         this.chooser = Objects.requireNonNull(chooser, "chooser is null");
         this.escalation = Objects.requireNonNull(escalation, "escalation is null");
         this.guard = Objects.requireNonNull(guard, "guard is null");
-        upstreamWait = new UpstreamWait(context.state(), context.scheduler(), service, admitted.rank());
+        upstreamWait = new UpstreamWait(
+                context.state(),
+                context.scheduler(),
+                service,
+                context.urgencyOrder().position(admitted));
     }
 
     /**
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -48,7 +48,9 @@
         }
         final DraftDecision decision = chooser.bestPreferred(largestIndex())
                 .map(choice -> context.modelCascade()
-                        .decide(admitted.rank(), latencyEstimate(choice, largestIndex(), remainingMillis)))
+                        .decide(
+                                context.urgencyOrder().reservationRank(admitted),
+                                latencyEstimate(choice, largestIndex(), remainingMillis)))
                 .orElse(DraftDecision.TOO_LATE);
         return decision == DraftDecision.ESCALATED
                         && !context.state()
--- a/src/main/java/org/masticpaddle/gateway/GatewayContext.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayContext.java
@@ -23,6 +23,7 @@
  * @param quarantine quarantine of prompt segments that crash upstreams
  * @param placement policy that chooses the upstream
  * @param modelCascade policy that chooses the model on routes with several model sizes
+ * @param urgencyOrder order of the requests of one service
  * @param answerMemory memory for answers of upstreams that are not complete
  * @param log decision log
  * @param counters counters of the gateway
@@ -38,6 +39,7 @@
         QuarantineCoordinator quarantine,
         UpstreamPlacement placement,
         ModelCascade modelCascade,
+        UrgencyOrder urgencyOrder,
         MemoryBudget answerMemory,
         DecisionLog log,
         GatewayCounters counters,
@@ -49,6 +51,7 @@
         Objects.requireNonNull(state, "state is null");
         Objects.requireNonNull(versionRouter, "versionRouter is null");
         Objects.requireNonNull(quarantine, "quarantine is null");
+        Objects.requireNonNull(urgencyOrder, "urgencyOrder is null");
         Objects.requireNonNull(answerMemory, "answerMemory is null");
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -151,6 +151,7 @@
                         UpstreamSpeeds.valueOf(
                                 settings.text(Setting.UPSTREAM_SPEEDS).toUpperCase(Locale.ROOT))),
                 new ModelCascade(settings.number(Setting.MIN_DRAFT_CONFIDENCE_PERCENT)),
+                UrgencyOrder.valueOf(settings.text(Setting.URGENCY).toUpperCase(Locale.ROOT)),
                 MemoryBudget.ofHeap(ANSWER_MEMORY_SHARE),
                 log,
                 counters,
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -45,6 +45,7 @@
             long remainingMillis) {
         final UpstreamState upstream = choice.member();
         final InboundRequest request = admitted.request();
+        final int level = context.urgencyOrder().within(admitted);
         if (upstream.cold().cold(now())) {
             context.counters().add(GatewayCounters.Counter.SENT_COLD);
         }
@@ -79,6 +80,8 @@
                         choice.expectedMillis(),
                         "score",
                         choice.score(),
+                        "level",
+                        level == 0 ? null : level,
                         "work_factor",
                         choice.workFactor() == 1 ? null : choice.workFactor(),
                         "body_bytes",
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -180,6 +180,7 @@
                 admitted.keyOwner().map(KeyOwner::organisation),
                 admitted.route().modelsBySize().isEmpty() ? Optional.empty() : Optional.of(model),
                 admitted.rank(),
+                context.urgencyOrder().within(admitted),
                 resumeAfterEvent());
         return new HttpRequest(
                 upstream.origin(),
--- a/src/main/java/org/masticpaddle/gateway/UpstreamRequestMetadata.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamRequestMetadata.java
@@ -12,6 +12,7 @@
  * @param organisation organisation of the caller, empty on routes that need no API key
  * @param model model that the gateway chose, empty if the caller selected one or the service is plain
  * @param rank rank of the request, 0 is the most urgent
+ * @param levelWithinRank level of the request among those of its rank, from 0 for the most urgent to 2
  * @param resumeAfter identifier of the event after which a stream resumes, empty for a stream from its start
  */
 public record UpstreamRequestMetadata(
@@ -20,6 +21,7 @@
         Optional<String> organisation,
         Optional<String> model,
         int rank,
+        int levelWithinRank,
         OptionalLong resumeAfter) {
     /** Checks the arguments. */
     public UpstreamRequestMetadata {
--- a/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
+++ b/src/main/java/org/masticpaddle/gateway/UpstreamWait.java
@@ -27,14 +27,14 @@
     private final GatewayState state;
     private final Scheduler scheduler;
     private final String service;
-    private final int rank;
+    private final int urgency;
     private Optional<PermitQueue.Ticket> ticket = Optional.empty();
 
-    UpstreamWait(GatewayState state, Scheduler scheduler, String service, int rank) {
+    UpstreamWait(GatewayState state, Scheduler scheduler, String service, int urgency) {
         this.state = Objects.requireNonNull(state, "state is null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.service = Objects.requireNonNull(service, "service is null");
-        this.rank = rank;
+        this.urgency = urgency;
     }
 
     /** Returns whether the request may be sent to an upstream now, or others are to get the places before it. */
@@ -94,7 +94,7 @@
     /** Enters the queue. Has no effect if the request waits already. */
     void begin() {
         if (ticket.isEmpty()) {
-            ticket = Optional.of(queue().enter(rank));
+            ticket = Optional.of(queue().enter(urgency));
         }
     }
 
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -269,6 +269,14 @@
             "ignored",
             "whether upstreams of a service are expected to be as fast as their answers were (learned) or equally fast"
                     + " (ignored, unless they report work factors); takes effect at the start"),
+    /** Order of the requests of one service. */
+    URGENCY(
+            "gateway",
+            "urgency",
+            SettingType.URGENCY,
+            "rank",
+            "order of requests: by the rank of their organisation, or of their route if it has none (rank), and among"
+                    + " organisations of equal rank by the rank of the route (route_within_rank); takes effect at the start"),
     /** How upstreams that have just started or recovered get their requests. */
     PACE(
             "gateway",
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -27,6 +27,8 @@
     UPSTREAM_KIND("engine or plain", "engine|plain"),
     /** Whether learned speeds of upstreams count. */
     UPSTREAM_SPEEDS("learned or ignored", "learned|ignored"),
+    /** Order of urgency. */
+    URGENCY("rank or route_within_rank", "rank|route_within_rank"),
     /** Whether upstreams that have just started or recovered are paced. */
     PACE("adaptive or none", "adaptive|none");
 
--- a/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
@@ -189,6 +189,7 @@
                 quarantine,
                 new UpstreamPlacement("d", UpstreamSpeeds.IGNORED),
                 new ModelCascade(50),
+                UrgencyOrder.RANK,
                 MemoryBudget.ofHeap(0.1),
                 log,
                 counters,
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -152,6 +152,16 @@
                 .containsExactly("f:9: [gateway] upstream_speeds: expected learned or ignored, found \"Learned\"");
     }
 
+    @Test
+    void shouldOrderRequestsByRankAloneUnlessToldOtherwise() {
+        assertThat(ProcessSettings.parse("f", GATEWAY).text(Setting.URGENCY)).isEqualTo("rank");
+        assertThat(ProcessSettings.parse("f", GATEWAY + "urgency = route_within_rank\n")
+                        .text(Setting.URGENCY))
+                .isEqualTo("route_within_rank");
+        assertThat(problems(GATEWAY + "urgency = route\n"))
+                .containsExactly("f:9: [gateway] urgency: expected rank or route_within_rank, found \"route\"");
+    }
+
     private static List<String> problems(String text) {
         return assertThrows(SettingsException.class, () -> ProcessSettings.parse("f", text))
                 .problems();
