--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -12,6 +12,7 @@
 import org.masticpaddle.fleet.SelfReport;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.routes.KeyOwner;
+import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.UpstreamPlacement;
 
 /** Writes the decisions about one request to the decision log, with their inputs. Used on the event loop only. */
@@ -44,6 +45,7 @@
             long remainingMillis) {
         final UpstreamState upstream = choice.member();
         final InboundRequest request = admitted.request();
+        final int level = context.urgencyOrder().within(admitted);
         if (upstream.cold().cold(now())) {
             context.counters().add(GatewayCounters.Counter.SENT_COLD);
         }
@@ -78,6 +80,8 @@
                         choice.expectedMillis(),
                         "score",
                         choice.score(),
+                        "level",
+                        level == 0 ? null : level,
                         "work_factor",
                         choice.workFactor() == 1 ? null : choice.workFactor(),
                         "body_bytes",
@@ -121,6 +125,26 @@
                         confidence);
     }
 
+    /** Writes and counts that a doubtful draft is delivered for lack of room or time. */
+    void draftKept(Attempt draft, String model, DraftDecision reason, int confidence) {
+        context.counters().addDraftKept(reason);
+        context.log()
+                .write(
+                        Decision.DRAFT_KEPT,
+                        "request",
+                        admitted.request().id(),
+                        "upstream",
+                        draft.upstream().upstream().id(),
+                        "model",
+                        model,
+                        "confidence",
+                        confidence,
+                        "reason",
+                        reason,
+                        "rank",
+                        admitted.rank());
+    }
+
     /** Writes that an attempt has ended without a usable answer. */
     void attemptFailed(Attempt failed, int attempt, String reason, boolean mayHaveRun) {
         context.log()
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -18,6 +17,7 @@
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.quarantine.Admission;
 import org.masticpaddle.routes.KeyOwner;
+import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
@@ -177,6 +177,7 @@
                 admitted.keyOwner().map(KeyOwner::organisation),
                 admitted.route().modelsBySize().isEmpty() ? Optional.empty() : Optional.of(model),
                 admitted.rank(),
+                context.urgencyOrder().within(admitted),
                 resumeAfterEvent());
         return new HttpRequest(
                 upstream.origin(),
@@ -313,12 +314,15 @@
         if (relay.isPresent() && relay.get().started()) {
             return;
         }
-        final OptionalInt largerModel =
-                escalation.largerModel(modelIndex, metadata.confidence(), sentAttempts, remainingMillis());
-        if (largerModel.isPresent()) {
-            escalate(streaming, largerModel.getAsInt(), metadata.confidence().orElse(-1));
+        final DraftDecision draft =
+                escalation.decide(modelIndex, metadata.confidence(), sentAttempts, remainingMillis());
+        if (draft == DraftDecision.ESCALATED) {
+            escalate(streaming, escalation.largestIndex(), metadata.confidence().orElse(-1));
             return;
         }
+        if (draft.constrained()) {
+            decisions.draftKept(streaming, model, draft, metadata.confidence().orElse(-1));
+        }
         relay = Optional.of(new StreamRelay(
                 caller,
                 streaming.status(),
