Release the space of a large event when it was relayed

Cause: two buffers of each stream kept the space of its largest event, up to 1 MB each, until the stream ended, outside of the memory for answers. 128 streams with an event of 1 MB each kept more than 32 MB (LargeEventTest on fails).

Change: a buffer that held more than 16 KB is replaced when it is emptied.

Result: mvn test -Dtest=LargeEventTest,StreamRelayTest passes.

--- a/src/main/java/org/masticpaddle/gateway/EventSplitter.java
+++ b/src/main/java/org/masticpaddle/gateway/EventSplitter.java
@@ -15,11 +15,13 @@
  */
 final class EventSplitter {
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    /** Largest size of an event whose space is used again. */
+    private static final int MAX_KEPT_BYTES = 16 * 1024;
     /** Maximum number of digits of an event identifier, so that it cannot overflow a {@code long}. */
     private static final int MAX_ID_DIGITS = 18;
 
     private final Consumer<Event> receiver;
-    private final ByteArrayOutputStream currentEvent = new ByteArrayOutputStream();
+    private ByteArrayOutputStream currentEvent = new ByteArrayOutputStream();
     private boolean lineEmpty = true;
 
     EventSplitter(Consumer<Event> receiver) {
@@ -56,10 +58,24 @@
 
     private void emitEvent() {
         final byte[] event = currentEvent.toByteArray();
-        currentEvent.reset();
+        currentEvent = emptied(currentEvent);
         receiver.accept(new Event(event, parseId(event)));
     }
 
+    /**
+     * Empties a buffer, without keeping the space of a large event.
+     *
+     * @param buffer buffer whose bytes were taken
+     * @return the same buffer, or a new one
+     */
+    static ByteArrayOutputStream emptied(ByteArrayOutputStream buffer) {
+        if (buffer.size() > MAX_KEPT_BYTES) {
+            return new ByteArrayOutputStream();
+        }
+        buffer.reset();
+        return buffer;
+    }
+
     private static OptionalLong parseId(byte[] event) {
         int line = 0;
         while (line < event.length) {
--- a/src/main/java/org/masticpaddle/gateway/StreamRelay.java
+++ b/src/main/java/org/masticpaddle/gateway/StreamRelay.java
@@ -23,7 +23,7 @@
     private boolean started;
     private boolean outOfSequence;
     private int relayedEvents;
-    private final ByteArrayOutputStream pendingEvents = new ByteArrayOutputStream();
+    private ByteArrayOutputStream pendingEvents = new ByteArrayOutputStream();
 
     /**
      * Creates a relay that has sent nothing yet.
@@ -51,7 +51,7 @@
         splitter.accept(bytes);
         if (pendingEvents.size() > 0) {
             final byte[] events = pendingEvents.toByteArray();
-            pendingEvents.reset();
+            pendingEvents = EventSplitter.emptied(pendingEvents);
             caller.writeChunk(events);
         }
     }
