--- a/src/main/java/org/masticpaddle/gateway/UrgencyOrder.java
+++ b/src/main/java/org/masticpaddle/gateway/UrgencyOrder.java
@@ -44,7 +44,10 @@
     /** Returns the level of a request within its rank: 0 to 2, 0 is the most urgent. */
     abstract int within(AdmittedRequest request);
 
-    /** Returns the rank by which the largest model is reserved under load, 0 for the most urgent. */
+    /**
+     * Returns the rank by which the largest model is reserved under load, 0 for the most urgent. The ranks of the organisation and of the
+     * route count alike, unlike in {@link #position}.
+     */
     abstract int reservationRank(AdmittedRequest request);
 
     /** Returns the position of a request among all ranks and levels, 0 for the most urgent. */
