Name the registration of a reading listener after what it does

Cause: UndertowCaller had two methods onReading, one that registers and one that is called. Change: CallerExchange.setReadingListener. Result: no other change.

--- a/src/main/java/org/masticpaddle/gateway/CallerExchange.java
+++ b/src/main/java/org/masticpaddle/gateway/CallerExchange.java
@@ -51,9 +51,9 @@
     /**
      * Registers a receiver of whether the answer is to be read on, while the caller has not taken what was sent before.
      *
-     * @param control called with {@code false} to pause and {@code true} to go on, repeatedly
+     * @param listener called with {@code false} to pause and {@code true} to go on, repeatedly
      */
-    void onReading(ReadingListener control);
+    void setReadingListener(ReadingListener listener);
 
     /** Receives whether an answer is to be read on. */
     @FunctionalInterface
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -86,7 +86,7 @@
         guard = context.quarantine().guard(service, models.sharedSegments(), this::onQuarantineChange);
         planner = new AttemptPlanner(context, admitted, service, chooser, escalation, guard);
         caller.onDisconnect(this::cancel);
-        caller.onReading(reading -> {
+        caller.setReadingListener(reading -> {
             if (attempt != null) {
                 attempt.setReading(reading);
             }
--- a/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
+++ b/src/main/java/org/masticpaddle/gateway/UndertowCaller.java
@@ -113,7 +113,7 @@
     }
 
     @Override
-    public void onReading(ReadingListener listener) {
+    public void setReadingListener(ReadingListener listener) {
         readingListener = listener;
     }
 
--- a/src/test/java/org/masticpaddle/gateway/LargeEventTest.java
+++ b/src/test/java/org/masticpaddle/gateway/LargeEventTest.java
@@ -67,6 +67,6 @@
         public void onDisconnect(Runnable action) {}
 
         @Override
-        public void onReading(ReadingListener control) {}
+        public void setReadingListener(ReadingListener listener) {}
     }
 }
--- a/src/test/java/org/masticpaddle/gateway/RecordingCaller.java
+++ b/src/test/java/org/masticpaddle/gateway/RecordingCaller.java
@@ -44,7 +44,7 @@
     }
 
     @Override
-    public void onReading(ReadingListener control) {}
+    public void setReadingListener(ReadingListener listener) {}
 
     void disconnect() {
         disconnectAction.run();
