Test the use of a cold upstream's rate without waiting requests

Cause: the tests of the part of the rate that is used had become easier with, since they took the higher rate of gateways whose requests wait. Change: those tests use the lower rate again; the law keeps the higher one.

--- a/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
+++ b/src/test/java/org/masticpaddle/fleet/ColdLimitTest.java
@@ -130,7 +130,7 @@
                         gateways.stream().mapToDouble(gateway -> gateway.weight).sum();
                 for (final Gateway gateway : gateways) {
                     if (step % 10 == 0) {
-                        gateway.setShare(gateway.weight / total, now);
+                        gateway.setShare(gateway.weight / total, changes, now);
                     }
                     while (gateway.upstream.permits(now) > 0) {
                         gateway.upstream.take(now);
@@ -163,8 +163,8 @@
                 upstream.recordListed(STEPS * STEP_NANOS / 1_000_000L, now);
             }
 
-            void setShare(double share, long now) {
-                upstream.setLimit(limit, limit.permitsPerSecond(share, true), random.nextDouble(), now);
+            void setShare(double share, boolean waiting, long now) {
+                upstream.setLimit(limit, limit.permitsPerSecond(share, waiting), random.nextDouble(), now);
             }
         }
     }
