Move what limits the requests to an upstream into a class of its own

Change: RequestGate holds these four and weighs them against each other in one method; UpstreamState keeps the entry, the requests in flight and what was observed. Behaviour is unchanged. Result: tests of fleet/ and those named Upstream*, Cold* and Pace* pass without a change.

--- a/src/main/java/org/masticpaddle/fleet/UpstreamState.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamState.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 
@@ -25,16 +24,12 @@
 
     private final Set<InFlightRequest> inFlightRequests = new HashSet<>();
     private final PrefixCacheEstimate cachedPrefixes = new PrefixCacheEstimate();
-    private final UpstreamCircuit circuit = new UpstreamCircuit();
     private final LastLoadReport loadReport = new LastLoadReport();
     private final ObservedPerformance performance = new ObservedPerformance();
-    private final ColdAllowance cold = new ColdAllowance();
-    private final PaceWindow pace = new PaceWindow();
+    private final RequestGate gate = new RequestGate();
     private final long idHash;
     private final EvacuatedDomains evacuatedDomains;
     private Upstream upstream;
-    private OptionalDouble requestsPerSecond = OptionalDouble.empty();
-    private Optional<RequestPacer> pacer = Optional.empty();
     private boolean leaving;
     private long lastActivityNanos;
 
@@ -66,11 +61,10 @@
     void update(Upstream newest) {
         if (newest.startMillis() != upstream.startMillis()) {
             cachedPrefixes.clear();
-            circuit.reset();
+            gate.reset();
             performance.reset();
             loadReport.reset();
             leaving = false;
-            setLimit(OptionalDouble.empty());
         }
         upstream = newest;
     }
@@ -99,9 +93,7 @@
         final InFlightRequest request = new InFlightRequest(model, uncachedTokens, prefillMillis, now);
         cachedPrefixes.add(model, prompt, capacityTokens);
         inFlightRequests.add(request);
-        circuit.onSent(request);
-        pacer.ifPresent(each -> each.take(now));
-        cold.take(now);
+        gate.onSent(request, now);
         return request;
     }
 
@@ -112,7 +104,7 @@
      */
     public void release(InFlightRequest request) {
         inFlightRequests.remove(request);
-        circuit.onEnded(request);
+        gate.onEnded(request);
     }
 
     /**
@@ -155,22 +147,22 @@
     public Set<ReportChange> onReport(SelfReport selfReport, boolean signed, boolean rejected, long now) {
         final Set<ReportChange> changes = EnumSet.noneOf(ReportChange.class);
         selfReport.load().ifPresent(load -> {
-            pace.onReport(load, now);
+            gate.onLoad(load, now);
             loadReport.record(load, inFlightRequests.size(), now);
         });
         if (rejected) {
-            pace.onFailure(now);
+            gate.onRejected(now);
         }
-        if (signed && setLimit(selfReport.requestsPerSecond())) {
+        if (signed && gate.setLimit(selfReport.requestsPerSecond())) {
             changes.add(ReportChange.LIMIT);
         }
         if (selfReport.leaving() && markLeaving()) {
             changes.add(ReportChange.LEAVING);
         }
-        selfReport.coldLeftMillis().ifPresent(millis -> cold.recordReported(millis, now));
+        selfReport.coldLeftMillis().ifPresent(millis -> gate.cold().recordReported(millis, now));
         final double pauseSeconds = rejected ? selfReport.notBeforeSeconds().orElse(0) : 0;
         if (pauseSeconds > 0
-                && circuit.pushBack(now + (long) (Math.min(pauseSeconds, MAX_PAUSE_SECONDS) * NANOS_PER_SECOND))) {
+                && gate.pushBack(now + (long) (Math.min(pauseSeconds, MAX_PAUSE_SECONDS) * NANOS_PER_SECOND))) {
             changes.add(ReportChange.PUSHED_BACK);
         }
         return changes;
@@ -200,22 +192,13 @@
         loadReport.reset();
     }
 
-    private boolean setLimit(OptionalDouble limit) {
-        final boolean changed = !requestsPerSecond.equals(limit);
-        requestsPerSecond = limit;
-        if (limit.isEmpty()) {
-            pacer = Optional.empty();
-        }
-        return changed;
-    }
-
     /**
      * Returns the limit that the upstream stated last.
      *
      * @return requests a second that it accepts from all gateways together, empty if it states no limit
      */
     public OptionalDouble limit() {
-        return requestsPerSecond;
+        return gate.limit();
     }
 
     /**
@@ -226,11 +209,7 @@
      * @param now current time in nanoseconds
      */
     public void pace(double permitsPerSecond, double phase, long now) {
-        if (pacer.isEmpty()) {
-            pacer = Optional.of(new RequestPacer(permitsPerSecond, phase, now));
-        } else {
-            pacer.get().setRate(permitsPerSecond, now);
-        }
+        gate.setPermitRate(permitsPerSecond, phase, now);
     }
 
     /**
@@ -241,13 +220,7 @@
      *     the largest number otherwise
      */
     public int places(long now) {
-        if (!allowsRequest(now)) {
-            return 0;
-        }
-        if (circuit.recovering()) {
-            return 1;
-        }
-        return Math.min(pacer.map(each -> each.available(now)).orElse(Integer.MAX_VALUE), cold.permits(now));
+        return allowsRequest(now) ? gate.places(now) : 0;
     }
 
     /**
@@ -256,7 +229,7 @@
      * @return requests a second that this gateway may send, 0 if the upstream states no limit
      */
     public double permitsPerSecond() {
-        return pacer.map(RequestPacer::permitsPerSecond).orElse(0.0);
+        return gate.permitsPerSecond();
     }
 
     /**
@@ -266,10 +239,7 @@
      * @return requests a second that this gateway may send, 0 if neither a stated limit nor coldness limits them
      */
     public double permitsPerSecond(long now) {
-        if (!cold.cold(now)) {
-            return permitsPerSecond();
-        }
-        return pacer.isEmpty() ? cold.permitsPerSecond() : Math.min(cold.permitsPerSecond(), permitsPerSecond());
+        return gate.permitsPerSecond(now);
     }
 
     /**
@@ -278,13 +248,12 @@
      * @return live object
      */
     public PaceWindow pace() {
-        return pace;
+        return gate.pace();
     }
 
     /** Records that the present incarnation has just started. */
     void recordStart(long now) {
-        cold.recordStart(now);
-        pace.begin(now);
+        gate.recordStart(now);
     }
 
     /**
@@ -293,7 +262,7 @@
      * @return live object
      */
     public ColdAllowance cold() {
-        return cold;
+        return gate.cold();
     }
 
     /**
@@ -304,8 +273,7 @@
      * @param now current time in nanoseconds
      */
     public void onSuccess(double expectedMillis, double actualMillis, long now) {
-        closeCircuit(() -> circuit.onSuccess(now), now);
-        pace.onAnswer(expectedMillis, actualMillis, now);
+        gate.onSuccess(expectedMillis, actualMillis, inFlight(), now);
         performance.recordSuccess(expectedMillis, actualMillis, now);
     }
 
@@ -316,17 +284,7 @@
      */
     public void onErrorResponse(long now) {
         performance.recordFailure(now);
-        closeCircuit(() -> circuit.onResponse(now), now);
-        pace.onErrorResponse(now);
-    }
-
-    /** Records a response, and paces the upstream if that has closed its circuit. */
-    private void closeCircuit(Runnable response, long now) {
-        final boolean recovering = circuit.recovering();
-        response.run();
-        if (recovering && !circuit.recovering()) {
-            pace.begin(inFlightRequests.size(), now);
-        }
+        gate.onErrorResponse(inFlight(), now);
     }
 
     /**
@@ -335,7 +293,7 @@
      * @param now current time in nanoseconds
      */
     public void onNotRun(long now) {
-        closeCircuit(() -> circuit.onResponse(now), now);
+        gate.onNotRun(inFlight(), now);
     }
 
     /**
@@ -346,16 +304,7 @@
      */
     public void onUnreachable(long now) {
         performance.recordFailure(now);
-        pace.onFailure(now);
-        circuit.onUnreachable(now);
-        markColdIfLost(now);
-    }
-
-    /** An upstream that was lost has probably started again when it responds, before its entry says so. */
-    private void markColdIfLost(long now) {
-        if (circuit.certainlyFailed()) {
-            cold.recordReturn(now);
-        }
+        gate.onUnreachable(now);
     }
 
     /**
@@ -366,8 +315,7 @@
      */
     public void tripCircuit(long now) {
         performance.recordFailure(now);
-        circuit.trip(now);
-        markColdIfLost(now);
+        gate.trip(now);
     }
 
     /**
@@ -383,22 +331,7 @@
         if (domainEvacuated()) {
             return Availability.DOMAIN_EVACUATED;
         }
-        if (circuit.pushedBack(now)) {
-            return Availability.PUSHED_BACK;
-        }
-        if (circuit.open(now)) {
-            return Availability.CIRCUIT_OPEN;
-        }
-        if (circuit.probing()) {
-            return Availability.PROBED;
-        }
-        if (pacer.isPresent() && pacer.get().available(now) <= 0) {
-            return Availability.NO_PERMIT;
-        }
-        if (cold.permits(now) <= 0) {
-            return Availability.NO_COLD_PERMIT;
-        }
-        return pace.allows(inFlightRequests.size(), now) ? Availability.AVAILABLE : Availability.PACED;
+        return gate.availability(inFlight(), now);
     }
 
     /**
@@ -432,7 +365,7 @@
      * @return time in nanoseconds, 0 if it has asked for none or the pause has ended
      */
     public long pauseNanos(long now) {
-        return circuit.pushedBack(now) ? circuit.notBeforeNanos() - now : 0;
+        return gate.pauseNanos(now);
     }
 
     /**
