Send longer bursts in EscalatedRequestTest until a request fails after its draft

Change: up to four bursts with deadlines of 2.5, 5, 10 and 20 s until there is such a request. The first burst, the demand for such a request and the check of its answer are as before.

--- a/src/test/java/org/masticpaddle/entry/EscalatedRequestTest.java
+++ b/src/test/java/org/masticpaddle/entry/EscalatedRequestTest.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -31,7 +32,8 @@
 @Timeout(120)
 class EscalatedRequestTest {
     private static final int CALLERS = 60;
-    private static final int DEADLINE_MILLIS = 2_500;
+    /** Deadlines of the bursts. On a slow machine all requests of a short one fail before their drafts are made. */
+    private static final int[] DEADLINES_MILLIS = {2_500, 5_000, 10_000, 20_000};
 
     private LocalDeployment deployment;
 
@@ -50,7 +52,8 @@
         deployment = new LocalDeployment(
                 configuration, platform, TeamText.split(Files.readString(Path.of("samples", "routing.ini"))));
         deployment.start();
-        Conditions.await(() -> deployment.ready() && send(0).status() > 0);
+        Conditions.await(
+                () -> deployment.ready() && send(0, DEADLINES_MILLIS[0]).status() > 0);
     }
 
     @AfterEach
@@ -60,35 +63,46 @@
 
     @Test
     void shouldNotCallARequestNotRunAfterItsDraftWasRated() {
+        final List<RawCaller.Reply> failedAfterDraft = new ArrayList<>();
+        for (int burst = 0; burst < DEADLINES_MILLIS.length && failedAfterDraft.isEmpty(); burst++) {
+            failedAfterDraft.addAll(failedAfterDraft(sendBurst(DEADLINES_MILLIS[burst])));
+        }
+        assertThat(failedAfterDraft).isNotEmpty();
+        failedAfterDraft.forEach(reply -> assertThat(reply.body()).contains("\"run\":\"unknown\""));
+    }
+
+    private List<RawCaller.Reply> sendBurst(int deadlineMillis) {
         final ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         final List<RawCaller.Reply> replies = IntStream.rangeClosed(1, CALLERS)
-                .mapToObj(number -> CompletableFuture.supplyAsync(() -> send(number), callers))
+                .mapToObj(number -> CompletableFuture.supplyAsync(() -> send(number, deadlineMillis), callers))
                 .toList()
                 .stream()
                 .map(CompletableFuture::join)
                 .toList();
         callers.shutdown();
+        return replies;
+    }
+
+    private List<RawCaller.Reply> failedAfterDraft(List<RawCaller.Reply> replies) {
         final Set<String> drafted = deployment.platform().ratings().journal().stream()
                 .map(RatingStandIn.Entry::requestId)
                 .collect(Collectors.toSet());
-        final List<RawCaller.Reply> failedAfterDraft = replies.stream()
+        return replies.stream()
                 .filter(reply -> reply.status() >= 500)
                 .filter(reply -> reply.header("masticpaddle-request")
                         .filter(drafted::contains)
                         .isPresent())
                 .toList();
-        assertThat(failedAfterDraft).isNotEmpty();
-        failedAfterDraft.forEach(reply -> assertThat(reply.body()).contains("\"run\":\"unknown\""));
     }
 
-    private RawCaller.Reply send(int number) {
+    private RawCaller.Reply send(int number, int deadlineMillis) {
         final byte[] body = ("{\"max_tokens\":80,\"messages\":[{\"role\":\"user\",\"content\":\"question " + number
                         + "\"}]}")
                 .getBytes(StandardCharsets.UTF_8);
         try (RawCaller caller = new RawCaller(deployment.entryOrigins().get(0))) {
             return caller.send(RawCaller.request(
                             "POST /v1/chat/completions",
-                            "Authorization: Bearer demo-key-north\nMasticpaddle-Deadline-Ms: " + DEADLINE_MILLIS,
+                            "Authorization: Bearer demo-key-north\nMasticpaddle-Deadline-Ms: " + deadlineMillis,
                             body))
                     .reply();
         } catch (IOException e) {
