Reset the connection of a cancelled request at once

A request that was written whole and then cancelled left its peer without a sign for 10 s (measured with the new test's peer: end of input after 10,005 to 10,059 ms while the response was awaited, half received, read or paused; 5 ms while the request was being sent). Undertow's close() of a client connection ends the sending side and then drains the response for up to 10 s. Upstreams went on with requests whose callers had left, and the gateway kept the descriptors.

ActiveRequest takes the channel from Undertow (performUpgrade) and closes it with a reset. Each of the five states of the new test failed before (peer not told within 500 ms, or told by an end that looks like a half close) and passes now; the tests of org.masticpaddle.wire pass.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -21,6 +21,8 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.xnio.IoUtils;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -107,7 +109,7 @@
     void sendOn(ClientConnection opened) {
         connection = opened;
         if (finished.isDone()) {
-            IoUtils.safeClose(opened);
+            reset(opened);
             return;
         }
         if (!opened.isOpen()) {
@@ -148,6 +150,24 @@
     void fail(HttpRequestException.Delivery delivery, String message, Throwable cause) {
         if (finished.completeExceptionally(new HttpRequestException(delivery, message, cause))) {
             removeIdleTimer();
+            final ClientConnection used = connection;
+            if (used != null) {
+                reset(used);
+            }
+        }
+    }
+
+    /**
+     * Resets a connection, so that the peer learns at once that nobody waits for its response. After the request was sent, Undertow's
+     * own close tells the peer nothing for up to ten seconds, in which it waits for the response.
+     */
+    private static void reset(ClientConnection connection) {
+        try {
+            final StreamConnection channel = connection.performUpgrade();
+            channel.setOption(Options.CLOSE_ABORT, true);
+            IoUtils.safeClose(channel);
+        } catch (IOException e) {
+            // The connection is closed, or can only be closed by Undertow.
             IoUtils.safeClose(connection);
         }
     }
