Detect callers that leave after sending part of their next request

The detector stopped reading a connection at the first byte of a next request, so that a caller that pipelines and leaves was not noticed until a write to it failed, and its request went on at the upstream. Bytes of next requests are now read on until the buffer that keeps them is full.

--- a/src/main/java/org/masticpaddle/wire/DisconnectDetector.java
+++ b/src/main/java/org/masticpaddle/wire/DisconnectDetector.java
@@ -47,7 +47,7 @@
 
     /**
      * Closes the connection, which runs its close listeners, when the peer disconnects. A peer that only closes its
-     * sending side still gets its response. Detection stops when the peer sends its next request before the response.
+     * sending side still gets its response. Detection stops when the peer has sent more of its next requests than a buffer holds.
      *
      * @param exchange exchange whose request has been read completely
      */
@@ -57,13 +57,13 @@
 
     /**
      * Closes the connection, which runs its close listeners, when the peer disconnects. Detection stops when the peer
-     * sends its next request before the response.
+     * has sent more of its next requests than a buffer holds.
      *
      * @param exchange exchange whose request has been read completely
      * @param policy what to do when the peer closes its sending side
      */
     public static void start(HttpServerExchange exchange, HalfClosePolicy policy) {
-        if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection) {
             exchange.getIoThread().execute(() -> {
                 if (!exchange.isComplete()) {
                     watch(exchange, connection, policy);
@@ -83,7 +83,7 @@
         if (!exchange.getConnection().isOpen()) {
             return true;
         }
-        if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection) {
             final Input input = read(connection);
             return input == Input.END || input == Input.RESET;
         }
@@ -94,7 +94,7 @@
         final StreamSourceConduit source = connection.getOriginalSourceConduit();
         final ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
         channel.setReadListener(ignored -> {
-            if (exchange.isComplete() || connection.getExtraBytes() != null) {
+            if (exchange.isComplete()) {
                 source.suspendReads();
                 return;
             }
@@ -103,7 +103,7 @@
                     source.suspendReads();
                     policy.onHalfClose(exchange, connection);
                 }
-                case NEXT_REQUEST -> source.suspendReads();
+                case BUFFER_FULL -> source.suspendReads();
                 case RESET -> IoUtils.safeClose(connection);
                 default -> {}
             }
@@ -113,6 +113,23 @@
 
     /** Reads the connection without blocking; bytes of a next request are kept for it. */
     private static Input read(HttpServerConnection connection) {
+        try {
+            final PooledByteBuffer kept = connection.getExtraBytes();
+            final int count = kept == null ? readFirst(connection) : readMore(connection, kept.getBuffer());
+            if (count < 0) {
+                return Input.END;
+            }
+            final PooledByteBuffer extra = connection.getExtraBytes();
+            return extra != null
+                            && extra.getBuffer().limit() == extra.getBuffer().capacity()
+                    ? Input.BUFFER_FULL
+                    : Input.NOTHING;
+        } catch (IOException e) {
+            return Input.RESET;
+        }
+    }
+
+    private static int readFirst(HttpServerConnection connection) throws IOException {
         final PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
         boolean pushedBack = false;
         try {
@@ -122,11 +139,8 @@
                 buffer.flip();
                 connection.ungetRequestBytes(pooled);
                 pushedBack = true;
-                return Input.NEXT_REQUEST;
             }
-            return count < 0 ? Input.END : Input.NOTHING;
-        } catch (IOException e) {
-            return Input.RESET;
+            return count;
         } finally {
             if (!pushedBack) {
                 pooled.close();
@@ -134,12 +148,24 @@
         }
     }
 
+    /** Reads behind the bytes that are kept; reads nothing if they fill their buffer. */
+    private static int readMore(HttpServerConnection connection, ByteBuffer kept) throws IOException {
+        final int start = kept.position();
+        final int end = kept.limit();
+        kept.limit(kept.capacity()).position(end);
+        try {
+            return kept.hasRemaining() ? connection.getOriginalSourceConduit().read(kept) : 0;
+        } finally {
+            kept.limit(kept.position()).position(start);
+        }
+    }
+
     /** What was read of a connection whose request is being processed. */
     private enum Input {
-        /** The peer has sent nothing. */
+        /** The peer has sent nothing, or bytes of its next requests that are kept. */
         NOTHING,
-        /** The peer has sent bytes of its next request. */
-        NEXT_REQUEST,
+        /** The peer has sent as many bytes of its next requests as are kept. */
+        BUFFER_FULL,
         /** The peer has closed its sending side. */
         END,
         /** The connection is broken. */
--- a/src/test/java/org/masticpaddle/wire/DisconnectDetectorTest.java
+++ b/src/test/java/org/masticpaddle/wire/DisconnectDetectorTest.java
@@ -61,6 +61,85 @@
         }
     }
 
+    @Test
+    void shouldDetectAPeerThatSendsItsNextRequestAndDisconnects() throws Exception {
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final CompletableFuture<Void> closed = new CompletableFuture<>();
+        final HttpServer server = server(exchange -> {
+            exchange.getConnection().addCloseListener(connection -> closed.complete(null));
+            arrived.complete(null);
+        });
+        try (Socket socket = connect(server)) {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            arrived.get(30, TimeUnit.SECONDS);
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            socket.close();
+            closed.get(30, TimeUnit.SECONDS);
+        } finally {
+            server.stop();
+        }
+    }
+
+    @Test
+    void shouldFindADisconnectionAfterBytesOfTheNextRequest() throws Exception {
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final CompletableFuture<Void> found = new CompletableFuture<>();
+        final CompletableFuture<Void> left = new CompletableFuture<>();
+        final HttpServer server = server(exchange -> {
+            arrived.complete(null);
+            left.join();
+            Conditions.await(() -> DisconnectDetector.hasDisconnected(exchange));
+            found.complete(null);
+        });
+        try (Socket socket = connect(server)) {
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            arrived.get(30, TimeUnit.SECONDS);
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            socket.close();
+            left.complete(null);
+            found.get(30, TimeUnit.SECONDS);
+        } finally {
+            server.stop();
+        }
+    }
+
+    @Test
+    void shouldRespondToPipelinedRequestsThatArriveInParts() throws Exception {
+        final Queue<HttpServerExchange> pendingExchanges = new ConcurrentLinkedQueue<>();
+        final CompletableFuture<Void> arrived = new CompletableFuture<>();
+        final HttpServer server = server(exchange -> {
+            if (arrived.isDone()) {
+                Exchanges.respond(exchange, 200, "second");
+            } else {
+                pendingExchanges.add(exchange);
+                arrived.complete(null);
+            }
+        });
+        try (Socket socket = connect(server)) {
+            socket.setTcpNoDelay(true);
+            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            arrived.get(30, TimeUnit.SECONDS);
+            final HttpServerExchange first = pendingExchanges.remove();
+            for (final byte next : REQUEST.getBytes(StandardCharsets.US_ASCII)) {
+                socket.getOutputStream().write(next);
+                final CompletableFuture<Boolean> read = new CompletableFuture<>();
+                first.getIoThread().execute(() -> read.complete(DisconnectDetector.hasDisconnected(first)));
+                assertThat(read.get(30, TimeUnit.SECONDS)).isFalse();
+            }
+            first.getIoThread().execute(() -> Exchanges.respond(first, 200, "first"));
+            final StringBuilder responses = new StringBuilder();
+            socket.setSoTimeout(30_000);
+            while (!responses.toString().contains("second")) {
+                final int next = socket.getInputStream().read();
+                assertThat(next).isAtLeast(0);
+                responses.append((char) next);
+            }
+            assertThat(responses.indexOf("first")).isAtLeast(0);
+        } finally {
+            server.stop();
+        }
+    }
+
     @Test
     void shouldRespondToPipelinedRequests() throws Exception {
         final Queue<HttpServerExchange> pendingExchanges = new ConcurrentLinkedQueue<>();
