Compare crash reports and segments without generated methods

Cause: the first use of a record's generated equals or hashCode spins about 20 hidden classes (-Xlog:class+load). GatewayReport.equals runs at the first tick of a gateway and SegmentKey.hashCode in its first request, both while callers wait for a gateway that has just started. Change: both records have these methods written out.

--- a/src/main/java/org/masticpaddle/quarantine/GatewayReport.java
+++ b/src/main/java/org/masticpaddle/quarantine/GatewayReport.java
@@ -27,4 +27,18 @@
     public boolean empty() {
         return crashes.isEmpty() && clearances.isEmpty();
     }
+
+    // Written out, since the first use of the generated methods spins classes, which delays the first request of a
+    // process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof GatewayReport report
+                && crashes.equals(report.crashes)
+                && clearances.equals(report.clearances);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * crashes.hashCode() + clearances.hashCode();
+    }
 }
--- a/src/main/java/org/masticpaddle/quarantine/SegmentKey.java
+++ b/src/main/java/org/masticpaddle/quarantine/SegmentKey.java
@@ -14,4 +14,16 @@
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(segment, "segment is null");
     }
+
+    // Written out, since the first use of the generated methods spins classes, which delays the first request of a
+    // process.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SegmentKey key && service.equals(key.service) && segment.equals(key.segment);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * service.hashCode() + segment.hashCode();
+    }
 }
