Keep a stop of a gateway within its grace period, and read answers before it ends requests

Cause: (1) each wait of a stop had a limit of its own: nine tenths of the grace period, and 0.2 s for each server and 0.5 s for the log after it. (2) Requests in flight were ended by a task of the event loop, which runs before the loop reads its connections, so that answers that had arrived were replaced by 502. Change: GatewayShutdown owns the steps and times; all waits go through a ShutdownClock and end by 0.98 of the grace period. Requests are ended after the loop has read what was readable, at 0.9 of the grace period at the latest. Servers on a shared loop no longer wait.

--- a/src/main/java/org/masticpaddle/command/Daemon.java
+++ b/src/main/java/org/masticpaddle/command/Daemon.java
@@ -18,6 +18,7 @@
 import org.masticpaddle.gateway.GatewayProcess;
 import org.masticpaddle.kernel.KernelException;
 import org.masticpaddle.kernel.Service;
+import org.masticpaddle.kernel.SystemShutdownClock;
 import org.masticpaddle.membership.Incarnation;
 import org.masticpaddle.metrics.ProcessMetrics;
 import org.masticpaddle.settings.ProcessSettings;
@@ -110,7 +111,8 @@
         final DecisionLog log =
                 new DecisionLog(settings.text(Setting.INSTANCE), System::currentTimeMillis, System.out::print);
         final LazyMetrics metrics = new LazyMetrics(settings);
-        final GatewayProcess gateway = new GatewayProcess(settings, ports, log, metrics::page);
+        final GatewayProcess gateway =
+                new GatewayProcess(settings, ports, log, metrics::page, new SystemShutdownClock());
         metrics.register(gateway.gauges());
         metrics.register(log.gauges());
         return gateway;
--- a/src/main/java/org/masticpaddle/decisions/DecisionLog.java
+++ b/src/main/java/org/masticpaddle/decisions/DecisionLog.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -32,6 +33,8 @@
     private static final long WRITE_INTERVAL_NANOS = 150_000_000L;
     /** Limits the output to 500 lines a second, which is 200 KB a second at 400 bytes a line. */
     private static final int MAX_LINES_PER_WRITE = 75;
+    /** Longest time for which a stop waits for the output. */
+    private static final Duration MAX_STOP_TIME = Duration.ofMillis(500);
 
     private final String instance;
     private final LongSupplier wallMillis;
@@ -42,6 +45,7 @@
     private final JsonFactory json = new JsonFactory();
     private final Thread writer = new Thread(this::run, "decision-log");
     private volatile boolean stopping;
+    private volatile Duration stopLimit = MAX_STOP_TIME;
     private long loggedDroppedCount;
 
     /**
@@ -63,19 +67,28 @@
         writer.start();
     }
 
-    /** Writes the queued lines and stops; waits for at most half a second. */
+    /** Writes the queued lines and stops; waits for at most half a second, or for the time that {@link #limitStop} sets. */
     @Override
     public void stop() {
         stopping = true;
         LockSupport.unpark(writer);
         try {
-            writer.join(STOP_TIMEOUT_MILLIS);
+            writer.join(Math.max(1, stopLimit.toMillis()));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static final long STOP_TIMEOUT_MILLIS = 500;
+    /**
+     * Limits how long {@link #stop()} waits for the output.
+     *
+     * @param limit longest time, which has no effect if it is longer than half a second; 1 ms at least
+     */
+    public void limitStop(Duration limit) {
+        if (limit.compareTo(stopLimit) < 0) {
+            stopLimit = limit;
+        }
+    }
 
     /**
      * Enqueues a line, or drops and counts it if the queue is too full for the priority of the event.
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -6,9 +6,7 @@
 import java.util.Locale;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -23,7 +21,7 @@
 import org.masticpaddle.kernel.Kernel;
 import org.masticpaddle.kernel.PeriodicTasks;
 import org.masticpaddle.kernel.Service;
-import org.masticpaddle.kernel.ShutdownDelay;
+import org.masticpaddle.kernel.ShutdownClock;
 import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.memory.RequestMemory;
 import org.masticpaddle.metrics.Gauge;
@@ -54,20 +52,6 @@
     private static final long TICK_INTERVAL_MILLIS = 100;
     /** Time without a byte from an upstream with requests in flight after which the upstream is probed. */
     private static final long UNRESPONSIVE_NANOS = 600_000_000L;
-    /** Fraction of the grace period after which new requests are rejected, so that those in flight can complete. */
-    private static final double REJECT_GRACE_SHARE = 0.37;
-    /**
-     * Fraction of the grace period after which requests in flight are ended. The rest is for the last responses, the log and the
-     * end of the process, on a machine with a part of a core and work to do.
-     */
-    private static final double STOP_GRACE_SHARE = 0.85;
-    /** Fraction of the grace period until which the process waits for the final responses of the requests that were ended. */
-    private static final double FLUSH_GRACE_SHARE = 0.9;
-    /**
-     * Time for which a draining process still accepts requests, unless the grace period is short. The load balancer checks
-     * readiness once a second and removes a gateway after two failed checks.
-     */
-    private static final Duration MIN_DRAIN = Duration.ofMillis(2_800);
 
     /**
      * Part of the heap for answers that are not complete. An answer takes up to three times its size, while its buffer grows and
@@ -90,6 +74,7 @@
     private final RolloutCoordinator rollouts;
     private final QuarantineCoordinator quarantine;
     private final DecisionLog log;
+    private final ShutdownClock shutdownClock;
     private final HttpClient client;
     private final GatewayCounters counters = new GatewayCounters();
     private final LagHistogram loopLag =
@@ -110,9 +95,16 @@
      * @param ports binding to the platform
      * @param log decision log, started and stopped with the gateway
      * @param metrics renders the metrics of the process for a scrape
+     * @param shutdownClock clock and waits of {@link #stop()}
      */
-    public GatewayProcess(ProcessSettings settings, GatewayPorts ports, DecisionLog log, Supplier<String> metrics) {
+    public GatewayProcess(
+            ProcessSettings settings,
+            GatewayPorts ports,
+            DecisionLog log,
+            Supplier<String> metrics,
+            ShutdownClock shutdownClock) {
         this.log = Objects.requireNonNull(log, "log is null");
+        this.shutdownClock = Objects.requireNonNull(shutdownClock, "shutdownClock is null");
         bounds = GatewayBounds.of(settings);
         final UniformRandomProvider random = random(settings.text(Setting.INSTANCE));
         state = new GatewayState(bounds, random);
@@ -231,42 +223,15 @@
      */
     @Override
     public void stop() {
-        final long stopStartNanos = System.nanoTime();
-        final long graceNanos = bounds.grace().toNanos();
-        draining = true;
-        log.write(Decision.DRAINING, "grace_ms", bounds.grace().toMillis());
-        loop.execute(handler::drain);
-        await(stopStartNanos + Math.min(MIN_DRAIN.toNanos(), (long) (graceNanos * REJECT_GRACE_SHARE)), false);
-        loop.execute(handler::rejectAll);
-        await(stopStartNanos + (long) (graceNanos * STOP_GRACE_SHARE), true);
-        loop.execute(handler::endAll);
-        await(stopStartNanos + (long) (graceNanos * FLUSH_GRACE_SHARE), true);
-        loop.execute(periodicTasks::stop);
-        log.write(
-                Decision.STOPPED, "ms", (System.nanoTime() - stopStartNanos) / 1e6, "store_calls", sharedLog.summary());
-        kernel.stop();
-    }
-
-    private void await(long untilNanos, boolean untilIdle) {
-        while (System.nanoTime() < untilNanos && !(untilIdle && idle(untilNanos))) {
-            ShutdownDelay.sleepUntil(Math.min(
-                    untilNanos, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_POLL_INTERVAL_MILLIS)));
-        }
+        new GatewayShutdown(bounds.grace(), shutdownClock, new ShutdownSteps()).run();
     }
 
-    /** Returns whether no request is in flight; {@code false} if the loop is too busy to tell before the given time. */
-    private boolean idle(long untilNanos) {
-        final CompletableFuture<Boolean> idle = new CompletableFuture<>();
-        loop.defer(() -> idle.complete(handler.activeRequests() == 0));
-        try {
-            return idle.get(Math.max(0, untilNanos - System.nanoTime()), TimeUnit.NANOSECONDS);
-        } catch (TimeoutException e) {
-            return false;
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("the requests in flight cannot be counted", e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
+    /** Completes the future once no request is in flight; runs on the event loop. */
+    private void pollIdle(CompletableFuture<Void> idle) {
+        if (handler.activeRequests() == 0) {
+            idle.complete(null);
+        } else if (!idle.isDone()) {
+            loop.schedule(DRAIN_POLL_INTERVAL_MILLIS, () -> pollIdle(idle));
         }
     }
 
@@ -331,4 +296,45 @@
                 .add("idle connections", client::closeExpired)
                 .add("health probe", () -> state.registry().all().forEach(healthProbe::probeIfUnresponsive));
     }
+
+    /** Steps of the stop, each of which queues a task of the event loop. */
+    private final class ShutdownSteps implements GatewayShutdown.Steps {
+        @Override
+        public void drain() {
+            draining = true;
+            log.write(Decision.DRAINING, "grace_ms", bounds.grace().toMillis());
+            loop.execute(handler::drain);
+        }
+
+        @Override
+        public void rejectNew() {
+            loop.execute(handler::rejectAll);
+        }
+
+        /** Lets the loop read the answers that have arrived, which it would do after the task otherwise. */
+        @Override
+        public void endUnanswered() {
+            loop.executeAfterReads(handler::endAll);
+        }
+
+        @Override
+        public void endAll() {
+            loop.execute(handler::endAll);
+        }
+
+        @Override
+        public CompletableFuture<Void> idle() {
+            final CompletableFuture<Void> idle = new CompletableFuture<>();
+            loop.defer(() -> pollIdle(idle));
+            return idle;
+        }
+
+        @Override
+        public void close(Duration elapsed, Duration limit) {
+            loop.execute(periodicTasks::stop);
+            log.write(Decision.STOPPED, "ms", elapsed.toNanos() / 1e6, "store_calls", sharedLog.summary());
+            log.limitStop(limit);
+            kernel.stop();
+        }
+    }
 }
--- a/src/main/java/org/masticpaddle/wire/EventLoop.java
+++ b/src/main/java/org/masticpaddle/wire/EventLoop.java
@@ -6,12 +6,16 @@
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.kernel.Service;
 import org.masticpaddle.kernel.SuspendAwareClock;
+import org.xnio.ChannelPipe;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
 import org.xnio.nio.NioXnioProvider;
 
 /**
@@ -84,6 +88,29 @@
         thread.execute(task);
     }
 
+    /**
+     * Runs a task on the loop's thread after it has read all connections that are readable when it is called, while tasks of
+     * {@link #execute} and due timers run before.
+     *
+     * @param task task that must not block
+     */
+    public void executeAfterReads(Runnable task) {
+        thread.execute(() -> {
+            try {
+                // The source is readable from the next selection on, as the connections are.
+                final ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
+                pipe.getLeftSide().getReadSetter().set(source -> {
+                    IoUtils.safeClose(source);
+                    thread.execute(task);
+                });
+                pipe.getLeftSide().resumeReads();
+                IoUtils.safeClose(pipe.getRightSide());
+            } catch (IOException e) {
+                task.run();
+            }
+        });
+    }
+
     @Override
     public long nanos() {
         return clock.nanos();
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -38,8 +38,6 @@
     private static final int MAX_HEADERS = 100;
     // Limits how long stop() waits for peers that do not read their response; the requests have been processed by then.
     private static final long STOP_TIMEOUT_NANOS = 2_000_000_000L;
-    // The owner of a shared loop ends the exchanges itself, within the time that it has for its stop.
-    private static final long SHARED_LOOP_STOP_TIMEOUT_NANOS = 200_000_000L;
     // One read of this size holds most requests.
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int MAX_BUFFERS_OF_A_THREAD = 4;
@@ -154,24 +152,26 @@
     }
 
     /**
-     * Waits until the open exchanges have sent their responses, for two seconds at most, or for a fifth of a second on a shared
-     * loop; then closes all connections. Has no effect on a server that was stopped.
+     * Waits until the open exchanges have sent their responses, for two seconds at most, and closes all connections. On a shared
+     * loop, stops to listen only, since the owner of the loop ends the exchanges within the time that it has for its stop. Has no
+     * effect on a server that was stopped.
      */
     @Override
     public void stop() {
         if (!listener.isOpen()) {
             return;
         }
-        final long deadline =
-                System.nanoTime() + (sharedLoop.isPresent() ? SHARED_LOOP_STOP_TIMEOUT_NANOS : STOP_TIMEOUT_NANOS);
+        if (sharedLoop.isPresent()) {
+            IoUtils.safeClose(listener);
+            return;
+        }
+        final long deadline = System.nanoTime() + STOP_TIMEOUT_NANOS;
         while (hasOpenExchanges() && System.nanoTime() < deadline) {
             LockSupport.parkNanos(STOP_POLL_INTERVAL_NANOS);
         }
         IoUtils.safeClose(listener);
-        if (sharedLoop.isEmpty()) {
-            worker.shutdownNow();
-            awaitTermination();
-        }
+        worker.shutdownNow();
+        awaitTermination();
     }
 
     private void awaitTermination() {
--- a/src/test/java/org/masticpaddle/decisions/DecisionLogTest.java
+++ b/src/test/java/org/masticpaddle/decisions/DecisionLogTest.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.decisions;
 
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -46,6 +47,24 @@
         assertThat(output.toString()).contains("\"event\":\"log.dropped\"");
     }
 
+    @Test
+    void shouldStopBeforeABlockedOutputIsReleased() throws InterruptedException {
+        final CountDownLatch blocked = new CountDownLatch(1);
+        final CountDownLatch release = new CountDownLatch(1);
+        final DecisionLog log = log(text -> {
+            blocked.countDown();
+            await(release);
+            output.append(text);
+        });
+        log.start();
+        log.write(Decision.STARTED);
+        blocked.await();
+        log.limitStop(Duration.ZERO);
+        log.stop();
+        assertThat(output.toString()).isEmpty();
+        release.countDown();
+    }
+
     private static DecisionLog log(Consumer<String> consumer) {
         return new DecisionLog("g", () -> 5, consumer);
     }
