Read the list of upstreams more often only where capacity is missing

The list was read every 0.6 s for 8 s after any failed connection or lost answer, its own or one that another gateway reported, and each further failure extended it.

SuccessorWatch counts each lost incarnation once, only when its upstream refuses connections, and starts the watch when a service lacks over a tenth of its upstreams: the others have room for less than that. Reports of other gateways still make the crash reports be read often.

--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -27,7 +27,7 @@
  * <p>Invariant: a record that cannot be decoded affects its own key only. Runs on the event loop.
  */
 final class ControlLogFollower {
-    /** Pause between two reads of the list after the loss of an upstream, whose successor may be listed soon. */
+    /** Pause between two reads of the list while the successors of lost upstreams are awaited. */
     private static final ReadTiming ALERT = ReadTiming.periodic(Duration.ofMillis(600));
 
     private final GatewayState state;
@@ -91,13 +91,13 @@
     /**
      * Adapts the timing of the reads to the limits in force.
      *
-     * @param upstreamLost whether an upstream was lost a short time ago
+     * @param successorsAwaited whether the successors of lost upstreams may be listed soon
      */
-    void updateTiming(boolean upstreamLost) {
+    void updateTiming(boolean successorsAwaited) {
         final StoreCadence cadence = state.bounds().storeCadence();
         operatorFollower.setTiming(cadence.operatorStream());
-        final boolean alert =
-                upstreamLost && ALERT.pause().compareTo(cadence.upstreamList().pause()) < 0;
+        final boolean alert = successorsAwaited
+                && ALERT.pause().compareTo(cadence.upstreamList().pause()) < 0;
         upstreamFollower.setTiming(alert ? ALERT : cadence.upstreamList());
     }
 
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -322,7 +322,10 @@
         return new PeriodicTasks(loop, TICK_INTERVAL_MILLIS, log::writeError)
                 .add("loop lag", () -> loopLag.tick(loop.nanos()))
                 .add("expired upstreams", logFollower::removeExpiredUpstreams)
-                .add("log cadence", () -> logFollower.updateTiming(quarantine.alert(loop.nanos())))
+                .add(
+                        "log cadence",
+                        () -> logFollower.updateTiming(quarantine.awaitsSuccessors(
+                                service -> state.registry().members(service).size(), loop.nanos())))
                 .add("rollouts", rollouts::tick)
                 .add("quarantine", quarantine::tick)
                 .add("stated limits", () -> state.limits().tick(loop.nanos()))
--- a/src/main/java/org/masticpaddle/gateway/PromptGuard.java
+++ b/src/main/java/org/masticpaddle/gateway/PromptGuard.java
@@ -99,7 +99,7 @@
                     lostUpstreams += justBegun ? 1 : 0;
                     coordinator.onLost(PromptGuard.this, upstream, justBegun);
                 }
-                case UNREACHABLE -> coordinator.onUnreachable();
+                case UNREACHABLE -> coordinator.onUnreachable(upstream);
                 case DRAFT_DROPPED, CANCELLED -> {
                     if (justBegun) {
                         coordinator.onAbandoned(PromptGuard.this, upstream);
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.control.KeyedFollower;
@@ -20,6 +21,7 @@
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.SharedLog;
+import org.masticpaddle.control.SuccessorWatch;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.Upstream;
@@ -71,6 +73,7 @@
     private final SegmentQuarantine quarantine;
     private final KeyedFollower follower;
     private final Set<PromptGuard> guards = new HashSet<>();
+    private final SuccessorWatch successorWatch = new SuccessorWatch();
     private long alertUntilNanos;
     private long nextPublishNanos;
     private long clearanceNanos;
@@ -126,15 +129,19 @@
         return follower.position().isPresent();
     }
 
-    /** Returns whether an upstream was lost a short time ago. */
-    boolean alert(long now) {
-        return now < alertUntilNanos;
+    /**
+     * Returns whether this gateway awaits the successors of upstreams that it has lost.
+     *
+     * @param listed number of the listed upstreams of a service
+     */
+    boolean awaitsSuccessors(ToIntFunction<String> listed, long now) {
+        return successorWatch.active(listed, now);
     }
 
     /** Forgets old evidence and publishes changes. Called about ten times a second. */
     void tick() {
         change(() -> quarantine.expire(wallMillis.getAsLong()));
-        follower.setTiming(alert(scheduler.nanos()) ? ALERT : CALM);
+        follower.setTiming(scheduler.nanos() < alertUntilNanos ? ALERT : CALM);
         publish();
     }
 
@@ -178,8 +185,10 @@
     }
 
     /** Records that a connection to an upstream could not be opened. */
-    void onUnreachable() {
-        startAlert();
+    void onUnreachable(Upstream upstream) {
+        if (successorWatch.recordLoss(upstream.service(), incarnation(upstream), scheduler.nanos())) {
+            startAlert();
+        }
     }
 
     /**
@@ -198,16 +207,17 @@
         startAlert();
         logStep("lost", guard.service(), candidates, lost);
         if (!checking && quarantine.unconfirmed(lost)) {
-            reachability.apply(upstream.origin()).whenComplete((ignored, error) -> onChecked(lost, error != null));
+            reachability.apply(upstream.origin()).whenComplete((ignored, error) -> onChecked(upstream, error != null));
         }
     }
 
-    private void onChecked(String upstream, boolean lost) {
+    private void onChecked(Upstream upstream, boolean lost) {
         if (lost) {
-            quarantine.confirmLoss(upstream);
+            successorWatch.recordLoss(upstream.service(), incarnation(upstream), scheduler.nanos());
+            quarantine.confirmLoss(incarnation(upstream));
             publish();
         } else {
-            change(() -> quarantine.retractLoss(upstream));
+            change(() -> quarantine.retractLoss(incarnation(upstream)));
         }
     }
 
