Count the pause between reads of the list from their sending

A read that returns at once holds all records acknowledged before it was sent, but the next one was sent a pause after its response, and the pause was three quarters of what the drain bound leaves. The longest pause is now derived in StoreCadence: pause + late timer + slow response + connect = drain (2.25 s instead of a mean of 1.76 s at 3 s, 1.25 s instead of 1.01 s at 2 s); the jitter only shortens it. A listing is no longer followed by a read at once.

A gateway that the log rejects now waits up to what settling leaves after a timeout and a slow response, and the read of the operator's stream, whose backoff stays, wakes the others as soon as the log responds.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -31,6 +31,9 @@
      */
     private static final long INITIAL_BACKOFF_MILLIS = 60;
 
+    /** Fraction by which a pause may be shorter than the timing permits. */
+    private static final double PAUSE_JITTER = 0.05;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final SharedLog log;
@@ -51,7 +54,9 @@
     private int failures;
     private long reads;
     private boolean readInFlight;
+    private long lastSentNanos;
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
+    private Optional<Scheduler.Timer> backoffEnd = Optional.empty();
 
     /**
      * Creates a follower that is not started.
@@ -104,13 +109,23 @@
         timing = Objects.requireNonNull(newTiming, "newTiming is null");
         if (endsPause) {
             pauseEnd.get().cancel();
-            pause();
+            pause(lastSentNanos);
         }
         if (replacesRead && !stopped) {
             read();
         }
     }
 
+    /** Repeats a failed request soon, since another request to the log has succeeded. Has no effect without a failure. */
+    public void retry() {
+        failures = Math.min(failures, 1);
+        backoffEnd.ifPresent(timer -> {
+            timer.cancel();
+            backoffEnd = Optional.empty();
+            listOrRead();
+        });
+    }
+
     /**
      * Returns the position of the follower in the stream.
      *
@@ -152,7 +167,11 @@
             following = true;
             nextOffset = listEndOffset;
             notifyListener(() -> listener.onCaughtUp(listStartNanos));
-            read();
+            if (returnsAtOnce()) {
+                pause(listStartNanos);
+            } else {
+                read();
+            }
         });
     }
 
@@ -179,17 +198,28 @@
                 final long caughtUpNanos =
                         batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos;
                 notifyListener(() -> listener.onCaughtUp(caughtUpNanos));
-                pause();
+                pause(sentNanos);
             } else {
                 listOrRead();
             }
         });
     }
 
-    /** Pauses with a jitter of a tenth, without which the readers of a stream that started together stay in step. */
-    private void pause() {
-        final long millis = Math.round(timing.pause().toMillis() * (0.9 + 0.2 * random.nextDouble()));
-        pauseEnd = Optional.of(scheduler.schedule(millis, () -> {
+    private boolean returnsAtOnce() {
+        return timing.longPollTimeout().isZero();
+    }
+
+    /**
+     * Pauses until the next read. The jitter, which only shortens a pause, keeps readers of a stream that started together from
+     * staying in step.
+     *
+     * @param sentNanos time at which the last request was sent
+     */
+    private void pause(long sentNanos) {
+        lastSentNanos = sentNanos;
+        final long elapsedMillis = returnsAtOnce() ? (scheduler.nanos() - sentNanos) / NANOS_PER_MILLI : 0;
+        final double pauseMillis = timing.pause().toMillis() * (1 - PAUSE_JITTER * random.nextDouble());
+        pauseEnd = Optional.of(scheduler.schedule(Math.max(0, (long) pauseMillis - elapsedMillis), () -> {
             pauseEnd = Optional.empty();
             listOrRead();
         }));
@@ -234,7 +264,11 @@
         final long maxDelayMillis =
                 Math.min(timing.maxBackoff().toMillis(), INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
         failures++;
-        scheduler.schedule(maxDelayMillis / 2 + random.nextLong(maxDelayMillis / 2 + 1), this::listOrRead);
+        final long delayMillis = maxDelayMillis / 2 + random.nextLong(maxDelayMillis / 2 + 1);
+        backoffEnd = Optional.of(scheduler.schedule(delayMillis, () -> {
+            backoffEnd = Optional.empty();
+            listOrRead();
+        }));
     }
 
     private void deliver(KeyedRecord keyedRecord) {
--- a/src/main/java/org/masticpaddle/control/StoreCadence.java
+++ b/src/main/java/org/masticpaddle/control/StoreCadence.java
@@ -5,14 +5,23 @@
 import java.util.Optional;
 
 /**
- * Timing of a gateway's reads of the shared log, derived from the bounds of the deployment, since every call is billed.
+ * Timing of a gateway's reads of the shared log, derived from the bounds of the deployment, since every call is billed, rejected
+ * ones included.
  *
  * <p>Held reads return as soon as there is a record, so that their hold does not delay a change. It limits for how long a
- * connection that has gone silent goes unnoticed: the hold, the response timeout and a short read that confirms the present state
- * have to fit into the time within which a gateway must know all changes again after a disturbance, into the time for which
- * revoked keys may still be accepted, and into the time after which an evacuated failure domain must get no requests. Reads that
- * return at once (periodic reads) see a change after the pause, its jitter and the response of a slow log; a request that was
- * placed before still needs the time to connect. Immutable and thread-safe.
+ * connection that has gone silent goes unnoticed: {@code hold + response timeout + confirmation} is at most the time within
+ * which a gateway must know all changes again after a disturbance, and with the time of a request in transit also at most the
+ * time for which revoked keys may still be accepted and the time after which an evacuated failure domain must get no requests.
+ *
+ * <p>Reads that return at once (periodic reads) hold all records acknowledged before they were sent. A record that is
+ * acknowledged just after that is known with the response of the next read, and a request that was placed before still needs
+ * the time to connect: {@code pause + late timer + slow response + connect} is at most the time after which a draining upstream
+ * must get no requests.
+ *
+ * <p>The read of the operator's stream finds out soon whether a log that has failed responds again, since API keys are accepted
+ * only after that. Reads of other streams that failed wait for it, and for no longer than lets them end in time by themselves: a
+ * request that was sent during a disturbance may end with its timeout after it, so that {@code response timeout + backoff + late
+ * timer + slow response} is at most the time within which all changes must be known again. Immutable and thread-safe.
  *
  * @param operatorStream timing of reads of configurations, keys and rollout orders, which are rare
  * @param upstreamList timing of reads of the list of upstreams, each of which renews its entry about once a second
@@ -29,8 +38,10 @@
     private static final Duration CONNECT_MARGIN = Duration.ofMillis(400);
     /** Response of a slow log. */
     private static final Duration SLOW_RESPONSE = Duration.ofMillis(250);
-    /** Part of the time left that the pause between two periodic reads may take; the rest covers jitter and late timers. */
-    private static final double PAUSE_FRACTION = 0.75;
+    /** Delay of a timer while the event loop is busy. */
+    private static final Duration LATE_TIMER = Duration.ofMillis(100);
+    /** Pause between two reads of the list while the successors of lost upstreams are awaited. */
+    private static final Duration SUCCESSOR_PAUSE = Duration.ofMillis(600);
     /** Shortest hold and pause, also for very short bounds. */
     private static final Duration SHORTEST = Duration.ofMillis(300);
 
@@ -57,13 +68,38 @@
         final Duration tightest =
                 evacuation.filter(bound -> bound.compareTo(keyRevocation) < 0).orElse(keyRevocation);
         final Duration orderHold = longest(tightest.minus(unnoticed).minus(TRANSIT_MARGIN), SHORTEST);
-        final Duration operatorHold = settlingHold.compareTo(orderHold) < 0 ? settlingHold : orderHold;
-        final long pauseMillis = (long) (PAUSE_FRACTION
-                * drain.minus(CONNECT_MARGIN).minus(SLOW_RESPONSE).toMillis());
+        final Duration operatorHold = shortest(settlingHold, orderHold);
+        final Duration listPause =
+                longest(drain.minus(CONNECT_MARGIN).minus(SLOW_RESPONSE).minus(LATE_TIMER), SHORTEST);
+        final Duration backoff =
+                settling.minus(RESPONSE_TIMEOUT).minus(LATE_TIMER).minus(SLOW_RESPONSE);
         return new StoreCadence(
                 ReadTiming.longPoll(operatorHold),
-                ReadTiming.periodic(longest(Duration.ofMillis(pauseMillis), SHORTEST)),
-                ReadTiming.longPoll(settlingHold));
+                ReadTiming.periodic(listPause).withMaxBackoff(shortest(backoff, listPause)),
+                ReadTiming.longPoll(settlingHold).withMaxBackoff(shortest(backoff, settlingHold)));
+    }
+
+    /**
+     * Returns the timing of reads of the list while the successors of lost upstreams are awaited.
+     *
+     * @return the timing of the list with a short pause, but none longer than without that
+     */
+    public ReadTiming awaitedUpstreamList() {
+        return upstreamList.withPause(shortest(upstreamList.pause(), SUCCESSOR_PAUSE));
+    }
+
+    /**
+     * Returns the timing of periodic reads of what gateways tell each other during a rollout.
+     *
+     * @param pause maximum delay between two reads
+     * @return timing with the backoff of the other streams
+     */
+    public ReadTiming rolloutCounts(Duration pause) {
+        return ReadTiming.periodic(pause).withMaxBackoff(rolloutStatus.maxBackoff());
+    }
+
+    private static Duration shortest(Duration first, Duration second) {
+        return first.compareTo(second) < 0 ? first : second;
     }
 
     private static Duration longest(Duration first, Duration second) {
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -1,7 +1,6 @@
 package org.masticpaddle.gateway;
 
 import java.net.URI;
-import java.time.Duration;
 import java.util.Objects;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -10,7 +9,6 @@
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
-import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.control.StoreCadence;
 import org.masticpaddle.control.UndecodableRecordException;
@@ -27,9 +25,6 @@
  * <p>Invariant: a record that cannot be decoded affects its own key only. Runs on the event loop.
  */
 final class ControlLogFollower {
-    /** Pause between two reads of the list while the successors of lost upstreams are awaited. */
-    private static final ReadTiming ALERT = ReadTiming.periodic(Duration.ofMillis(600));
-
     private final GatewayState state;
     private final ControlCodec codec;
     private final Scheduler scheduler;
@@ -96,9 +91,7 @@
     void updateTiming(boolean successorsAwaited) {
         final StoreCadence cadence = state.bounds().storeCadence();
         operatorFollower.setTiming(cadence.operatorStream());
-        final boolean alert = successorsAwaited
-                && ALERT.pause().compareTo(cadence.upstreamList().pause()) < 0;
-        upstreamFollower.setTiming(alert ? ALERT : cadence.upstreamList());
+        upstreamFollower.setTiming(successorsAwaited ? cadence.awaitedUpstreamList() : cadence.upstreamList());
     }
 
     /** Removes upstreams whose entries were not renewed within the grace period after an outage of the log. */
@@ -156,6 +149,8 @@
         @Override
         public void onAvailable() {
             log.write(Decision.DEPENDENCY_RECOVERED, "dependency", "log/operator");
+            upstreamFollower.retry();
+            listener.logAvailable();
         }
 
         @Override
@@ -260,5 +255,8 @@
          * @param offset offset of the record in the operators' stream, which identifies the order
          */
         void rolloutRecord(OperatorRecord order, long offset);
+
+        /** Called when the log responds again, so that followers of other streams need not wait to repeat failed requests. */
+        void logAvailable();
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -183,6 +183,12 @@
                     public void rolloutRecord(OperatorRecord order, long offset) {
                         rollouts.onOperatorRecord(order, offset);
                     }
+
+                    @Override
+                    public void logAvailable() {
+                        rollouts.onLogAvailable();
+                        quarantine.onLogAvailable();
+                    }
                 });
         periodicTasks = periodicTasks();
         final URI callerOrigin = settings.origin(Setting.CALLER_ORIGIN).orElseThrow();
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -138,6 +138,11 @@
         return successorWatch.active(listed, now);
     }
 
+    /** Repeats a failed read at once, since the log responds again. */
+    void onLogAvailable() {
+        follower.retry();
+    }
+
     /** Forgets old evidence and publishes changes. Called about ten times a second. */
     void tick() {
         change(() -> quarantine.expire(wallMillis.getAsLong()));
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -46,10 +46,13 @@
  * Runs on the event loop.
  */
 final class RolloutCoordinator implements VersionRouter {
-    /** Reads of the other gateways' counts before the canary starts, by when all have to know the active sessions. */
-    private static final ReadTiming EARLY_COUNTS_READS = ReadTiming.periodic(Duration.ofMillis(900));
-    /** Reads of the other gateways' counts from then on; the pause is short compared with the notice of a stage. */
-    private static final ReadTiming COUNTS_READS = ReadTiming.periodic(Duration.ofMillis(1_300));
+    /** Pause between reads of the other gateways' counts before the canary starts, by when all have to know the active sessions. */
+    private static final Duration EARLY_COUNTS_PAUSE = Duration.ofMillis(900);
+    /**
+     * Pause from then on. A notice of a stage is known in time: the write and the read of a slow log, 250 ms each, a period of the
+     * tick and the pause take 2 s.
+     */
+    private static final Duration COUNTS_PAUSE = Duration.ofMillis(1_400);
     /** Interval between two writes of this gateway's counts. */
     private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 1_800_000_000L;
     /** Interval between two writes if the counts hold further evidence against the new version. */
@@ -136,6 +139,11 @@
         }
     }
 
+    /** Repeats failed reads at once, since the log responds again. */
+    void onLogAvailable() {
+        Stream.of(statusFollower, countsFollower).flatMap(Optional::stream).forEach(KeyedFollower::retry);
+    }
+
     private void startFollowers() {
         if (statusFollower.isEmpty()) {
             statusFollower = Optional.of(new KeyedFollower(
@@ -152,7 +160,7 @@
             countsFollower = Optional.of(new KeyedFollower(
                     sharedLog,
                     LogStream.ROLLOUT_COUNTS,
-                    EARLY_COUNTS_READS,
+                    state.bounds().storeCadence().rolloutCounts(EARLY_COUNTS_PAUSE),
                     scheduler,
                     random,
                     this::onCounts,
@@ -242,7 +250,9 @@
         }
         final boolean early = rollouts.values().stream()
                 .anyMatch(active -> !active.ended() && active.rollout().share(now) == 0);
-        countsFollower.ifPresent(follower -> follower.setTiming(early ? EARLY_COUNTS_READS : COUNTS_READS));
+        final ReadTiming countsTiming =
+                state.bounds().storeCadence().rolloutCounts(early ? EARLY_COUNTS_PAUSE : COUNTS_PAUSE);
+        countsFollower.ifPresent(follower -> follower.setTiming(countsTiming));
     }
 
     private int runningOnOldVersions(VersionRollout rollout) {
--- a/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
@@ -154,6 +154,9 @@
 
                             @Override
                             public void rolloutRecord(OperatorRecord operatorRecord, long offset) {}
+
+                            @Override
+                            public void logAvailable() {}
                         })
                 .start();
         assertThat(state.registry().all()).hasSize(3);
