Read the counts of rollouts less often while they decide nothing

While the canary gets its share, nothing speaks against the new version and the next stage is not due, the counts of other gateways are read each 2.8 s instead of 1.4 s: the exposure is within its limit without a verdict, a gateway that sees failures reads at the short pause, and a rollback is read at once from the status. The short pause starts before the next stage may be decided on.

--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.gateway;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -16,7 +17,6 @@
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
-import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.RolloutProgress;
 import org.masticpaddle.control.RolloutStatus;
 import org.masticpaddle.control.SharedLog;
@@ -53,6 +53,8 @@
      * tick and the pause take 2 s.
      */
     private static final Duration COUNTS_PAUSE = Duration.ofMillis(1_400);
+    /** Pause while the counts can neither change the share nor end the rollout. */
+    private static final Duration CALM_COUNTS_PAUSE = COUNTS_PAUSE.multipliedBy(2);
     /** Interval between two writes of this gateway's counts. */
     private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 1_800_000_000L;
     /** Interval between two writes if the counts hold further evidence against the new version. */
@@ -248,11 +250,19 @@
         if (!unfinished && statusFollower.isPresent()) {
             stopFollowers();
         }
-        final boolean early = rollouts.values().stream()
-                .anyMatch(active -> !active.ended() && active.rollout().share(now) == 0);
-        final ReadTiming countsTiming =
-                state.bounds().storeCadence().rolloutCounts(early ? EARLY_COUNTS_PAUSE : COUNTS_PAUSE);
-        countsFollower.ifPresent(follower -> follower.setTiming(countsTiming));
+        countsFollower.ifPresent(
+                follower -> follower.setTiming(state.bounds().storeCadence().rolloutCounts(countsPause(now))));
+    }
+
+    private Duration countsPause(long now) {
+        return rollouts.values().stream()
+                .filter(active -> !active.ended())
+                .map(ActiveRollout::rollout)
+                .map(rollout -> rollout.share(now) == 0
+                        ? EARLY_COUNTS_PAUSE
+                        : rollout.awaitsCounts(now, CALM_COUNTS_PAUSE) ? COUNTS_PAUSE : CALM_COUNTS_PAUSE)
+                .min(Comparator.naturalOrder())
+                .orElse(COUNTS_PAUSE);
     }
 
     private int runningOnOldVersions(VersionRollout rollout) {
--- a/src/main/java/org/masticpaddle/rollout/VersionRollout.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionRollout.java
@@ -30,6 +30,8 @@
     private static final double MIN_STAGE_ANSWERS = 8;
     /** Evidence against the new version, as a likelihood ratio, from which on no further stage is entered. */
     private static final double ADVANCE_EVIDENCE_LIMIT = 8;
+    /** Evidence below which nothing speaks against the new version. */
+    private static final double CALM_EVIDENCE_LIMIT = 2;
     /** Likelihood ratio up to which a fault is excluded. */
     private static final double MAX_EXCLUDED_RATIO = 0.1;
     /** Likelihood ratio up to which a fault is excluded on a single route, which has fewer answers. */
@@ -341,6 +343,23 @@
         return HealthBaseline.of(counts.before(), 1, 1).withSlowTolerance(countedStage.slowTolerance());
     }
 
+    /**
+     * Returns whether the counts of other gateways may soon change the share or end the rollout. They do not while the canary
+     * gets its share without evidence against it and the next stage is not due: its exposure is within its limit without a
+     * verdict, and a gateway that sees failures finds out by itself that they matter.
+     *
+     * @param now current time by the scheduler's clock, in nanoseconds
+     * @param notice time before the decision on the next stage from which on the counts matter
+     * @return {@code true} if the counts are to be read at short intervals
+     */
+    public boolean awaitsCounts(long now, Duration notice) {
+        final double nextDecisionMillis =
+                RolloutStage.PARTIAL.earliestStartFraction() * timeLimit.toMillis() - STAGE_NOTICE_MILLIS;
+        return stage != RolloutStage.CANARY
+                || evidence() >= CALM_EVIDENCE_LIMIT
+                || elapsedMillis(now) >= nextDecisionMillis - notice.toMillis();
+    }
+
     /**
      * Sums the counts of all gateways over all routes.
      *
--- a/src/test/java/org/masticpaddle/rollout/VersionRolloutTest.java
+++ b/src/test/java/org/masticpaddle/rollout/VersionRolloutTest.java
@@ -74,6 +74,36 @@
                 .isEqualTo(Optional.of(RolloutProgress.ROLLED_BACK));
     }
 
+    @Test
+    void shouldAwaitCountsFromBeforeTheDecisionOnTheNextStage() {
+        final Duration notice = Duration.ofSeconds(2);
+        recordAnswers(40, 0);
+        // The next stage starts after 11 s at the earliest and is decided on 2 s before that.
+        assertThat(rollout.awaitsCounts(3 * SECOND_NANOS, notice)).isFalse();
+        assertThat(rollout.awaitsCounts(6_900_000_000L, notice)).isFalse();
+        assertThat(rollout.awaitsCounts(7 * SECOND_NANOS, notice)).isTrue();
+    }
+
+    @Test
+    void shouldAwaitCountsWhileSomethingSpeaksAgainstTheNewVersion() {
+        recordAnswers(40, 0);
+        assertThat(rollout.awaitsCounts(3 * SECOND_NANOS, Duration.ZERO)).isFalse();
+        recordAnswers(4, 4);
+        assertThat(rollout.evidence()).isLessThan(SequentialTest.ALARM_EVIDENCE);
+        assertThat(rollout.awaitsCounts(3 * SECOND_NANOS, Duration.ZERO)).isTrue();
+    }
+
+    @Test
+    void shouldAwaitCountsFromTheDecisionOnTheNextStageOn() {
+        recordAnswers(60, 0);
+        rollout.applyProgress(RolloutProgress.RUNNING);
+        rollout.step(GatewayActivity.NONE, 3 * SECOND_NANOS);
+        recordAnswers(60, 0);
+        rollout.step(GatewayActivity.NONE, 9 * SECOND_NANOS);
+        assertThat(rollout.scheduledShare()).isGreaterThan(0.8 * EXPOSURE_SHARE);
+        assertThat(rollout.awaitsCounts(9 * SECOND_NANOS, Duration.ZERO)).isTrue();
+    }
+
     @Test
     void shouldMergeCountsOfOtherGateways() {
         recordAnswers(2, 0);
