--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -1,6 +1,7 @@
 package org.masticpaddle.gateway;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -16,7 +17,6 @@
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
-import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.RolloutProgress;
 import org.masticpaddle.control.RolloutStatus;
 import org.masticpaddle.control.SharedLog;
@@ -46,10 +46,15 @@
  * Runs on the event loop.
  */
 final class RolloutCoordinator implements VersionRouter {
-    /** Reads of the other gateways' counts before the canary starts, by when all have to know the active sessions. */
-    private static final ReadTiming EARLY_COUNTS_READS = ReadTiming.periodic(Duration.ofMillis(900));
-    /** Reads of the other gateways' counts from then on; the pause is short compared with the notice of a stage. */
-    private static final ReadTiming COUNTS_READS = ReadTiming.periodic(Duration.ofMillis(1_300));
+    /** Pause between reads of the other gateways' counts before the canary starts, by when all have to know the active sessions. */
+    private static final Duration EARLY_COUNTS_PAUSE = Duration.ofMillis(900);
+    /**
+     * Pause from then on. A notice of a stage is known in time: the write and the read of a slow log, 250 ms each, a period of the
+     * tick and the pause take 2 s.
+     */
+    private static final Duration COUNTS_PAUSE = Duration.ofMillis(1_400);
+    /** Pause while the counts can neither change the share nor end the rollout. */
+    private static final Duration CALM_COUNTS_PAUSE = COUNTS_PAUSE.multipliedBy(2);
     /** Interval between two writes of this gateway's counts. */
     private static final long COUNTS_PUBLISH_INTERVAL_NANOS = 1_800_000_000L;
     /** Interval between two writes if the counts hold further evidence against the new version. */
@@ -136,6 +141,11 @@
         }
     }
 
+    /** Repeats failed reads at once, since the log responds again. */
+    void onLogAvailable() {
+        Stream.of(statusFollower, countsFollower).flatMap(Optional::stream).forEach(KeyedFollower::retry);
+    }
+
     private void startFollowers() {
         if (statusFollower.isEmpty()) {
             statusFollower = Optional.of(new KeyedFollower(
@@ -152,7 +162,7 @@
             countsFollower = Optional.of(new KeyedFollower(
                     sharedLog,
                     LogStream.ROLLOUT_COUNTS,
-                    EARLY_COUNTS_READS,
+                    state.bounds().storeCadence().rolloutCounts(EARLY_COUNTS_PAUSE),
                     scheduler,
                     random,
                     this::onCounts,
@@ -240,9 +250,19 @@
         if (!unfinished && statusFollower.isPresent()) {
             stopFollowers();
         }
-        final boolean early = rollouts.values().stream()
-                .anyMatch(active -> !active.ended() && active.rollout().share(now) == 0);
-        countsFollower.ifPresent(follower -> follower.setTiming(early ? EARLY_COUNTS_READS : COUNTS_READS));
+        countsFollower.ifPresent(
+                follower -> follower.setTiming(state.bounds().storeCadence().rolloutCounts(countsPause(now))));
+    }
+
+    private Duration countsPause(long now) {
+        return rollouts.values().stream()
+                .filter(active -> !active.ended())
+                .map(ActiveRollout::rollout)
+                .map(rollout -> rollout.share(now) == 0
+                        ? EARLY_COUNTS_PAUSE
+                        : rollout.awaitsCounts(now, CALM_COUNTS_PAUSE) ? COUNTS_PAUSE : CALM_COUNTS_PAUSE)
+                .min(Comparator.naturalOrder())
+                .orElse(COUNTS_PAUSE);
     }
 
     private int runningOnOldVersions(VersionRollout rollout) {
