Leave 0.3 s for late timers between two reads of the list of upstreams

Cause: the longest pause used up the bound on draining upstreams but for 0.1 s of lateness, which is how long a gateway may stand still when its share of the processor is used up; a burst or a collection of garbage beside it would break the bound. Change: 0.3 s, so that the longest pause at a bound of 3 s is 2.05 s.

--- a/src/main/java/org/masticpaddle/control/StoreCadence.java
+++ b/src/main/java/org/masticpaddle/control/StoreCadence.java
@@ -38,8 +38,8 @@
     private static final Duration CONNECT_MARGIN = Duration.ofMillis(400);
     /** Response of a slow log. */
     private static final Duration SLOW_RESPONSE = Duration.ofMillis(250);
-    /** Delay of a timer while the event loop is busy. */
-    private static final Duration LATE_TIMER = Duration.ofMillis(100);
+    /** Delay of a timer while the event loop is busy or its processor time is used up. */
+    private static final Duration LATE_TIMER = Duration.ofMillis(300);
     /** Pause between two reads of the list while the successors of lost upstreams are awaited. */
     private static final Duration SUCCESSOR_PAUSE = Duration.ofMillis(600);
     /** Shortest hold and pause, also for very short bounds. */
