Move the end of a request out of RequestForwarder

RequestForwarder held the attempts of a request and the answer that its caller gets. FinalAnswer now owns the relay of the stream, whether the request may have run, and the one end of the request. Behaviour is unchanged.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -1,14 +1,11 @@
 package org.masticpaddle.gateway;
 
 import java.time.Duration;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
-import org.masticpaddle.admission.RetryAfterPolicy;
-import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.ReportChange;
@@ -27,8 +24,7 @@
  * caller has its final answer.
  *
  * <p>Invariants: at most one attempt is in flight; an attempt that may have run is retried only if the route allows it; the
- * caller gets a 503, which means "not run", only if no attempt can have run; there is exactly one final answer, at the
- * deadline at the latest. Used on the event loop only.
+ * final answer comes at the deadline at the latest. Used on the event loop only.
  */
 final class RequestForwarder implements Attempt.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -49,18 +45,16 @@
     private final Escalation escalation;
     private final EstimateRecorder estimates;
     private final RequestDecisions decisions;
+    private final FinalAnswer answer;
     private Scheduler.Timer deadlineTimer;
     private PromptGuard guard;
     private AttemptPlanner planner;
     private Attempt attempt;
     private AttemptObserver observer;
-    private Optional<StreamRelay> relay = Optional.empty();
     private String model;
     private int modelIndex;
     private int sentAttempts;
     private int eventsBeforeAttempt;
-    private boolean mayHaveRun;
-    private boolean ended;
     private String lastFailure = "no upstream was found";
 
     RequestForwarder(GatewayContext context, CallerExchange caller, AdmittedRequest admitted) {
@@ -73,6 +67,7 @@
         escalation = new Escalation(context, admitted, service, models, chooser);
         estimates = new EstimateRecorder(context.state(), context.versionRouter(), service, models);
         decisions = new RequestDecisions(context, admitted);
+        answer = new FinalAnswer(context, caller, admitted, decisions, this::onEnd);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
                 .draftModelIndex(admitted.route().modelsBySize().size());
@@ -100,7 +95,7 @@
     }
 
     private void startAttempt() {
-        if (ended) {
+        if (answer.ended()) {
             return;
         }
         final AttemptPlanner.Plan plan = planner.next(model, modelIndex, sentAttempts, remainingMillis());
@@ -117,7 +112,7 @@
 
     /** Stops the attempt in flight if it has not begun to be answered and may no longer run. */
     private void onQuarantineChange() {
-        if (ended
+        if (answer.ended()
                 || attempt == null
                 || attempt.ended()
                 || attempt.answerStartNanos().isPresent()) {
@@ -190,7 +185,8 @@
     }
 
     private OptionalLong resumeAfterEvent() {
-        return relay.filter(StreamRelay::started)
+        return answer.relay()
+                .filter(StreamRelay::started)
                 .map(StreamRelay::lastEventId)
                 .orElse(admitted.request().lastEventId());
     }
@@ -219,7 +215,7 @@
         if (sentAttempts > 0) {
             context.state().retryBudget(service).refundRetry(now());
         }
-        decisions.attemptFailed(chosen, sentAttempts, lastFailure, mayHaveRun);
+        decisions.attemptFailed(chosen, sentAttempts, lastFailure, answer.mayHaveRun());
         // The connection is still being set up in this call.
         context.scheduler().schedule(0, () -> retryOrFail(chosen, false));
     }
@@ -251,11 +247,11 @@
                 responding.headers().containsKey("content-encoding"),
                 metadata,
                 admitted.route().repeatable());
-        if (relay.isPresent() && relay.get().started()) {
+        if (answer.streamStarted()) {
             return verdict.continuingStream(responding.status());
         }
         // Whatever this response is, the caller has received nothing of an earlier one.
-        relay = Optional.empty();
+        answer.discardStream();
         return verdict;
     }
 
@@ -285,7 +281,7 @@
                 && metadata.signed()
                 && status != UNAVAILABLE
                 && status >= 500
-                && relay.isEmpty()
+                && answer.relay().isEmpty()
                 && (sentAttempts >= admitted.route().maxAttempts()
                         || remainingMillis() < AttemptPlanner.MIN_ATTEMPT_MILLIS);
     }
@@ -303,15 +299,15 @@
             failed.upstream().onNotRun(now());
         }
         endAttempt(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
-        decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, answer.mayHaveRun());
         retryOrFail(failed, verdict.mayHaveRun());
     }
 
     private void startStream(Attempt streaming, ResponseMetadata metadata) {
         estimates.recordAnswerStart(streaming, model, modelIndex, now());
         streaming.markStarted(now());
-        eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
-        if (relay.isPresent() && relay.get().started()) {
+        eventsBeforeAttempt = answer.relayedEvents();
+        if (answer.streamStarted()) {
             return;
         }
         final DraftDecision draft =
@@ -323,12 +319,7 @@
         if (draft.constrained()) {
             decisions.draftKept(streaming, model, draft, metadata.confidence().orElse(-1));
         }
-        relay = Optional.of(new StreamRelay(
-                caller,
-                streaming.status(),
-                HopByHopHeaders.strip(streaming.headers()),
-                admitted.request().lastEventId()));
-        admitted.releaseBodyOnAnswer();
+        answer.beginStream(streaming);
     }
 
     private void escalate(Attempt draft, int largerIndex, int confidence) {
@@ -344,32 +335,33 @@
     @Override
     public void onResponseBytes(Attempt receiving, byte[] bytes) {
         receiving.upstream().recordActivity(now());
-        if (relay.isEmpty()) {
+        if (answer.relay().isEmpty()) {
             receiving.bufferBody(bytes);
             return;
         }
-        relay.get().accept(bytes);
-        final int events = relay.get().relayedEvents() - eventsBeforeAttempt;
+        final StreamRelay relay = answer.relay().get();
+        relay.accept(bytes);
+        final int events = relay.relayedEvents() - eventsBeforeAttempt;
         if (events > 0) {
             receiving.recordEvents(events);
             observer.onEvents(events);
         }
-        if (relay.get().outOfSequence()) {
+        if (relay.outOfSequence()) {
             receiving.fail("an event is missing or comes twice");
-        } else if (relay.get().eventTooLarge()) {
+        } else if (relay.eventTooLarge()) {
             receiving.fail("an event does not end");
         } else {
-            receiving.holdPartialEvent(relay.get().partialEventBytes());
+            receiving.holdPartialEvent(relay.partialEventBytes());
         }
     }
 
     @Override
     public void onResponseComplete(Attempt completed) {
-        if (relay.isPresent()) {
-            if (relay.get().completeIfWhole()) {
+        if (answer.relay().isPresent()) {
+            if (answer.relay().get().completeIfWhole()) {
                 estimates.recordAnswerEnd(completed, model, now());
                 endAttempt(AttemptEnd.ANSWERED);
-                complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
+                answer.endStream(work());
             } else {
                 onAttemptFailed(
                         completed,
@@ -387,10 +379,7 @@
         } else {
             endAttempt(AttemptEnd.CANCELLED);
         }
-        if (!ended) {
-            complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
-            caller.respond(completed.status(), HopByHopHeaders.strip(completed.headers()), completed.takeBody());
-        }
+        answer.respond(work());
     }
 
     @Override
@@ -409,7 +398,7 @@
                 context.state().retryBudget(service).refundRetry(now());
             }
         }
-        decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, answer.mayHaveRun());
         retryOrFail(failed, possiblySent);
     }
 
@@ -418,14 +407,14 @@
      * fails the request otherwise.
      */
     private void retryOrFail(Attempt failed, boolean attemptMayHaveRun) {
-        if (ended) {
+        if (answer.ended()) {
             return;
         }
         chooser.onTried(failed.upstream().upstream());
-        final boolean streamStarted = relay.isPresent() && relay.get().started();
+        final boolean streamStarted = answer.streamStarted();
         if (attemptMayHaveRun && !admitted.route().repeatable()
                 || streamStarted
-                        && (relay.get().outOfSequence()
+                        && (answer.relay().get().outOfSequence()
                                 || admitted.route().modelsBySize().isEmpty()
                                         && !admitted.route().resumable())) {
             fail(lastFailure);
@@ -454,67 +443,35 @@
         fail(failure.reason() + "; last failure: " + lastFailure, 502, failure.retryAfterSeconds());
     }
 
-    /**
-     * Ends the request without an answer.
-     *
-     * @param statusIfRun status if the request may have run
-     * @param minRetryAfterSeconds shortest delay after which the caller may repeat a request that has not run
-     */
     private void fail(String reason, int statusIfRun, double minRetryAfterSeconds) {
-        if (ended) {
-            return;
-        }
-        final boolean inFlight = attempt != null && !attempt.ended();
-        if (inFlight) {
-            attempt.cancel();
-            endAttempt(AttemptEnd.CANCELLED);
-        }
-        if (relay.isPresent() && relay.get().started()) {
-            complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, 0, reason);
-            caller.abort();
-        } else if (mayHaveRun) {
-            complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, statusIfRun, reason);
-            caller.respond(statusIfRun, Map.of(), LocalResponses.errorBody(statusIfRun, reason));
-        } else {
-            complete(Decision.REQUEST_REJECTED, GatewayCounters.Counter.REFUSED, 503, reason);
-            final double retryAfterSeconds = Math.max(
-                    minRetryAfterSeconds,
-                    RetryAfterPolicy.BACKOFF.delaySeconds(admitted.route().objectiveMillis(), context.random()));
-            caller.respond(
-                    503, LocalResponses.retryAfterHeader(retryAfterSeconds), LocalResponses.errorBody(503, reason));
-        }
+        cancelAttempt();
+        answer.fail(reason, statusIfRun, minRetryAfterSeconds, work());
     }
 
     private void cancel() {
-        if (ended) {
-            return;
-        }
-        if (attempt != null && !attempt.ended()) {
+        cancelAttempt();
+        answer.cancel(work());
+    }
+
+    private void cancelAttempt() {
+        if (!answer.ended() && attempt != null && !attempt.ended()) {
             attempt.cancel();
             endAttempt(AttemptEnd.CANCELLED);
         }
-        complete(Decision.REQUEST_CANCELLED, GatewayCounters.Counter.CANCELLED, 0, "the caller disconnected");
     }
 
-    private void complete(Decision decision, GatewayCounters.Counter counter, int status, String reason) {
-        ended = true;
-        admitted.body().release();
+    private void onEnd() {
         deadlineTimer.cancel();
         guard.close();
         planner.close();
-        context.counters().add(counter);
-        decisions.ended(
-                decision,
-                status,
-                reason,
-                new RequestDecisions.Work(
-                        sentAttempts, Optional.ofNullable(attempt), model, relay.map(StreamRelay::relayedEvents)));
     }
 
-    /** Every end of an attempt passes through here, so that none that may have run is forgotten. */
+    private FinalAnswer.Work work() {
+        return new FinalAnswer.Work(sentAttempts, attempt, model);
+    }
+
     private void endAttempt(AttemptEnd end) {
-        mayHaveRun |= end.mayHaveRun();
-        relay.ifPresent(StreamRelay::discardPartialEvent);
+        answer.recordEnd(end);
         observer.onEnd(end);
     }
 
