Tell the time per token of a prefill from the wait before it

PrefillEstimate fits a line with fading weights and leaves most waits out of its fixed time. While all prompts have one length it gives what the average gave.

--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -5,7 +5,8 @@
 import java.util.OptionalDouble;
 
 /**
- * Moving averages of the service times that the upstreams of one service have shown.
+ * Moving averages of the service times that the upstreams of one service have shown. The time to the first token of a model is a fixed
+ * time and a time per token, so that a wait before the prefill is not taken for slow prefill.
  *
  * <p>Not thread-safe: confined to the thread of its owner.
  */
@@ -25,7 +26,7 @@
      * stall.
      */
     private static final double MAX_OBSERVATION_RATIO = 3;
-    /** Smallest number of uncached tokens from which the prefill time per token is derived. */
+    /** Smallest number of uncached tokens from which the prefill time is derived. */
     private static final int MIN_UNCACHED_TOKENS = 200;
 
     /** Number of observations from which an average no longer depends on its initial value. */
@@ -34,8 +35,8 @@
     /** Largest number of models with averages of their own; on some routes callers name the model. */
     private static final int MAX_MODELS = 256;
 
-    private final Map<String, MovingAverage> millisPerToken = new ModelAverages();
-    private final Map<String, MovingAverage> millisPerEvent = new ModelAverages();
+    private final Map<String, PrefillEstimate> prefillEstimates = new ByModel<>();
+    private final Map<String, MovingAverage> millisPerEvent = new ByModel<>();
     private final MovingAverage plainRequestMillis = new MovingAverage(INITIAL_PLAIN_REQUEST_MILLIS);
 
     /**
@@ -47,7 +48,8 @@
      * @return time in milliseconds at an upstream without other requests
      */
     public double prefillMillis(String model, double relativeCost, int uncachedTokens) {
-        return FIXED_OVERHEAD_MILLIS + uncachedTokens * prefillMillisPerToken(model, relativeCost);
+        final PrefillEstimate estimate = prefillEstimates.get(model);
+        return (estimate == null ? initialPrefill(relativeCost) : estimate).millis(uncachedTokens);
     }
 
     /**
@@ -63,11 +65,9 @@
         if (uncachedTokens < MIN_UNCACHED_TOKENS) {
             return OptionalDouble.empty();
         }
-        final double expectedMillis = prefillMillis(model, relativeCost, uncachedTokens);
-        final OptionalDouble tokenRatio = millisPerToken
-                .computeIfAbsent(model, name -> new MovingAverage(INITIAL_MILLIS_PER_TOKEN * relativeCost))
-                .add(Math.max(0, millis - FIXED_OVERHEAD_MILLIS) / uncachedTokens);
-        return tokenRatio.isEmpty() ? tokenRatio : OptionalDouble.of(millis / expectedMillis);
+        return prefillEstimates
+                .computeIfAbsent(model, name -> initialPrefill(relativeCost))
+                .add(uncachedTokens, millis);
     }
 
     /**
@@ -114,21 +114,20 @@
         return plainRequestMillis.add(millis);
     }
 
-    private double prefillMillisPerToken(String model, double relativeCost) {
-        final MovingAverage average = millisPerToken.get(model);
-        return average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value;
+    private static PrefillEstimate initialPrefill(double relativeCost) {
+        return new PrefillEstimate(FIXED_OVERHEAD_MILLIS, INITIAL_MILLIS_PER_TOKEN * relativeCost);
     }
 
-    /** Averages by model. Those of the model that was used least recently are forgotten if there are too many. */
-    private static final class ModelAverages extends LinkedHashMap<String, MovingAverage> {
+    /** Estimates by model. Those of the model that was used least recently are forgotten if there are too many. */
+    private static final class ByModel<T> extends LinkedHashMap<String, T> {
         private static final long serialVersionUID = 1L;
 
-        ModelAverages() {
+        ByModel() {
             super(16, 0.75f, true);
         }
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, MovingAverage> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
             return size() > MAX_MODELS;
         }
     }
