--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -87,6 +87,7 @@
         DRAFTS_RESERVED("drafts_reserved", "doubtful drafts delivered to leave the largest model to urgent requests"),
         DRAFTS_TOO_LATE("drafts_too_late", "doubtful drafts delivered as the largest model would answer too late"),
         DRAFTS_NO_RETRY("drafts_no_retry", "doubtful drafts delivered as the retry budget was used up"),
+        DRAFTS_RECOVERED("drafts_recovered", "held drafts delivered as the larger model gave no answer in time"),
         BUDGET_EMPTY("retry_budget_empty", "retries that the budget did not allow"),
         QUARANTINED("quarantined", "requests ended because a segment of their prompt may crash upstreams"),
         EVACUATED_MOVED("evacuated_moved", "requests moved as the failure domain chosen for them was evacuated"),
