--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -36,6 +36,7 @@
     private static final int MAX_MODELS = 256;
 
     private final Map<String, PrefillEstimate> prefillEstimates = new ByModel<>();
+    private final Map<String, MovingAverage> loadMillisPerToken = new ByModel<>();
     private final Map<String, MovingAverage> millisPerEvent = new ByModel<>();
     private final MovingAverage plainRequestMillis = new MovingAverage(INITIAL_PLAIN_REQUEST_MILLIS);
 
@@ -52,6 +53,21 @@
         return (estimate == null ? initialPrefill(relativeCost) : estimate).millis(uncachedTokens);
     }
 
+    /**
+     * Returns the time to the first token as if each token took its part of the whole of such times. Waits count, so that under load
+     * this exceeds {@link #prefillMillis} for long prompts, as a measure of what their prefill costs the other requests.
+     *
+     * @param model name of the model
+     * @param relativeCost ratio of its price to that of the most expensive model
+     * @param uncachedTokens prompt tokens that are not in the upstream's prefix cache
+     * @return time in milliseconds
+     */
+    public double prefillLoadMillis(String model, double relativeCost, int uncachedTokens) {
+        final MovingAverage average = loadMillisPerToken.get(model);
+        return FIXED_OVERHEAD_MILLIS
+                + uncachedTokens * (average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value);
+    }
+
     /**
      * Records the time to the first token of a request that waited for no other prefill.
      *
@@ -65,6 +81,9 @@
         if (uncachedTokens < MIN_UNCACHED_TOKENS) {
             return OptionalDouble.empty();
         }
+        loadMillisPerToken
+                .computeIfAbsent(model, name -> new MovingAverage(INITIAL_MILLIS_PER_TOKEN * relativeCost))
+                .add(Math.max(0, millis - FIXED_OVERHEAD_MILLIS) / uncachedTokens);
         return prefillEstimates
                 .computeIfAbsent(model, name -> initialPrefill(relativeCost))
                 .add(uncachedTokens, millis);
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -19,7 +19,7 @@
  * UpstreamSelector} it scores all members.
  *
  * <p>Invariant: among upstreams of one failure domain that report no work factor, answer as expected and do not fail, a request is
- * placed where it is predicted to start at most half of its prefill time later than at the best one, or 0.1 ms for each slot of a
+ * predicted to start later than at the best one by at most 1.5 times the prefill load that this saves, or 0.1 ms for each slot of a
  * plain service.
  * Immutable and thread-safe; its methods have no side effects.
  */
@@ -33,7 +33,7 @@
     /** Expected delay per request that the engine reported as waiting. */
     private static final double WAITING_REQUEST_MILLIS = 40;
     /**
-     * Weight of the expected prefill time. Prefill delays not only this request but all that run beside it, and takes memory
+     * Weight of the prefill load. Prefill delays not only this request but all that run beside it, and takes memory
      * from the prompts that others need.
      */
     private static final double PREFILL_WEIGHT = 1.5;
@@ -116,7 +116,10 @@
         final double waitMillis = engine
                 ? engineWaitMillis(member, loads, workFactor)
                 : workFactor * Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
-        final double comparedMillis = serviceMillis / work.sharedAdvantage(member);
+        final double loadMillis = engine
+                ? workFactor * times.prefillLoadMillis(request.model(), request.relativeCost(), uncachedTokens)
+                : serviceMillis;
+        final double comparedMillis = loadMillis / work.sharedAdvantage(member);
         final double latencyRatio = Math.max(1, member.performance().latencyRatio(now));
         double score = (waitMillis + comparedMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
                 + member.performance().failureRate(now) * FAILURE_PENALTY_MILLIS;
