--- a/src/main/java/org/masticpaddle/routing/PrefillEstimate.java
+++ b/src/main/java/org/masticpaddle/routing/PrefillEstimate.java
@@ -1,7 +1,5 @@
 package org.masticpaddle.routing;
 
-import java.util.OptionalDouble;
-
 /**
  * Line through the times to the first token that one model has shown by the number of tokens to read: a fixed time and a time per
  * token, both fading.
@@ -22,8 +20,6 @@
     private static final double EXCESS_WEIGHT = 0.25;
     /** Largest factor by which an observation may exceed or fall short of the line. */
     private static final double MAX_OBSERVATION_RATIO = 3;
-    /** Number of observations from which the estimate no longer depends on its initial value. */
-    private static final int SETTLED_OBSERVATIONS = 30;
     /**
      * Variance of the number of tokens, relative to the square of their mean, at which lengths and the mean time per token count alike in
      * the time per token.
@@ -38,7 +34,6 @@
     private double meanMillis;
     private double tokenVariance;
     private double covariance;
-    private int observations;
 
     /**
      * Creates an estimate without observations.
@@ -72,9 +67,8 @@
      *
      * @param tokens number of tokens that were read, positive
      * @param millis time to the first token
-     * @return observed time, relative to the one expected before; empty until the estimate has settled
      */
-    OptionalDouble add(double tokens, double millis) {
+    void add(double tokens, double millis) {
         final double expected = millis(tokens);
         final double clamped =
                 Math.max(expected / MAX_OBSERVATION_RATIO, Math.min(expected * MAX_OBSERVATION_RATIO, millis));
@@ -88,8 +82,5 @@
         weight = 1 / share;
         final double excess = clamped - millis(tokens);
         fixedMillis = Math.max(0, fixedMillis + FIXED_SMOOTHING_FACTOR * (excess > 0 ? EXCESS_WEIGHT : 1) * excess);
-        final boolean settled = observations >= SETTLED_OBSERVATIONS;
-        observations = Math.min(SETTLED_OBSERVATIONS, observations + 1);
-        return settled ? OptionalDouble.of(millis / expected) : OptionalDouble.empty();
     }
 }
--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -5,8 +5,7 @@
 import java.util.OptionalDouble;
 
 /**
- * Moving averages of the service times that the upstreams of one service have shown. The time to the first token of a model is a fixed
- * time and a time per token, so that a wait before the prefill is not taken for slow prefill.
+ * Moving averages of the service times that the upstreams of one service have shown.
  *
  * <p>Not thread-safe: confined to the thread of its owner.
  */
@@ -26,7 +25,7 @@
      * stall.
      */
     private static final double MAX_OBSERVATION_RATIO = 3;
-    /** Smallest number of uncached tokens from which the prefill time is derived. */
+    /** Smallest number of uncached tokens from which the prefill time per token is derived. */
     private static final int MIN_UNCACHED_TOKENS = 200;
 
     /** Number of observations from which an average no longer depends on its initial value. */
@@ -35,13 +34,14 @@
     /** Largest number of models with averages of their own; on some routes callers name the model. */
     private static final int MAX_MODELS = 256;
 
+    private final Map<String, MovingAverage> millisPerToken = new ByModel<>();
     private final Map<String, PrefillEstimate> prefillEstimates = new ByModel<>();
-    private final Map<String, MovingAverage> loadMillisPerToken = new ByModel<>();
     private final Map<String, MovingAverage> millisPerEvent = new ByModel<>();
     private final MovingAverage plainRequestMillis = new MovingAverage(INITIAL_PLAIN_REQUEST_MILLIS);
 
     /**
-     * Returns the expected time to the first token.
+     * Returns the time to the first token as if each token took its part of the whole of such times. A wait counts as slow prefill, so that
+     * this is a measure of the load of a prefill; {@link #firstTokenMillis} predicts the time.
      *
      * @param model name of the model
      * @param relativeCost ratio of its price to that of the most expensive model
@@ -49,23 +49,20 @@
      * @return time in milliseconds at an upstream without other requests
      */
     public double prefillMillis(String model, double relativeCost, int uncachedTokens) {
-        final PrefillEstimate estimate = prefillEstimates.get(model);
-        return (estimate == null ? initialPrefill(relativeCost) : estimate).millis(uncachedTokens);
+        return FIXED_OVERHEAD_MILLIS + uncachedTokens * prefillMillisPerToken(model, relativeCost);
     }
 
     /**
-     * Returns the time to the first token as if each token took its part of the whole of such times. Waits count, so that under load
-     * this exceeds {@link #prefillMillis} for long prompts, as a measure of what their prefill costs the other requests.
+     * Returns the expected time to the first token, by a line through such times: a wait before the prefill is not taken for slow prefill.
      *
      * @param model name of the model
      * @param relativeCost ratio of its price to that of the most expensive model
      * @param uncachedTokens prompt tokens that are not in the upstream's prefix cache
-     * @return time in milliseconds
+     * @return time in milliseconds at an upstream without other requests
      */
-    public double prefillLoadMillis(String model, double relativeCost, int uncachedTokens) {
-        final MovingAverage average = loadMillisPerToken.get(model);
-        return FIXED_OVERHEAD_MILLIS
-                + uncachedTokens * (average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value);
+    public double firstTokenMillis(String model, double relativeCost, int uncachedTokens) {
+        final PrefillEstimate estimate = prefillEstimates.get(model);
+        return (estimate == null ? initialPrefill(relativeCost) : estimate).millis(uncachedTokens);
     }
 
     /**
@@ -81,12 +78,14 @@
         if (uncachedTokens < MIN_UNCACHED_TOKENS) {
             return OptionalDouble.empty();
         }
-        loadMillisPerToken
-                .computeIfAbsent(model, name -> new MovingAverage(INITIAL_MILLIS_PER_TOKEN * relativeCost))
-                .add(Math.max(0, millis - FIXED_OVERHEAD_MILLIS) / uncachedTokens);
-        return prefillEstimates
+        prefillEstimates
                 .computeIfAbsent(model, name -> initialPrefill(relativeCost))
                 .add(uncachedTokens, millis);
+        final double expectedMillis = prefillMillis(model, relativeCost, uncachedTokens);
+        final OptionalDouble tokenRatio = millisPerToken
+                .computeIfAbsent(model, name -> new MovingAverage(INITIAL_MILLIS_PER_TOKEN * relativeCost))
+                .add(Math.max(0, millis - FIXED_OVERHEAD_MILLIS) / uncachedTokens);
+        return tokenRatio.isEmpty() ? tokenRatio : OptionalDouble.of(millis / expectedMillis);
     }
 
     /**
@@ -137,6 +136,11 @@
         return new PrefillEstimate(FIXED_OVERHEAD_MILLIS, INITIAL_MILLIS_PER_TOKEN * relativeCost);
     }
 
+    private double prefillMillisPerToken(String model, double relativeCost) {
+        final MovingAverage average = millisPerToken.get(model);
+        return average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value;
+    }
+
     /** Estimates by model. Those of the model that was used least recently are forgotten if there are too many. */
     private static final class ByModel<T> extends LinkedHashMap<String, T> {
         private static final long serialVersionUID = 1L;
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -19,7 +19,7 @@
  * UpstreamSelector} it scores all members.
  *
  * <p>Invariant: among upstreams of one failure domain that report no work factor, answer as expected and do not fail, a request is
- * predicted to start later than at the best one by at most 1.5 times the prefill load that this saves, or 0.1 ms for each slot of a
+ * placed where it is predicted to start at most half of its prefill time later than at the best one, or 0.1 ms for each slot of a
  * plain service.
  * Immutable and thread-safe; its methods have no side effects.
  */
@@ -33,7 +33,7 @@
     /** Expected delay per request that the engine reported as waiting. */
     private static final double WAITING_REQUEST_MILLIS = 40;
     /**
-     * Weight of the prefill load. Prefill delays not only this request but all that run beside it, and takes memory
+     * Weight of the expected prefill time. Prefill delays not only this request but all that run beside it, and takes memory
      * from the prompts that others need.
      */
     private static final double PREFILL_WEIGHT = 1.5;
@@ -116,10 +116,7 @@
         final double waitMillis = engine
                 ? engineWaitMillis(member, loads, workFactor)
                 : workFactor * Math.max(0, requestsAhead) * times.plainRequestMillis() / member.slots();
-        final double loadMillis = engine
-                ? workFactor * times.prefillLoadMillis(request.model(), request.relativeCost(), uncachedTokens)
-                : serviceMillis;
-        final double comparedMillis = loadMillis / work.sharedAdvantage(member);
+        final double comparedMillis = serviceMillis / work.sharedAdvantage(member);
         final double latencyRatio = Math.max(1, member.performance().latencyRatio(now));
         double score = (waitMillis + comparedMillis * (engine ? PREFILL_WEIGHT : 1)) * latencyRatio
                 + member.performance().failureRate(now) * FAILURE_PENALTY_MILLIS;
@@ -136,12 +133,31 @@
                 member,
                 waitMillis + serviceMillis,
                 serviceMillis,
+                engine
+                        ? firstTokenMillis(
+                                request, member, times, uncachedTokens, workFactor, waitMillis, serviceMillis)
+                        : waitMillis + serviceMillis,
                 uncachedTokens,
                 workFactor,
                 work.eventFactor(member),
                 score);
     }
 
+    /** Predicts the time to the first token. Prompts before it wait for as long as theirs are predicted to take. */
+    private static double firstTokenMillis(
+            Request request,
+            UpstreamState member,
+            ServiceTimes times,
+            int uncachedTokens,
+            double workFactor,
+            double waitMillis,
+            double serviceMillis) {
+        final double prefillMillis =
+                workFactor * times.firstTokenMillis(request.model(), request.relativeCost(), uncachedTokens);
+        final double excess = Math.max(0, 1 - prefillMillis / serviceMillis);
+        return waitMillis - member.prefillBacklogMillis() * excess + prefillMillis;
+    }
+
     private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads, double workFactor) {
         return member.prefillBacklogMillis()
                 + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS
@@ -188,9 +204,10 @@
      * Chosen upstream and the estimates behind the choice.
      *
      * @param member state of the chosen upstream
-     * @param expectedMillis expected time to the start of the answer in milliseconds, without penalties and before it
-     *     is scaled by the upstream's latency ratio
+     * @param expectedMillis time to the start of the answer in milliseconds by which upstreams are compared, without penalties and before
+     *     it is scaled by the upstream's latency ratio
      * @param serviceMillis part of {@code expectedMillis} in which the upstream works on the request itself
+     * @param predictedMillis predicted time to the start of the answer in milliseconds, in which waits do not count as slow prefill
      * @param uncachedTokens prompt tokens that are probably not in the upstream's prefix cache; 0 for plain services
      * @param workFactor expected factor of the time to the start of an answer of the upstream; 1 means as usual, lower is faster
      * @param eventFactor expected factor of the time between two events of a stream
@@ -200,6 +217,7 @@
             UpstreamState member,
             double expectedMillis,
             double serviceMillis,
+            double predictedMillis,
             int uncachedTokens,
             double workFactor,
             double eventFactor,
--- a/src/test/java/org/masticpaddle/routing/PrefillEstimateTest.java
+++ b/src/test/java/org/masticpaddle/routing/PrefillEstimateTest.java
@@ -34,10 +34,10 @@
         }
         System.out.printf(
                 "%.3f ms per token, %.0f%% wait %.0f ms: mean error %.4f ms per token, %.0f ms expected for 100 tokens%n",
-                millisPerToken, 100 * waitingPart, waitMillis, errors, times.prefillMillis("m", 0.1, 100));
+                millisPerToken, 100 * waitingPart, waitMillis, errors, times.firstTokenMillis("m", 0.1, 100));
         // 5,000 tokens off by less than the mean wait of all answers, or by 5 ms without one.
         assertThat(errors * 5_000).isLessThan(Math.max(5, waitingPart * waitMillis));
-        assertThat(times.prefillMillis("m", 0.1, 100)).isLessThan(FIXED_MILLIS + waitingPart * waitMillis + 15);
+        assertThat(times.firstTokenMillis("m", 0.1, 100)).isLessThan(FIXED_MILLIS + waitingPart * waitMillis + 15);
     }
 
     @Test
@@ -45,8 +45,8 @@
         for (int count = 0; count < ANSWERS; count++) {
             times.recordPrefill("m", 1, 1_000, 300);
         }
-        assertThat(times.prefillMillis("m", 1, 1_000)).isWithin(1).of(300);
-        assertThat(times.prefillMillis("m", 1, 2_000)).isAtLeast(300.0);
+        assertThat(times.firstTokenMillis("m", 1, 1_000)).isWithin(1).of(300);
+        assertThat(times.firstTokenMillis("m", 1, 2_000)).isAtLeast(300.0);
     }
 
     @Test
@@ -63,7 +63,7 @@
         for (int count = 0; count < ANSWERS; count++) {
             final int tokens = tokens();
             times.recordPrefill("m", 1, tokens, Math.max(0, 600 - tokens * 0.1));
-            assertThat(times.prefillMillis("m", 1, 1)).isAtLeast(0.0);
+            assertThat(times.firstTokenMillis("m", 1, 1)).isAtLeast(0.0);
             assertThat(perToken()).isAtLeast(0.0);
         }
     }
@@ -73,6 +73,6 @@
     }
 
     private double perToken() {
-        return (times.prefillMillis("m", 0.1, 5_100) - times.prefillMillis("m", 0.1, 100)) / 5_000;
+        return (times.firstTokenMillis("m", 0.1, 5_100) - times.firstTokenMillis("m", 0.1, 100)) / 5_000;
     }
 }
