--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -104,8 +104,8 @@
                 objectiveLeftMillis(),
                 remainingMillis,
                 choice.expectedMillis() - choice.serviceMillis(),
-                choice.expectedMillis(),
-                choice.expectedMillis() + answerMillis);
+                choice.predictedMillis(),
+                choice.predictedMillis() + answerMillis);
     }
 
     private long now() {
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -78,6 +78,8 @@
                         resumeAfterEvent.isPresent() ? resumeAfterEvent.getAsLong() : null,
                         "expected_ms",
                         choice.expectedMillis(),
+                        "predicted_ms",
+                        choice.predictedMillis(),
                         "score",
                         choice.score(),
                         "level",
--- a/src/main/java/org/masticpaddle/routing/ServiceTimes.java
+++ b/src/main/java/org/masticpaddle/routing/ServiceTimes.java
@@ -34,12 +34,14 @@
     /** Largest number of models with averages of their own; on some routes callers name the model. */
     private static final int MAX_MODELS = 256;
 
-    private final Map<String, MovingAverage> millisPerToken = new ModelAverages();
-    private final Map<String, MovingAverage> millisPerEvent = new ModelAverages();
+    private final Map<String, MovingAverage> millisPerToken = new ByModel<>();
+    private final Map<String, PrefillEstimate> prefillEstimates = new ByModel<>();
+    private final Map<String, MovingAverage> millisPerEvent = new ByModel<>();
     private final MovingAverage plainRequestMillis = new MovingAverage(INITIAL_PLAIN_REQUEST_MILLIS);
 
     /**
-     * Returns the expected time to the first token.
+     * Returns the time to the first token as if each token took its part of the whole of such times. A wait counts as slow prefill, so that
+     * this is a measure of the load of a prefill; {@link #firstTokenMillis} predicts the time.
      *
      * @param model name of the model
      * @param relativeCost ratio of its price to that of the most expensive model
@@ -50,6 +52,19 @@
         return FIXED_OVERHEAD_MILLIS + uncachedTokens * prefillMillisPerToken(model, relativeCost);
     }
 
+    /**
+     * Returns the expected time to the first token, by a line through such times: a wait before the prefill is not taken for slow prefill.
+     *
+     * @param model name of the model
+     * @param relativeCost ratio of its price to that of the most expensive model
+     * @param uncachedTokens prompt tokens that are not in the upstream's prefix cache
+     * @return time in milliseconds at an upstream without other requests
+     */
+    public double firstTokenMillis(String model, double relativeCost, int uncachedTokens) {
+        final PrefillEstimate estimate = prefillEstimates.get(model);
+        return (estimate == null ? initialPrefill(relativeCost) : estimate).millis(uncachedTokens);
+    }
+
     /**
      * Records the time to the first token of a request that waited for no other prefill.
      *
@@ -63,6 +78,9 @@
         if (uncachedTokens < MIN_UNCACHED_TOKENS) {
             return OptionalDouble.empty();
         }
+        prefillEstimates
+                .computeIfAbsent(model, name -> initialPrefill(relativeCost))
+                .add(uncachedTokens, millis);
         final double expectedMillis = prefillMillis(model, relativeCost, uncachedTokens);
         final OptionalDouble tokenRatio = millisPerToken
                 .computeIfAbsent(model, name -> new MovingAverage(INITIAL_MILLIS_PER_TOKEN * relativeCost))
@@ -114,21 +132,25 @@
         return plainRequestMillis.add(millis);
     }
 
+    private static PrefillEstimate initialPrefill(double relativeCost) {
+        return new PrefillEstimate(FIXED_OVERHEAD_MILLIS, INITIAL_MILLIS_PER_TOKEN * relativeCost);
+    }
+
     private double prefillMillisPerToken(String model, double relativeCost) {
         final MovingAverage average = millisPerToken.get(model);
         return average == null ? INITIAL_MILLIS_PER_TOKEN * relativeCost : average.value;
     }
 
-    /** Averages by model. Those of the model that was used least recently are forgotten if there are too many. */
-    private static final class ModelAverages extends LinkedHashMap<String, MovingAverage> {
+    /** Estimates by model. Those of the model that was used least recently are forgotten if there are too many. */
+    private static final class ByModel<T> extends LinkedHashMap<String, T> {
         private static final long serialVersionUID = 1L;
 
-        ModelAverages() {
+        ByModel() {
             super(16, 0.75f, true);
         }
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, MovingAverage> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
             return size() > MAX_MODELS;
         }
     }
--- a/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
+++ b/src/main/java/org/masticpaddle/routing/UpstreamPlacement.java
@@ -133,12 +133,31 @@
                 member,
                 waitMillis + serviceMillis,
                 serviceMillis,
+                engine
+                        ? firstTokenMillis(
+                                request, member, times, uncachedTokens, workFactor, waitMillis, serviceMillis)
+                        : waitMillis + serviceMillis,
                 uncachedTokens,
                 workFactor,
                 work.eventFactor(member),
                 score);
     }
 
+    /** Predicts the time to the first token. Prompts before it wait for as long as theirs are predicted to take. */
+    private static double firstTokenMillis(
+            Request request,
+            UpstreamState member,
+            ServiceTimes times,
+            int uncachedTokens,
+            double workFactor,
+            double waitMillis,
+            double serviceMillis) {
+        final double prefillMillis =
+                workFactor * times.firstTokenMillis(request.model(), request.relativeCost(), uncachedTokens);
+        final double excess = Math.max(0, 1 - prefillMillis / serviceMillis);
+        return waitMillis - member.prefillBacklogMillis() * excess + prefillMillis;
+    }
+
     private static double engineWaitMillis(UpstreamState member, ExpectedLoads loads, double workFactor) {
         return member.prefillBacklogMillis()
                 + (member.inFlight() + loads.inFlightOfOtherGateways(member)) * BATCHED_REQUEST_MILLIS
@@ -185,9 +204,10 @@
      * Chosen upstream and the estimates behind the choice.
      *
      * @param member state of the chosen upstream
-     * @param expectedMillis expected time to the start of the answer in milliseconds, without penalties and before it
-     *     is scaled by the upstream's latency ratio
+     * @param expectedMillis time to the start of the answer in milliseconds by which upstreams are compared, without penalties and before
+     *     it is scaled by the upstream's latency ratio
      * @param serviceMillis part of {@code expectedMillis} in which the upstream works on the request itself
+     * @param predictedMillis predicted time to the start of the answer in milliseconds, in which waits do not count as slow prefill
      * @param uncachedTokens prompt tokens that are probably not in the upstream's prefix cache; 0 for plain services
      * @param workFactor expected factor of the time to the start of an answer of the upstream; 1 means as usual, lower is faster
      * @param eventFactor expected factor of the time between two events of a stream
@@ -197,6 +217,7 @@
             UpstreamState member,
             double expectedMillis,
             double serviceMillis,
+            double predictedMillis,
             int uncachedTokens,
             double workFactor,
             double eventFactor,
