Weigh a doubtful draft by the value of both answers and the load

With escalation = by_value the gain of the caller has to exceed a price that rises with the wait for the model. Confidences that are always the same or outside of their range count as none. The default, in_time, is as before.

--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -40,7 +40,8 @@
      * @return the decision; an escalation takes one retry from the budget
      */
     DraftDecision decide(int modelIndex, OptionalInt confidence, int sentAttempts, long remainingMillis) {
-        if (!context.modelCascade().doubtful(modelCount(), modelIndex, confidence)) {
+        final OptionalInt heeded = heeded(modelIndex, confidence);
+        if (!context.modelCascade().doubtful(modelCount(), modelIndex, heeded)) {
             return DraftDecision.SUFFICIENT;
         }
         if (sentAttempts >= admitted.route().maxAttempts()) {
@@ -49,6 +50,7 @@
         final DraftDecision decision = chooser.bestPreferred(largestIndex())
                 .map(choice -> context.modelCascade()
                         .decide(
+                                heeded.getAsInt(),
                                 context.urgencyOrder().reservationRank(admitted),
                                 latencyEstimate(choice, largestIndex(), remainingMillis)))
                 .orElse(DraftDecision.TOO_LATE);
@@ -60,6 +62,15 @@
                 : decision;
     }
 
+    /** Returns the confidence unless it is known to say nothing of the draft. */
+    private OptionalInt heeded(int modelIndex, OptionalInt confidence) {
+        return context.modelCascade().learnsConfidences()
+                ? context.state()
+                        .draftConfidences(service)
+                        .heed(admitted.route().name(), models.name(modelIndex), confidence)
+                : confidence;
+    }
+
     /** Returns the index of the largest model. */
     int largestIndex() {
         return modelCount() - 1;
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -28,6 +28,7 @@
 import org.masticpaddle.memory.RequestMemory;
 import org.masticpaddle.metrics.Gauge;
 import org.masticpaddle.metrics.LagHistogram;
+import org.masticpaddle.routing.EscalationPolicy;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.routing.UpstreamSpeeds;
@@ -153,7 +154,10 @@
                         settings.text(Setting.FAILURE_DOMAIN),
                         UpstreamSpeeds.valueOf(
                                 settings.text(Setting.UPSTREAM_SPEEDS).toUpperCase(Locale.ROOT))),
-                new ModelCascade(settings.number(Setting.MIN_DRAFT_CONFIDENCE_PERCENT)),
+                new ModelCascade(
+                        settings.number(Setting.MIN_DRAFT_CONFIDENCE_PERCENT),
+                        EscalationPolicy.valueOf(
+                                settings.text(Setting.ESCALATION).toUpperCase(Locale.ROOT))),
                 UrgencyOrder.valueOf(settings.text(Setting.URGENCY).toUpperCase(Locale.ROOT)),
                 MemoryBudget.ofHeap(ANSWER_MEMORY_SHARE),
                 log,
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -11,6 +11,7 @@
 import org.masticpaddle.admission.WindowedRetryBudget;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.routes.RoutingTable;
+import org.masticpaddle.routing.DraftConfidences;
 import org.masticpaddle.routing.ServiceTimes;
 
 /**
@@ -39,6 +40,7 @@
     private final UpstreamRegistry registry = new UpstreamRegistry(OUTAGE_GRACE_NANOS);
     private final UpstreamLimits limits;
     private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
+    private final Map<String, DraftConfidences> draftConfidences = new HashMap<>();
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private Optional<RoutingTable> table = Optional.empty();
     private OptionalLong confirmedNanos = OptionalLong.empty();
@@ -129,6 +131,10 @@
         return serviceTimes.computeIfAbsent(service, name -> new ServiceTimes());
     }
 
+    DraftConfidences draftConfidences(String service) {
+        return draftConfidences.computeIfAbsent(service, name -> new DraftConfidences());
+    }
+
     WindowedRetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(
                 service,
--- a/src/main/java/org/masticpaddle/routing/ModelCascade.java
+++ b/src/main/java/org/masticpaddle/routing/ModelCascade.java
@@ -1,5 +1,6 @@
 package org.masticpaddle.routing;
 
+import java.util.Objects;
 import java.util.OptionalInt;
 
 /**
@@ -23,14 +24,17 @@
     private static final double MAX_ANSWER_FRACTION = 0.5;
 
     private final int confidenceThreshold;
+    private final EscalationPolicy policy;
 
     /**
      * Creates a cascade.
      *
-     * @param confidenceThreshold confidence between 0 and 100 below which a draft is discarded
+     * @param confidenceThreshold confidence between 0 and 100 below which a draft is doubtful
+     * @param policy how a doubtful draft is weighed against an answer of the largest model
      */
-    public ModelCascade(int confidenceThreshold) {
+    public ModelCascade(int confidenceThreshold, EscalationPolicy policy) {
         this.confidenceThreshold = confidenceThreshold;
+        this.policy = Objects.requireNonNull(policy, "policy is null");
     }
 
     /**
@@ -55,7 +59,8 @@
      */
     public OptionalInt escalationTarget(
             int modelCount, int draftIndex, OptionalInt confidence, int rank, LatencyEstimate estimate) {
-        return doubtful(modelCount, draftIndex, confidence) && decide(rank, estimate) == DraftDecision.ESCALATED
+        return doubtful(modelCount, draftIndex, confidence)
+                        && decide(confidence.getAsInt(), rank, estimate) == DraftDecision.ESCALATED
                 ? OptionalInt.of(modelCount - 1)
                 : OptionalInt.empty();
     }
@@ -72,20 +77,27 @@
         return draftIndex < modelCount - 1 && confidence.isPresent() && confidence.getAsInt() < confidenceThreshold;
     }
 
+    /**
+     * Returns whether confidences that say nothing of a draft are to be told from others.
+     *
+     * @return {@code true} if {@link DraftConfidences} decides which confidences count
+     */
+    public boolean learnsConfidences() {
+        return policy == EscalationPolicy.BY_VALUE;
+    }
+
     /**
      * Decides on a doubtful draft.
      *
+     * @param confidence confidence between 0 and 100 that the drafting model reports, below the threshold
      * @param rank priority class, 0 for the most urgent
      * @param estimate latency estimate for the largest model
      * @return the decision, with its reason
      */
-    public DraftDecision decide(int rank, LatencyEstimate estimate) {
-        if (!estimate.meetsTimeLimits()) {
-            return DraftDecision.TOO_LATE;
-        }
+    public DraftDecision decide(int confidence, int rank, LatencyEstimate estimate) {
         final double maxWaitMillis =
                 MAX_WAIT_MILLIS_BY_RANK[Math.min(Math.max(rank, 0), MAX_WAIT_MILLIS_BY_RANK.length - 1)];
-        return estimate.waitMillis() <= maxWaitMillis ? DraftDecision.ESCALATED : DraftDecision.RESERVED;
+        return policy.decide(new EscalationPolicy.Draft(confidence, confidenceThreshold), estimate, maxWaitMillis);
     }
 
     /**
--- a/src/main/java/org/masticpaddle/settings/Setting.java
+++ b/src/main/java/org/masticpaddle/settings/Setting.java
@@ -291,6 +291,15 @@
             SettingType.NON_NEGATIVE_INTEGER,
             "50",
             "confidence in percent below which a draft is discarded"),
+    /** How doubtful drafts are weighed against answers of the largest model. */
+    ESCALATION(
+            "gateway",
+            "escalation",
+            SettingType.ESCALATION,
+            "in_time",
+            "when the largest model answers in place of a doubtful draft: whenever it is in time and not reserved (in_time), or by"
+                    + " the confidence of the draft, the expected time of the answer and the load (by_value); takes effect at the"
+                    + " start"),
     /** Address of the OpenTelemetry collector that metrics are pushed to. */
     OTLP("metrics", "otlp", SettingType.ORIGIN, "", "origin of an OpenTelemetry collector; empty for none");
 
--- a/src/main/java/org/masticpaddle/settings/SettingType.java
+++ b/src/main/java/org/masticpaddle/settings/SettingType.java
@@ -29,6 +29,8 @@
     UPSTREAM_SPEEDS("learned or ignored", "learned|ignored"),
     /** Order of urgency. */
     URGENCY("rank or route_within_rank", "rank|route_within_rank"),
+    /** How doubtful drafts are weighed against answers of the largest model. */
+    ESCALATION("in_time or by_value", "in_time|by_value"),
     /** Whether upstreams that have just started or recovered are paced. */
     PACE("adaptive or none", "adaptive|none");
 
--- a/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuatedPlanTest.java
@@ -26,6 +26,7 @@
 import org.masticpaddle.routes.RequestLimits;
 import org.masticpaddle.routes.Route;
 import org.masticpaddle.routes.RoutingTable;
+import org.masticpaddle.routing.EscalationPolicy;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
 import org.masticpaddle.routing.UpstreamSpeeds;
@@ -188,7 +189,7 @@
                 versions,
                 quarantine,
                 new UpstreamPlacement("d", UpstreamSpeeds.IGNORED),
-                new ModelCascade(50),
+                new ModelCascade(50, EscalationPolicy.IN_TIME),
                 UrgencyOrder.RANK,
                 MemoryBudget.ofHeap(0.1),
                 log,
--- a/src/test/java/org/masticpaddle/routing/ModelCascadeTest.java
+++ b/src/test/java/org/masticpaddle/routing/ModelCascadeTest.java
@@ -13,7 +13,7 @@
 class ModelCascadeTest {
     private static final OptionalInt KEEP = OptionalInt.empty();
 
-    private final ModelCascade cascade = new ModelCascade(60);
+    private final ModelCascade cascade = new ModelCascade(60, EscalationPolicy.IN_TIME);
 
     @Test
     void shouldKeepADraftWithConfidenceAtTheThreshold() {
@@ -61,9 +61,9 @@
         assertThat(cascade.doubtful(3, 0, OptionalInt.of(59))).isTrue();
         assertThat(cascade.doubtful(3, 0, OptionalInt.empty())).isFalse();
         assertThat(cascade.doubtful(3, 2, OptionalInt.of(0))).isFalse();
-        assertThat(cascade.decide(2, estimate(9_000, 100, 900))).isEqualTo(DraftDecision.ESCALATED);
-        assertThat(cascade.decide(2, estimate(9_000, 300, 900))).isEqualTo(DraftDecision.RESERVED);
-        assertThat(cascade.decide(2, estimate(800, 300, 900))).isEqualTo(DraftDecision.TOO_LATE);
+        assertThat(cascade.decide(59, 2, estimate(9_000, 100, 900))).isEqualTo(DraftDecision.ESCALATED);
+        assertThat(cascade.decide(59, 2, estimate(9_000, 300, 900))).isEqualTo(DraftDecision.RESERVED);
+        assertThat(cascade.decide(59, 2, estimate(800, 300, 900))).isEqualTo(DraftDecision.TOO_LATE);
     }
 
     @Test
--- a/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
+++ b/src/test/java/org/masticpaddle/settings/ProcessSettingsTest.java
@@ -162,6 +162,16 @@
                 .containsExactly("f:9: [gateway] urgency: expected rank or route_within_rank, found \"route\"");
     }
 
+    @Test
+    void shouldReplaceDoubtfulDraftsWheneverTheAnswerIsInTimeUnlessToldOtherwise() {
+        assertThat(ProcessSettings.parse("f", GATEWAY).text(Setting.ESCALATION)).isEqualTo("in_time");
+        assertThat(ProcessSettings.parse("f", GATEWAY + "escalation = by_value\n")
+                        .text(Setting.ESCALATION))
+                .isEqualTo("by_value");
+        assertThat(problems(GATEWAY + "escalation = value\n"))
+                .containsExactly("f:9: [gateway] escalation: expected in_time or by_value, found \"value\"");
+    }
+
     private static List<String> problems(String text) {
         return assertThrows(SettingsException.class, () -> ProcessSettings.parse("f", text))
                 .problems();
