Move requests to upstreams and their reports out of RequestForwarder

UpstreamRequestFactory creates the requests of attempts, UpstreamReportRecorder records what upstreams say of themselves. Behaviour is unchanged.

--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -1,22 +1,17 @@
 package org.masticpaddle.gateway;
 
-import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.fleet.InFlightRequest;
-import org.masticpaddle.fleet.ReportChange;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.quarantine.Admission;
-import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.UpstreamPlacement;
-import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
 
 /**
@@ -45,6 +40,8 @@
     private final Escalation escalation;
     private final EstimateRecorder estimates;
     private final RequestDecisions decisions;
+    private final UpstreamReportRecorder reports;
+    private final UpstreamRequestFactory requests;
     private final FinalAnswer answer;
     private Scheduler.Timer deadlineTimer;
     private PromptGuard guard;
@@ -67,6 +64,8 @@
         escalation = new Escalation(context, admitted, service, models, chooser);
         estimates = new EstimateRecorder(context.state(), context.versionRouter(), service, models);
         decisions = new RequestDecisions(context, admitted);
+        reports = new UpstreamReportRecorder(context, decisions);
+        requests = new UpstreamRequestFactory(context, admitted);
         answer = new FinalAnswer(context, caller, admitted, decisions, this::onEnd);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
@@ -162,26 +161,9 @@
         context.counters().addSent(choice.workFactor());
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
-        attempt.send(context.client(), upstreamRequest(upstream.upstream()));
-    }
-
-    private HttpRequest upstreamRequest(Upstream upstream) {
-        final UpstreamRequestMetadata metadata = new UpstreamRequestMetadata(
-                upstream.id(),
-                Math.max(1, remainingMillis()),
-                admitted.keyOwner().map(KeyOwner::organisation),
-                admitted.route().modelsBySize().isEmpty() ? Optional.empty() : Optional.of(model),
-                admitted.rank(),
-                context.urgencyOrder().within(admitted),
-                resumeAfterEvent());
-        return new HttpRequest(
-                upstream.origin(),
-                admitted.method(),
-                admitted.target(),
-                context.headerCodec().upstreamRequestHeaders(admitted.headers(), metadata),
-                admitted.body().bytes(),
-                Duration.ofMillis(admitted.timeoutMillis() * 2),
-                !admitted.route().repeatable());
+        attempt.send(
+                context.client(),
+                requests.create(upstream.upstream(), model, remainingMillis(), resumeAfterEvent()));
     }
 
     private OptionalLong resumeAfterEvent() {
@@ -226,7 +208,7 @@
         final long now = now();
         upstream.recordActivity(now);
         final ResponseMetadata metadata = context.headerCodec().parseResponse(responding.headers());
-        applySelfReport(responding, metadata);
+        reports.record(responding, metadata);
         final ResponseVerdict verdict = classify(responding, metadata);
         if (verdict.failure() && !isFinalFailure(verdict, responding.status(), metadata)) {
             handleFailedResponse(responding, verdict);
@@ -255,26 +237,6 @@
         return verdict;
     }
 
-    /** Applies what the upstream says of itself, unless another instance has answered in its place. */
-    private void applySelfReport(Attempt responding, ResponseMetadata metadata) {
-        if (responding.status() == MISDIRECTED) {
-            return;
-        }
-        final UpstreamState upstream = responding.upstream();
-        final Set<ReportChange> changes =
-                upstream.onReport(metadata.self(), metadata.signed(), responding.status() == UNAVAILABLE, now());
-        if (changes.contains(ReportChange.LIMIT)) {
-            context.state().limits().pace(upstream, now());
-        }
-        if (changes.contains(ReportChange.LEAVING)) {
-            context.client().closeIdle(upstream.upstream().origin());
-        }
-        changes.forEach(change -> decisions.upstreamReported(responding, metadata, change));
-        for (int count = 0; count < metadata.self().unreadableValues(); count++) {
-            context.counters().add(GatewayCounters.Counter.UNREADABLE_VALUES);
-        }
-    }
-
     /** Returns whether an upstream's failure is relayed to the caller because no further attempt is possible. */
     private boolean isFinalFailure(ResponseVerdict verdict, int status, ResponseMetadata metadata) {
         return verdict == ResponseVerdict.FAILED
