Hold a doubtful draft until the caller has the first event of the larger model

With escalation = by_value the draft is read on, counts towards the memory for answers, and is delivered if the larger model is not reached, fails, is lost, or has not begun when its answer would take all the time that is left. Only where a request may run twice; other routes and in_time drop the draft as before.

--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -50,6 +50,8 @@
     REQUEST_ESCALATED("request.escalated", Priority.ROUTINE),
     /** A draft that its model doubts is delivered, for lack of room or time for a larger model. */
     DRAFT_KEPT("request.draft_kept", Priority.ROUTINE),
+    /** A draft that was held is delivered, as the larger model gives no answer in time. */
+    DRAFT_RECOVERED("request.draft_recovered", Priority.ROUTINE),
     /** An answer was relayed completely. */
     REQUEST_ANSWERED("request.answered", Priority.ROUTINE),
     /** A request was rejected without having run. */
--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -9,9 +9,9 @@
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.memory.MemoryBudget;
-import org.masticpaddle.wire.HttpClient;
 import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
+import org.masticpaddle.wire.StreamClient;
 import org.masticpaddle.wire.StreamHandle;
 import org.masticpaddle.wire.StreamListener;
 
@@ -76,7 +76,7 @@
         });
     }
 
-    void send(HttpClient client, HttpRequest request) {
+    void send(StreamClient client, HttpRequest request) {
         handle = client.stream(request, new StreamListener() {
             @Override
             public boolean mayBeSent() {
--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -105,7 +105,7 @@
                 EVACUATED_RETRY_AFTER_SECONDS * (1 + context.random().nextDouble()));
     }
 
-    /** Ends the wait of a request that has ended. */
+    /** Ends the wait of a request that needs no further attempt now. */
     void close() {
         upstreamWait.end();
     }
@@ -135,7 +135,12 @@
     }
 
     /** What to do with a request that has no attempt in flight. */
-    sealed interface Plan {}
+    sealed interface Plan {
+        /** Returns whether an attempt starts now and is not the trial of a suspected prompt segment. */
+        default boolean startsNowUnsuspected() {
+            return this instanceof Send send && send.admission().outcome() != Admission.Outcome.TRIAL;
+        }
+    }
 
     /**
      * The attempt starts now. Immutable.
--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -11,6 +11,9 @@
 
 /** Decides for one request whether a draft is dropped for the answer of a larger model. Used on the event loop only. */
 final class Escalation {
+    /** Time before the deadline in which an answer that was received whole reaches its caller. */
+    private static final double MIN_DELIVERY_MILLIS = 250;
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final String service;
@@ -101,6 +104,15 @@
                         .startsWithLargest(latencyEstimate(choice, largestIndex, remainingMillis)));
     }
 
+    /** Returns the time that an answer of a model is expected to take from its first event on, at an upstream of usual pace. */
+    long answerMillis(int modelIndex) {
+        return Math.round(MIN_DELIVERY_MILLIS
+                + models.expectedEvents()
+                        * context.state()
+                                .serviceTimes(service)
+                                .eventIntervalMillis(models.name(modelIndex), models.relativeCost(modelIndex)));
+    }
+
     private double objectiveLeftMillis() {
         return admitted.route().objectiveMillis() - (now() - admitted.receivedNanos()) / 1e6;
     }
--- a/src/main/java/org/masticpaddle/gateway/FinalAnswer.java
+++ b/src/main/java/org/masticpaddle/gateway/FinalAnswer.java
@@ -86,6 +86,11 @@
         relay.ifPresent(StreamRelay::discardPartialEvent);
     }
 
+    /** Records that an upstream has run the request, in an attempt that goes on. */
+    void recordRun() {
+        mayHaveRun = true;
+    }
+
     /** Ends the request after its stream was relayed whole. */
     void endStream(Work work) {
         end(
--- a/src/main/java/org/masticpaddle/gateway/GatewayContext.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayContext.java
@@ -8,7 +8,7 @@
 import org.masticpaddle.memory.MemoryBudget;
 import org.masticpaddle.routing.ModelCascade;
 import org.masticpaddle.routing.UpstreamPlacement;
-import org.masticpaddle.wire.HttpClient;
+import org.masticpaddle.wire.StreamClient;
 
 /**
  * Components that the requests of a gateway share. Immutable; the components are used on the event loop only, unless their
@@ -31,7 +31,7 @@
  */
 record GatewayContext(
         Scheduler scheduler,
-        HttpClient client,
+        StreamClient client,
         UpstreamHealthProbe healthProbe,
         HeaderCodec headerCodec,
         GatewayState state,
--- a/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestDecisions.java
@@ -147,6 +147,28 @@
                         admitted.rank());
     }
 
+    /** Writes and counts that a held draft is delivered in place of an answer of a larger model. */
+    void draftDelivered(HeldDraft draft, String largerModel, String reason) {
+        context.counters().add(GatewayCounters.Counter.DRAFTS_RECOVERED);
+        context.log()
+                .write(
+                        Decision.DRAFT_RECOVERED,
+                        "request",
+                        admitted.request().id(),
+                        "upstream",
+                        draft.attempt().upstream().upstream().id(),
+                        "model",
+                        draft.model(),
+                        "instead_of",
+                        largerModel,
+                        "complete",
+                        draft.complete(),
+                        "reason",
+                        reason,
+                        "held_ms",
+                        (now() - draft.attempt().answerStartNanos().orElse(now())) / 1e6);
+    }
+
     /** Writes that an attempt has ended without a usable answer. */
     void attemptFailed(Attempt failed, int attempt, String reason, boolean mayHaveRun) {
         context.log()
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -6,7 +6,6 @@
 
 import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.fleet.InFlightRequest;
-import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.quarantine.Admission;
@@ -18,7 +17,7 @@
  * Forwards one caller's request to upstreams, with retries, stream resumption and escalation to a larger model, until the
  * caller has its final answer.
  *
- * <p>Invariants: at most one attempt is in flight; an attempt that may have run is retried only if the route allows it; the
+ * <p>Invariants: at most one attempt is in flight, besides the one whose draft is held while the largest model is asked; an attempt that may have run is retried only if the route allows it; the
  * final answer comes at the deadline at the latest. Used on the event loop only.
  */
 final class RequestForwarder implements Attempt.Listener {
@@ -48,6 +47,8 @@
     private AttemptPlanner planner;
     private Attempt attempt;
     private AttemptObserver observer;
+    private Optional<HeldDraft> heldDraft = Optional.empty();
+    private boolean answerWasHeld;
     private String model;
     private int modelIndex;
     private int sentAttempts;
@@ -90,6 +91,9 @@
 
     /** Ends the request since the process is about to end. */
     void stop() {
+        if (heldDraft.isPresent() && !heldDraft.get().complete()) {
+            dropHeldDraft();
+        }
         fail("the gateway stops", 502, 0);
     }
 
@@ -98,7 +102,10 @@
             return;
         }
         final AttemptPlanner.Plan plan = planner.next(model, modelIndex, sentAttempts, remainingMillis());
-        if (plan instanceof AttemptPlanner.Send send) {
+        if (heldDraft.isPresent() && !plan.startsNowUnsuspected()) {
+            context.state().retryBudget(service).refundRetry(now());
+            deliverDraft("the largest model cannot start now");
+        } else if (plan instanceof AttemptPlanner.Send send) {
             modelIndex = send.modelIndex();
             model = models.name(modelIndex);
             send(send.choice(), send.admission());
@@ -162,8 +169,7 @@
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
         attempt.send(
-                context.client(),
-                requests.create(upstream.upstream(), model, remainingMillis(), resumeAfterEvent()));
+                context.client(), requests.create(upstream.upstream(), model, remainingMillis(), resumeAfterEvent()));
     }
 
     private OptionalLong resumeAfterEvent() {
@@ -214,6 +220,12 @@
             handleFailedResponse(responding, verdict);
             return;
         }
+        if (heldDraft.isPresent() && responding.status() != 200) {
+            responding.cancel();
+            endAttempt(AttemptEnd.CANCELLED);
+            deliverDraft("the largest model answered with status " + responding.status());
+            return;
+        }
         if (admitted.route().kind().streamed() && responding.status() == 200) {
             startStream(responding, metadata);
         } else {
@@ -243,6 +255,7 @@
                 && metadata.signed()
                 && status != UNAVAILABLE
                 && status >= 500
+                && heldDraft.isEmpty()
                 && answer.relay().isEmpty()
                 && (sentAttempts >= admitted.route().maxAttempts()
                         || remainingMillis() < AttemptPlanner.MIN_ATTEMPT_MILLIS);
@@ -285,8 +298,12 @@
     }
 
     private void escalate(Attempt draft, int largerIndex, int confidence) {
-        draft.cancel();
-        endAttempt(AttemptEnd.DRAFT_DROPPED);
+        if (context.modelCascade().holdsDrafts() && admitted.route().repeatable()) {
+            holdDraft(draft, largerIndex);
+        } else {
+            draft.cancel();
+            endAttempt(AttemptEnd.DRAFT_DROPPED);
+        }
         context.counters().add(GatewayCounters.Counter.ESCALATED);
         decisions.escalated(draft, model, models.name(largerIndex), confidence);
         modelIndex = largerIndex;
@@ -294,9 +311,64 @@
         startAttempt();
     }
 
+    private void holdDraft(Attempt draft, int largerIndex) {
+        answer.recordRun();
+        heldDraft = Optional.of(new HeldDraft(
+                draft,
+                observer,
+                model,
+                modelIndex,
+                context.scheduler()
+                        .schedule(
+                                Math.max(0, remainingMillis() - escalation.answerMillis(largerIndex)),
+                                () -> deliverDraft("the largest model has not begun in time"))));
+    }
+
+    private boolean isHeld(Attempt receiving) {
+        return heldDraft.isPresent() && heldDraft.get().attempt() == receiving;
+    }
+
+    /** Delivers the held draft in place of an answer of the largest model. */
+    private void deliverDraft(String reason) {
+        if (answer.ended() || heldDraft.isEmpty()) {
+            return;
+        }
+        final HeldDraft draft = heldDraft.get();
+        if (attempt != draft.attempt()) {
+            cancelAttempt();
+        }
+        heldDraft = Optional.empty();
+        draft.release();
+        planner.close();
+        answerWasHeld = true;
+        decisions.draftDelivered(draft, model, reason);
+        attempt = draft.attempt();
+        observer = draft.observer();
+        modelIndex = draft.modelIndex();
+        model = draft.model();
+        eventsBeforeAttempt = 0;
+        answer.beginStream(attempt);
+        final byte[] bytes = attempt.takeBody();
+        if (bytes.length > 0) {
+            onResponseBytes(attempt, bytes);
+        }
+        if (draft.complete() && !answer.ended()) {
+            onResponseComplete(attempt);
+        }
+    }
+
+    private void dropHeldDraft() {
+        heldDraft.ifPresent(HeldDraft::drop);
+        heldDraft = Optional.empty();
+    }
+
     @Override
     public void onResponseBytes(Attempt receiving, byte[] bytes) {
         receiving.upstream().recordActivity(now());
+        if (isHeld(receiving)) {
+            heldDraft.get().hold(bytes);
+            return;
+        }
         if (answer.relay().isEmpty()) {
             receiving.bufferBody(bytes);
             return;
@@ -305,8 +377,11 @@
         relay.accept(bytes);
         final int events = relay.relayedEvents() - eventsBeforeAttempt;
         if (events > 0) {
-            receiving.recordEvents(events);
-            observer.onEvents(events);
+            dropHeldDraft();
+            if (!answerWasHeld || events > receiving.events()) {
+                receiving.recordEvents(events);
+                observer.onEvents(events);
+            }
         }
         if (relay.outOfSequence()) {
             receiving.fail("an event is missing or comes twice");
@@ -319,9 +394,15 @@
 
     @Override
     public void onResponseComplete(Attempt completed) {
+        if (isHeld(completed)) {
+            heldDraft.get().markComplete();
+            return;
+        }
         if (answer.relay().isPresent()) {
             if (answer.relay().get().completeIfWhole()) {
-                estimates.recordAnswerEnd(completed, model, now());
+                if (!answerWasHeld) {
+                    estimates.recordAnswerEnd(completed, model, now());
+                }
                 endAttempt(AttemptEnd.ANSWERED);
                 answer.endStream(work());
             } else {
@@ -351,6 +432,10 @@
         if (!failed.limited()) {
             failed.upstream().onUnreachable(now());
         }
+        if (isHeld(failed)) {
+            loseHeldDraft(failed);
+            return;
+        }
         if (possiblySent) {
             endAttempt(failed.limited() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
         } else {
@@ -364,6 +449,15 @@
         retryOrFail(failed, possiblySent);
     }
 
+    private void loseHeldDraft(Attempt failed) {
+        final HeldDraft draft = heldDraft.get();
+        heldDraft = Optional.empty();
+        draft.release();
+        draft.observer().onEnd(failed.limited() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
+        chooser.onTried(failed.upstream().upstream());
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, answer.mayHaveRun());
+    }
+
     /**
      * Starts another attempt if repeating the request is safe, time and attempts are left and the retry budget allows it;
      * fails the request otherwise.
@@ -373,6 +467,10 @@
             return;
         }
         chooser.onTried(failed.upstream().upstream());
+        if (heldDraft.isPresent()) {
+            deliverDraft(lastFailure);
+            return;
+        }
         final boolean streamStarted = answer.streamStarted();
         if (attemptMayHaveRun && !admitted.route().repeatable()
                 || streamStarted
@@ -406,11 +504,16 @@
     }
 
     private void fail(String reason, int statusIfRun, double minRetryAfterSeconds) {
+        if (heldDraft.isPresent()) {
+            deliverDraft(reason);
+            return;
+        }
         cancelAttempt();
         answer.fail(reason, statusIfRun, minRetryAfterSeconds, work());
     }
 
     private void cancel() {
+        dropHeldDraft();
         cancelAttempt();
         answer.cancel(work());
     }
--- a/src/main/java/org/masticpaddle/routing/ModelCascade.java
+++ b/src/main/java/org/masticpaddle/routing/ModelCascade.java
@@ -86,6 +86,15 @@
         return policy == EscalationPolicy.BY_VALUE;
     }
 
+    /**
+     * Returns whether a draft is held until the largest model has begun to answer.
+     *
+     * @return {@code false} if it is dropped when that model is asked
+     */
+    public boolean holdsDrafts() {
+        return policy == EscalationPolicy.BY_VALUE;
+    }
+
     /**
      * Decides on a doubtful draft.
      *
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -29,7 +29,7 @@
  * <p>Invariants: a connection carries one request at a time; it is closed and never reused after a request that failed,
  * timed out or was cancelled; a request is written at most once, as the client does not retry. Thread-safe.
  */
-public final class HttpClient implements Service {
+public final class HttpClient implements Service, StreamClient {
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int MAX_POOLED_BUFFERS = 256;
     private static final int MAX_IDLE_PER_ORIGIN = 64;
@@ -101,11 +101,7 @@
         }
     }
 
-    /**
-     * Closes all idle connections to a peer.
-     *
-     * @param origin scheme, host and port of the peer
-     */
+    @Override
     public void closeIdle(URI origin) {
         final Deque<IdleConnection> connections = idleConnections.remove(origin);
         if (connections != null) {
@@ -148,13 +144,7 @@
         return stream(request, collector).finished().thenApply(ignored -> collector.response());
     }
 
-    /**
-     * Sends a request and streams the response.
-     *
-     * @param request request to send
-     * @param listener receives the response on an I/O thread
-     * @return handle to wait for the end of the response or to cancel the request
-     */
+    @Override
     public StreamHandle stream(HttpRequest request, StreamListener listener) {
         Objects.requireNonNull(request, "request is null");
         final ActiveRequest active = new ActiveRequest(request, listener, buffers, this::release);
