--- a/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
+++ b/src/main/java/org/masticpaddle/gateway/AttemptPlanner.java
@@ -105,7 +105,7 @@
                 EVACUATED_RETRY_AFTER_SECONDS * (1 + context.random().nextDouble()));
     }
 
-    /** Ends the wait of a request that has ended. */
+    /** Ends the wait of a request that needs no further attempt now. */
     void close() {
         upstreamWait.end();
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayCounters.java
@@ -83,7 +83,7 @@
         SENT_SLOW("sent_slow", "requests sent to upstreams whose work is expected to take 1.5 times as long as usual"),
         RETRIED("retried", "requests sent once more after a failure"),
         RESUMED("resumed", "streams that went on at another upstream"),
-        ESCALATED("escalated", "drafts dropped for a larger model"),
+        ESCALATED("escalated", "doubtful drafts in place of which a larger model was asked"),
         DRAFTS_RESERVED("drafts_reserved", "doubtful drafts delivered to leave the largest model to urgent requests"),
         DRAFTS_TOO_LATE("drafts_too_late", "doubtful drafts delivered as the largest model would answer too late"),
         DRAFTS_NO_RETRY("drafts_no_retry", "doubtful drafts delivered as the retry budget was used up"),
