--- a/src/main/java/org/masticpaddle/gateway/Escalation.java
+++ b/src/main/java/org/masticpaddle/gateway/Escalation.java
@@ -11,6 +11,9 @@
 
 /** Decides for one request whether a draft is dropped for the answer of a larger model. Used on the event loop only. */
 final class Escalation {
+    /** Time before the deadline in which an answer that was received whole reaches its caller. */
+    private static final double MIN_DELIVERY_MILLIS = 250;
+
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final String service;
@@ -40,7 +43,8 @@
      * @return the decision; an escalation takes one retry from the budget
      */
     DraftDecision decide(int modelIndex, OptionalInt confidence, int sentAttempts, long remainingMillis) {
-        if (!context.modelCascade().doubtful(modelCount(), modelIndex, confidence)) {
+        final OptionalInt heeded = heeded(modelIndex, confidence);
+        if (!context.modelCascade().doubtful(modelCount(), modelIndex, heeded)) {
             return DraftDecision.SUFFICIENT;
         }
         if (sentAttempts >= admitted.route().maxAttempts()) {
@@ -49,6 +53,7 @@
         final DraftDecision decision = chooser.bestPreferred(largestIndex())
                 .map(choice -> context.modelCascade()
                         .decide(
+                                heeded.getAsInt(),
                                 context.urgencyOrder().reservationRank(admitted),
                                 latencyEstimate(choice, largestIndex(), remainingMillis)))
                 .orElse(DraftDecision.TOO_LATE);
@@ -60,6 +65,15 @@
                 : decision;
     }
 
+    /** Returns the confidence unless it is known to say nothing of the draft. */
+    private OptionalInt heeded(int modelIndex, OptionalInt confidence) {
+        return context.modelCascade().learnsConfidences()
+                ? context.state()
+                        .draftConfidences(service)
+                        .heed(admitted.route().name(), models.name(modelIndex), confidence)
+                : confidence;
+    }
+
     /** Returns the index of the largest model. */
     int largestIndex() {
         return modelCount() - 1;
@@ -90,6 +104,15 @@
                         .startsWithLargest(latencyEstimate(choice, largestIndex, remainingMillis)));
     }
 
+    /** Returns the time that an answer of a model is expected to take from its first event on, at an upstream of usual pace. */
+    long answerMillis(int modelIndex) {
+        return Math.round(MIN_DELIVERY_MILLIS
+                + models.expectedEvents()
+                        * context.state()
+                                .serviceTimes(service)
+                                .eventIntervalMillis(models.name(modelIndex), models.relativeCost(modelIndex)));
+    }
+
     private double objectiveLeftMillis() {
         return admitted.route().objectiveMillis() - (now() - admitted.receivedNanos()) / 1e6;
     }
@@ -104,8 +127,8 @@
                 objectiveLeftMillis(),
                 remainingMillis,
                 choice.expectedMillis() - choice.serviceMillis(),
-                choice.expectedMillis(),
-                choice.expectedMillis() + answerMillis);
+                choice.predictedMillis(),
+                choice.predictedMillis() + answerMillis);
     }
 
     private long now() {
--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -1,34 +1,24 @@
 package org.masticpaddle.gateway;
 
-import java.time.Duration;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
-import org.masticpaddle.admission.RetryAfterPolicy;
-import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.fleet.InFlightRequest;
-import org.masticpaddle.fleet.ReportChange;
-import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.fleet.UpstreamState;
 import org.masticpaddle.kernel.Scheduler;
 import org.masticpaddle.quarantine.Admission;
-import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routing.DraftDecision;
 import org.masticpaddle.routing.UpstreamPlacement;
-import org.masticpaddle.wire.HttpRequest;
 import org.masticpaddle.wire.HttpRequestException;
 
 /**
  * Forwards one caller's request to upstreams, with retries, stream resumption and escalation to a larger model, until the
  * caller has its final answer.
  *
- * <p>Invariants: at most one attempt is in flight; an attempt that may have run is retried only if the route allows it; the
- * caller gets a 503, which means "not run", only if no attempt can have run; there is exactly one final answer, at the
- * deadline at the latest. Used on the event loop only.
+ * <p>Invariants: at most one attempt is in flight, besides the one whose draft is held while the largest model is asked; an attempt that may have run is retried only if the route allows it; the
+ * final answer comes at the deadline at the latest. Used on the event loop only.
  */
 final class RequestForwarder implements Attempt.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -49,18 +39,20 @@
     private final Escalation escalation;
     private final EstimateRecorder estimates;
     private final RequestDecisions decisions;
+    private final UpstreamReportRecorder reports;
+    private final UpstreamRequestFactory requests;
+    private final FinalAnswer answer;
     private Scheduler.Timer deadlineTimer;
     private PromptGuard guard;
     private AttemptPlanner planner;
     private Attempt attempt;
     private AttemptObserver observer;
-    private Optional<StreamRelay> relay = Optional.empty();
+    private Optional<HeldDraft> heldDraft = Optional.empty();
+    private boolean answerWasHeld;
     private String model;
     private int modelIndex;
     private int sentAttempts;
     private int eventsBeforeAttempt;
-    private boolean mayHaveRun;
-    private boolean ended;
     private String lastFailure = "no upstream was found";
 
     RequestForwarder(GatewayContext context, CallerExchange caller, AdmittedRequest admitted) {
@@ -73,6 +65,9 @@
         escalation = new Escalation(context, admitted, service, models, chooser);
         estimates = new EstimateRecorder(context.state(), context.versionRouter(), service, models);
         decisions = new RequestDecisions(context, admitted);
+        reports = new UpstreamReportRecorder(context, decisions);
+        requests = new UpstreamRequestFactory(context, admitted);
+        answer = new FinalAnswer(context, caller, admitted, decisions, this::onEnd);
         deadlineNanos = admitted.receivedNanos() + admitted.timeoutMillis() * NANOS_PER_MILLI;
         modelIndex = context.modelCascade()
                 .draftModelIndex(admitted.route().modelsBySize().size());
@@ -96,15 +91,21 @@
 
     /** Ends the request since the process is about to end. */
     void stop() {
+        if (heldDraft.isPresent() && !heldDraft.get().complete()) {
+            dropHeldDraft();
+        }
         fail("the gateway stops", 502, 0);
     }
 
     private void startAttempt() {
-        if (ended) {
+        if (answer.ended()) {
             return;
         }
         final AttemptPlanner.Plan plan = planner.next(model, modelIndex, sentAttempts, remainingMillis());
-        if (plan instanceof AttemptPlanner.Send send) {
+        if (heldDraft.isPresent() && !plan.startsNowUnsuspected()) {
+            context.state().retryBudget(service).refundRetry(now());
+            deliverDraft("the largest model cannot start now");
+        } else if (plan instanceof AttemptPlanner.Send send) {
             modelIndex = send.modelIndex();
             model = models.name(modelIndex);
             send(send.choice(), send.admission());
@@ -117,7 +118,7 @@
 
     /** Stops the attempt in flight if it has not begun to be answered and may no longer run. */
     private void onQuarantineChange() {
-        if (ended
+        if (answer.ended()
                 || attempt == null
                 || attempt.ended()
                 || attempt.answerStartNanos().isPresent()) {
@@ -167,30 +168,13 @@
         context.counters().addSent(choice.workFactor());
         decisions.sent(choice, chooser.eligible(), model, sentAttempts, resumeAfterEvent(), remainingMillis());
         context.healthProbe().track(attempt);
-        attempt.send(context.client(), upstreamRequest(upstream.upstream()));
-    }
-
-    private HttpRequest upstreamRequest(Upstream upstream) {
-        final UpstreamRequestMetadata metadata = new UpstreamRequestMetadata(
-                upstream.id(),
-                Math.max(1, remainingMillis()),
-                admitted.keyOwner().map(KeyOwner::organisation),
-                admitted.route().modelsBySize().isEmpty() ? Optional.empty() : Optional.of(model),
-                admitted.rank(),
-                context.urgencyOrder().within(admitted),
-                resumeAfterEvent());
-        return new HttpRequest(
-                upstream.origin(),
-                admitted.method(),
-                admitted.target(),
-                context.headerCodec().upstreamRequestHeaders(admitted.headers(), metadata),
-                admitted.body().bytes(),
-                Duration.ofMillis(admitted.timeoutMillis() * 2),
-                !admitted.route().repeatable());
+        attempt.send(
+                context.client(), requests.create(upstream.upstream(), model, remainingMillis(), resumeAfterEvent()));
     }
 
     private OptionalLong resumeAfterEvent() {
-        return relay.filter(StreamRelay::started)
+        return answer.relay()
+                .filter(StreamRelay::started)
                 .map(StreamRelay::lastEventId)
                 .orElse(admitted.request().lastEventId());
     }
@@ -219,7 +203,7 @@
         if (sentAttempts > 0) {
             context.state().retryBudget(service).refundRetry(now());
         }
-        decisions.attemptFailed(chosen, sentAttempts, lastFailure, mayHaveRun);
+        decisions.attemptFailed(chosen, sentAttempts, lastFailure, answer.mayHaveRun());
         // The connection is still being set up in this call.
         context.scheduler().schedule(0, () -> retryOrFail(chosen, false));
     }
@@ -230,12 +214,18 @@
         final long now = now();
         upstream.recordActivity(now);
         final ResponseMetadata metadata = context.headerCodec().parseResponse(responding.headers());
-        applySelfReport(responding, metadata);
+        reports.record(responding, metadata);
         final ResponseVerdict verdict = classify(responding, metadata);
         if (verdict.failure() && !isFinalFailure(verdict, responding.status(), metadata)) {
             handleFailedResponse(responding, verdict);
             return;
         }
+        if (heldDraft.isPresent() && responding.status() != 200) {
+            responding.cancel();
+            endAttempt(AttemptEnd.CANCELLED);
+            deliverDraft("the largest model answered with status " + responding.status());
+            return;
+        }
         if (admitted.route().kind().streamed() && responding.status() == 200) {
             startStream(responding, metadata);
         } else {
@@ -251,41 +241,22 @@
                 responding.headers().containsKey("content-encoding"),
                 metadata,
                 admitted.route().repeatable());
-        if (relay.isPresent() && relay.get().started()) {
+        if (answer.streamStarted()) {
             return verdict.continuingStream(responding.status());
         }
         // Whatever this response is, the caller has received nothing of an earlier one.
-        relay = Optional.empty();
+        answer.discardStream();
         return verdict;
     }
 
-    /** Applies what the upstream says of itself, unless another instance has answered in its place. */
-    private void applySelfReport(Attempt responding, ResponseMetadata metadata) {
-        if (responding.status() == MISDIRECTED) {
-            return;
-        }
-        final UpstreamState upstream = responding.upstream();
-        final Set<ReportChange> changes =
-                upstream.onReport(metadata.self(), metadata.signed(), responding.status() == UNAVAILABLE, now());
-        if (changes.contains(ReportChange.LIMIT)) {
-            context.state().limits().pace(upstream, now());
-        }
-        if (changes.contains(ReportChange.LEAVING)) {
-            context.client().closeIdle(upstream.upstream().origin());
-        }
-        changes.forEach(change -> decisions.upstreamReported(responding, metadata, change));
-        for (int count = 0; count < metadata.self().unreadableValues(); count++) {
-            context.counters().add(GatewayCounters.Counter.UNREADABLE_VALUES);
-        }
-    }
-
     /** Returns whether an upstream's failure is relayed to the caller because no further attempt is possible. */
     private boolean isFinalFailure(ResponseVerdict verdict, int status, ResponseMetadata metadata) {
         return verdict == ResponseVerdict.FAILED
                 && metadata.signed()
                 && status != UNAVAILABLE
                 && status >= 500
-                && relay.isEmpty()
+                && heldDraft.isEmpty()
+                && answer.relay().isEmpty()
                 && (sentAttempts >= admitted.route().maxAttempts()
                         || remainingMillis() < AttemptPlanner.MIN_ATTEMPT_MILLIS);
     }
@@ -303,15 +274,15 @@
             failed.upstream().onNotRun(now());
         }
         endAttempt(verdict.mayHaveRun() ? AttemptEnd.FAILED : AttemptEnd.NOT_RUN);
-        decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, answer.mayHaveRun());
         retryOrFail(failed, verdict.mayHaveRun());
     }
 
     private void startStream(Attempt streaming, ResponseMetadata metadata) {
         estimates.recordAnswerStart(streaming, model, modelIndex, now());
         streaming.markStarted(now());
-        eventsBeforeAttempt = relay.map(StreamRelay::relayedEvents).orElse(0);
-        if (relay.isPresent() && relay.get().started()) {
+        eventsBeforeAttempt = answer.relayedEvents();
+        if (answer.streamStarted()) {
             return;
         }
         final DraftDecision draft =
@@ -323,17 +294,16 @@
         if (draft.constrained()) {
             decisions.draftKept(streaming, model, draft, metadata.confidence().orElse(-1));
         }
-        relay = Optional.of(new StreamRelay(
-                caller,
-                streaming.status(),
-                HopByHopHeaders.strip(streaming.headers()),
-                admitted.request().lastEventId()));
-        admitted.releaseBodyOnAnswer();
+        answer.beginStream(streaming);
     }
 
     private void escalate(Attempt draft, int largerIndex, int confidence) {
-        draft.cancel();
-        endAttempt(AttemptEnd.DRAFT_DROPPED);
+        if (context.modelCascade().holdsDrafts() && admitted.route().repeatable()) {
+            holdDraft(draft, largerIndex);
+        } else {
+            draft.cancel();
+            endAttempt(AttemptEnd.DRAFT_DROPPED);
+        }
         context.counters().add(GatewayCounters.Counter.ESCALATED);
         decisions.escalated(draft, model, models.name(largerIndex), confidence);
         modelIndex = largerIndex;
@@ -341,35 +311,100 @@
         startAttempt();
     }
 
+    private void holdDraft(Attempt draft, int largerIndex) {
+        answer.recordRun();
+        heldDraft = Optional.of(new HeldDraft(
+                draft,
+                observer,
+                model,
+                modelIndex,
+                context.scheduler()
+                        .schedule(
+                                Math.max(0, remainingMillis() - escalation.answerMillis(largerIndex)),
+                                () -> deliverDraft("the largest model has not begun in time"))));
+    }
+
+    private boolean isHeld(Attempt receiving) {
+        return heldDraft.isPresent() && heldDraft.get().attempt() == receiving;
+    }
+
+    /** Delivers the held draft in place of an answer of the largest model. */
+    private void deliverDraft(String reason) {
+        if (answer.ended() || heldDraft.isEmpty()) {
+            return;
+        }
+        final HeldDraft draft = heldDraft.get();
+        if (attempt != draft.attempt()) {
+            cancelAttempt();
+        }
+        heldDraft = Optional.empty();
+        draft.release();
+        planner.close();
+        answerWasHeld = true;
+        decisions.draftDelivered(draft, model, reason);
+        attempt = draft.attempt();
+        observer = draft.observer();
+        modelIndex = draft.modelIndex();
+        model = draft.model();
+        eventsBeforeAttempt = 0;
+        answer.beginStream(attempt);
+        final byte[] bytes = attempt.takeBody();
+        if (bytes.length > 0) {
+            onResponseBytes(attempt, bytes);
+        }
+        if (draft.complete() && !answer.ended()) {
+            onResponseComplete(attempt);
+        }
+    }
+
+    private void dropHeldDraft() {
+        heldDraft.ifPresent(HeldDraft::drop);
+        heldDraft = Optional.empty();
+    }
+
     @Override
     public void onResponseBytes(Attempt receiving, byte[] bytes) {
         receiving.upstream().recordActivity(now());
-        if (relay.isEmpty()) {
+        if (isHeld(receiving)) {
+            heldDraft.get().hold(bytes);
+            return;
+        }
+        if (answer.relay().isEmpty()) {
             receiving.bufferBody(bytes);
             return;
         }
-        relay.get().accept(bytes);
-        final int events = relay.get().relayedEvents() - eventsBeforeAttempt;
+        final StreamRelay relay = answer.relay().get();
+        relay.accept(bytes);
+        final int events = relay.relayedEvents() - eventsBeforeAttempt;
         if (events > 0) {
-            receiving.recordEvents(events);
-            observer.onEvents(events);
+            dropHeldDraft();
+            if (!answerWasHeld || events > receiving.events()) {
+                receiving.recordEvents(events);
+                observer.onEvents(events);
+            }
         }
-        if (relay.get().outOfSequence()) {
+        if (relay.outOfSequence()) {
             receiving.fail("an event is missing or comes twice");
-        } else if (relay.get().eventTooLarge()) {
+        } else if (relay.eventTooLarge()) {
             receiving.fail("an event does not end");
         } else {
-            receiving.holdPartialEvent(relay.get().partialEventBytes());
+            receiving.holdPartialEvent(relay.partialEventBytes());
         }
     }
 
     @Override
     public void onResponseComplete(Attempt completed) {
-        if (relay.isPresent()) {
-            if (relay.get().completeIfWhole()) {
-                estimates.recordAnswerEnd(completed, model, now());
+        if (isHeld(completed)) {
+            heldDraft.get().markComplete();
+            return;
+        }
+        if (answer.relay().isPresent()) {
+            if (answer.relay().get().completeIfWhole()) {
+                if (!answerWasHeld) {
+                    estimates.recordAnswerEnd(completed, model, now());
+                }
                 endAttempt(AttemptEnd.ANSWERED);
-                complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
+                answer.endStream(work());
             } else {
                 onAttemptFailed(
                         completed,
@@ -387,10 +422,7 @@
         } else {
             endAttempt(AttemptEnd.CANCELLED);
         }
-        if (!ended) {
-            complete(Decision.REQUEST_ANSWERED, GatewayCounters.Counter.ANSWERED, completed.status(), "");
-            caller.respond(completed.status(), HopByHopHeaders.strip(completed.headers()), completed.takeBody());
-        }
+        answer.respond(work());
     }
 
     @Override
@@ -400,6 +432,10 @@
         if (!failed.limited()) {
             failed.upstream().onUnreachable(now());
         }
+        if (isHeld(failed)) {
+            loseHeldDraft(failed);
+            return;
+        }
         if (possiblySent) {
             endAttempt(failed.limited() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
         } else {
@@ -409,23 +445,36 @@
                 context.state().retryBudget(service).refundRetry(now());
             }
         }
-        decisions.attemptFailed(failed, sentAttempts, lastFailure, mayHaveRun);
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, answer.mayHaveRun());
         retryOrFail(failed, possiblySent);
     }
 
+    private void loseHeldDraft(Attempt failed) {
+        final HeldDraft draft = heldDraft.get();
+        heldDraft = Optional.empty();
+        draft.release();
+        draft.observer().onEnd(failed.limited() ? AttemptEnd.CANCELLED : AttemptEnd.LOST);
+        chooser.onTried(failed.upstream().upstream());
+        decisions.attemptFailed(failed, sentAttempts, lastFailure, answer.mayHaveRun());
+    }
+
     /**
      * Starts another attempt if repeating the request is safe, time and attempts are left and the retry budget allows it;
      * fails the request otherwise.
      */
     private void retryOrFail(Attempt failed, boolean attemptMayHaveRun) {
-        if (ended) {
+        if (answer.ended()) {
             return;
         }
         chooser.onTried(failed.upstream().upstream());
-        final boolean streamStarted = relay.isPresent() && relay.get().started();
+        if (heldDraft.isPresent()) {
+            deliverDraft(lastFailure);
+            return;
+        }
+        final boolean streamStarted = answer.streamStarted();
         if (attemptMayHaveRun && !admitted.route().repeatable()
                 || streamStarted
-                        && (relay.get().outOfSequence()
+                        && (answer.relay().get().outOfSequence()
                                 || admitted.route().modelsBySize().isEmpty()
                                         && !admitted.route().resumable())) {
             fail(lastFailure);
@@ -454,67 +503,40 @@
         fail(failure.reason() + "; last failure: " + lastFailure, 502, failure.retryAfterSeconds());
     }
 
-    /**
-     * Ends the request without an answer.
-     *
-     * @param statusIfRun status if the request may have run
-     * @param minRetryAfterSeconds shortest delay after which the caller may repeat a request that has not run
-     */
     private void fail(String reason, int statusIfRun, double minRetryAfterSeconds) {
-        if (ended) {
+        if (heldDraft.isPresent()) {
+            deliverDraft(reason);
             return;
         }
-        final boolean inFlight = attempt != null && !attempt.ended();
-        if (inFlight) {
-            attempt.cancel();
-            endAttempt(AttemptEnd.CANCELLED);
-        }
-        if (relay.isPresent() && relay.get().started()) {
-            complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, 0, reason);
-            caller.abort();
-        } else if (mayHaveRun) {
-            complete(Decision.REQUEST_FAILED, GatewayCounters.Counter.FAILED, statusIfRun, reason);
-            caller.respond(statusIfRun, Map.of(), LocalResponses.errorBody(statusIfRun, reason));
-        } else {
-            complete(Decision.REQUEST_REJECTED, GatewayCounters.Counter.REFUSED, 503, reason);
-            final double retryAfterSeconds = Math.max(
-                    minRetryAfterSeconds,
-                    RetryAfterPolicy.BACKOFF.delaySeconds(admitted.route().objectiveMillis(), context.random()));
-            caller.respond(
-                    503, LocalResponses.retryAfterHeader(retryAfterSeconds), LocalResponses.errorBody(503, reason));
-        }
+        cancelAttempt();
+        answer.fail(reason, statusIfRun, minRetryAfterSeconds, work());
     }
 
     private void cancel() {
-        if (ended) {
-            return;
-        }
-        if (attempt != null && !attempt.ended()) {
+        dropHeldDraft();
+        cancelAttempt();
+        answer.cancel(work());
+    }
+
+    private void cancelAttempt() {
+        if (!answer.ended() && attempt != null && !attempt.ended()) {
             attempt.cancel();
             endAttempt(AttemptEnd.CANCELLED);
         }
-        complete(Decision.REQUEST_CANCELLED, GatewayCounters.Counter.CANCELLED, 0, "the caller disconnected");
     }
 
-    private void complete(Decision decision, GatewayCounters.Counter counter, int status, String reason) {
-        ended = true;
-        admitted.body().release();
+    private void onEnd() {
         deadlineTimer.cancel();
         guard.close();
         planner.close();
-        context.counters().add(counter);
-        decisions.ended(
-                decision,
-                status,
-                reason,
-                new RequestDecisions.Work(
-                        sentAttempts, Optional.ofNullable(attempt), model, relay.map(StreamRelay::relayedEvents)));
     }
 
-    /** Every end of an attempt passes through here, so that none that may have run is forgotten. */
+    private FinalAnswer.Work work() {
+        return new FinalAnswer.Work(sentAttempts, attempt, model);
+    }
+
     private void endAttempt(AttemptEnd end) {
-        mayHaveRun |= end.mayHaveRun();
-        relay.ifPresent(StreamRelay::discardPartialEvent);
+        answer.recordEnd(end);
         observer.onEnd(end);
     }
 
