Drop the stream of an attempt at its end

Cause: the memory of a body is given back when an upstream begins to answer, but the attempt kept its stream with the request and its body. Requests that got the memory failed to allocate it, and were refused. Change: the attempt drops the stream.

--- a/src/main/java/org/masticpaddle/gateway/Attempt.java
+++ b/src/main/java/org/masticpaddle/gateway/Attempt.java
@@ -77,7 +77,7 @@
     }
 
     void send(HttpClient client, HttpRequest request) {
-        handle = client.stream(request, new StreamListener() {
+        final StreamHandle stream = client.stream(request, new StreamListener() {
             @Override
             public boolean mayBeSent() {
                 return !ended && listener.mayBeSent(Attempt.this);
@@ -100,7 +100,8 @@
                 }
             }
         });
-        handle.finished().whenComplete((ignored, error) -> onStreamFinished(error));
+        handle = ended ? null : stream;
+        stream.finished().whenComplete((ignored, error) -> onStreamFinished(error));
     }
 
     private void onStreamFinished(Throwable error) {
@@ -126,6 +127,8 @@
 
     private void end() {
         ended = true;
+        // It refers to the body of the request, whose memory may be given back before this attempt is forgotten.
+        handle = null;
         reservation.close();
         upstream.release(inFlight);
         endAction.run();
@@ -138,10 +141,11 @@
 
     void cancel() {
         if (!ended) {
+            final StreamHandle stream = handle;
             end();
             discardBody();
-            if (handle != null) {
-                handle.cancel();
+            if (stream != null) {
+                stream.cancel();
             }
         }
     }
--- a/src/test/java/org/masticpaddle/wire/EndedRequestMemoryTest.java
+++ b/src/test/java/org/masticpaddle/wire/EndedRequestMemoryTest.java
@@ -1,12 +1,16 @@
 package org.masticpaddle.wire;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.ref.WeakReference;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -43,10 +47,53 @@
         });
     }
 
+    /** Guards against bodies that the memory of requests has released and idle connections still hold. */
+    @Test
+    void shouldKeepNothingOfAnAnsweredRequestWhileItsConnectionIsIdle() throws Exception {
+        final CompletableFuture<Socket> accepted = CompletableFuture.supplyAsync(this::accept);
+        final WeakReference<byte[]> body = sendAndAwaitAnswer(accepted);
+        Conditions.await(() -> {
+            System.gc();
+            return body.get() == null;
+        });
+        // The connection is still open.
+        accepted.get().getOutputStream().write(0);
+        accepted.get().close();
+    }
+
+    private Socket accept() {
+        try {
+            return server.accept();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private WeakReference<byte[]> sendAndAwaitAnswer(CompletableFuture<Socket> accepted) throws Exception {
+        final byte[] body = new byte[100_000];
+        final StreamHandle handle = stream(body);
+        final Socket connection = accepted.get();
+        connection.getInputStream().readNBytes(body.length);
+        connection
+                .getOutputStream()
+                .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        handle.finished().get();
+        return new WeakReference<>(body);
+    }
+
     /** Cancels a request after it was written, and keeps no reference to it. */
     private WeakReference<byte[]> sendAndCancel() throws IOException {
         final byte[] body = new byte[100_000];
-        final StreamHandle handle = client.stream(
+        final StreamHandle handle = stream(body);
+        try (var connection = server.accept()) {
+            connection.getInputStream().readNBytes(body.length);
+            handle.cancel();
+        }
+        return new WeakReference<>(body);
+    }
+
+    private StreamHandle stream(byte[] body) {
+        return client.stream(
                 new HttpRequest(
                         URI.create("http://127.0.0.1:" + server.getLocalPort()),
                         "POST",
@@ -62,10 +109,5 @@
                     @Override
                     public void onBytes(byte[] bytes) {}
                 });
-        try (var connection = server.accept()) {
-            connection.getInputStream().readNBytes(body.length);
-            handle.cancel();
-        }
-        return new WeakReference<>(body);
     }
 }
