Share the blocked output of the decision log's tests

Cause: the new test of a limited stop repeated the arrangement of another one (duplicates). Change: one method.

--- a/src/test/java/org/masticpaddle/decisions/DecisionLogTest.java
+++ b/src/test/java/org/masticpaddle/decisions/DecisionLogTest.java
@@ -26,16 +26,8 @@
 
     @Test
     void shouldDropOnlySuccessesAndNotBlockWhenTheOutputIsBlocked() throws InterruptedException {
-        final CountDownLatch blocked = new CountDownLatch(1);
         final CountDownLatch release = new CountDownLatch(1);
-        final DecisionLog log = log(text -> {
-            blocked.countDown();
-            await(release);
-            output.append(text);
-        });
-        log.start();
-        log.write(Decision.STARTED);
-        assertThat(blocked.await(10, TimeUnit.SECONDS)).isTrue();
+        final DecisionLog log = startBlockedLog(release);
         for (int count = 0; count < 2 * DecisionLog.QUEUE_CAPACITY; count++) {
             log.write(Decision.REQUEST_ANSWERED, "request", "success-" + count);
         }
@@ -49,8 +41,17 @@
 
     @Test
     void shouldStopBeforeABlockedOutputIsReleased() throws InterruptedException {
-        final CountDownLatch blocked = new CountDownLatch(1);
         final CountDownLatch release = new CountDownLatch(1);
+        final DecisionLog log = startBlockedLog(release);
+        log.limitStop(Duration.ZERO);
+        log.stop();
+        assertThat(output.toString()).isEmpty();
+        release.countDown();
+    }
+
+    /** Returns a log whose writer is within its output. */
+    private DecisionLog startBlockedLog(CountDownLatch release) throws InterruptedException {
+        final CountDownLatch blocked = new CountDownLatch(1);
         final DecisionLog log = log(text -> {
             blocked.countDown();
             await(release);
@@ -58,11 +59,8 @@
         });
         log.start();
         log.write(Decision.STARTED);
-        blocked.await();
-        log.limitStop(Duration.ZERO);
-        log.stop();
-        assertThat(output.toString()).isEmpty();
-        release.countDown();
+        assertThat(blocked.await(10, TimeUnit.SECONDS)).isTrue();
+        return log;
     }
 
     private static DecisionLog log(Consumer<String> consumer) {
