--- a/src/test/java/org/masticpaddle/wire/DisconnectDetectorTest.java
+++ b/src/test/java/org/masticpaddle/wire/DisconnectDetectorTest.java
@@ -107,14 +107,7 @@
     void shouldRespondToPipelinedRequestsThatArriveInParts() throws Exception {
         final Queue<HttpServerExchange> pendingExchanges = new ConcurrentLinkedQueue<>();
         final CompletableFuture<Void> arrived = new CompletableFuture<>();
-        final HttpServer server = server(exchange -> {
-            if (arrived.isDone()) {
-                Exchanges.respond(exchange, 200, "second");
-            } else {
-                pendingExchanges.add(exchange);
-                arrived.complete(null);
-            }
-        });
+        final HttpServer server = pipeliningServer(pendingExchanges, arrived);
         try (Socket socket = connect(server)) {
             socket.setTcpNoDelay(true);
             socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
@@ -127,14 +120,7 @@
                 assertThat(read.get(30, TimeUnit.SECONDS)).isFalse();
             }
             first.getIoThread().execute(() -> Exchanges.respond(first, 200, "first"));
-            final StringBuilder responses = new StringBuilder();
-            socket.setSoTimeout(30_000);
-            while (!responses.toString().contains("second")) {
-                final int next = socket.getInputStream().read();
-                assertThat(next).isAtLeast(0);
-                responses.append((char) next);
-            }
-            assertThat(responses.indexOf("first")).isAtLeast(0);
+            assertBothResponses(socket);
         } finally {
             server.stop();
         }
@@ -144,33 +130,43 @@
     void shouldRespondToPipelinedRequests() throws Exception {
         final Queue<HttpServerExchange> pendingExchanges = new ConcurrentLinkedQueue<>();
         final CompletableFuture<Void> arrived = new CompletableFuture<>();
-        final HttpServer server = server(exchange -> {
-            if (arrived.isDone()) {
-                Exchanges.respond(exchange, 200, "second");
-            } else {
-                pendingExchanges.add(exchange);
-                arrived.complete(null);
-            }
-        });
+        final HttpServer server = pipeliningServer(pendingExchanges, arrived);
         try (Socket socket = connect(server)) {
             socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
             arrived.get(30, TimeUnit.SECONDS);
             socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
             final HttpServerExchange first = pendingExchanges.remove();
             first.getIoThread().execute(() -> Exchanges.respond(first, 200, "first"));
-            final StringBuilder responses = new StringBuilder();
-            socket.setSoTimeout(30_000);
-            while (!responses.toString().contains("second")) {
-                final int next = socket.getInputStream().read();
-                assertThat(next).isAtLeast(0);
-                responses.append((char) next);
-            }
-            assertThat(responses.indexOf("first")).isAtLeast(0);
+            assertBothResponses(socket);
         } finally {
             server.stop();
         }
     }
 
+    /** Starts a server that keeps the first exchange and responds to the others. */
+    private static HttpServer pipeliningServer(
+            Queue<HttpServerExchange> pendingExchanges, CompletableFuture<Void> arrived) {
+        return server(exchange -> {
+            if (arrived.isDone()) {
+                Exchanges.respond(exchange, 200, "second");
+            } else {
+                pendingExchanges.add(exchange);
+                arrived.complete(null);
+            }
+        });
+    }
+
+    private static void assertBothResponses(Socket socket) throws IOException {
+        final StringBuilder responses = new StringBuilder();
+        socket.setSoTimeout(30_000);
+        while (!responses.toString().contains("second")) {
+            final int next = socket.getInputStream().read();
+            assertThat(next).isAtLeast(0);
+            responses.append((char) next);
+        }
+        assertThat(responses.indexOf("first")).isAtLeast(0);
+    }
+
     private static HttpServer server(java.util.function.Consumer<HttpServerExchange> handler) {
         final HttpServer server = new HttpServer(
                 "127.0.0.1",
