Accept callers' connections after the first answers of the log

Cause: a gateway that has just started reads the requests of all callers that come back at once before it processes the lists of the configuration and the upstreams, although it can forward none of them before. On small machines (0.27 of a core) the second list took effect 0.5 to 0.8 s after the start and the first request was sent after 0.9 s. Change: connections wait in the queue of the operating system until these lists were read, for 0.3 s at most, a third of the time that a caller with a limit of a second has. Then they are accepted as before: requests wait up to 0.6 s and get 503.

--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -78,6 +78,15 @@
     /** Part of the heap for the bodies of requests. */
     private static final double BODY_MEMORY_SHARE = 0.5;
 
+    /**
+     * Time for which connections of callers wait for the first answers of the log before they are accepted. Callers with a time
+     * limit of a second try another gateway if their request is not read within a third of it.
+     */
+    private static final Duration MAX_ACCEPT_DELAY = Duration.ofMillis(300);
+
+    /** Interval between checks whether the first answers of the log have arrived. */
+    private static final long ACCEPT_POLL_INTERVAL_MILLIS = 5;
+
     /** Interval between checks whether requests are in flight during the shutdown. */
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
@@ -164,8 +173,7 @@
                 context.answerMemory(),
                 loop,
                 settings.number(Setting.MAX_BODY_BYTES));
-        handler = new GatewayHandler(
-                context, bodies, () -> state.started() && rollouts.progressKnown() && quarantine.caughtUp());
+        handler = new GatewayHandler(context, bodies, this::started);
         logFollower = new ControlLogFollower(
                 state, sharedLog, ports.recordCodec(), loop, random, log, new ControlLogFollower.ChangeListener() {
                     @Override
@@ -193,6 +201,7 @@
                 loop,
                 settings.number(Setting.MAX_BODY_BYTES),
                 new HttpContinueReadHandler(handler));
+        server.acceptLater();
         kernel.register("decisions", log)
                 .register("loop", loop)
                 .register("client", client)
@@ -220,10 +229,28 @@
             logFollower.start();
             quarantine.start();
             periodicTasks.start();
+            acceptWhenStarted(loop.nanos());
         });
         log.write(Decision.STARTED, "role", "gateway", "port", server.port());
     }
 
+    /** Returns whether all that a gateway reads before its first decision was read from the log. */
+    private boolean started() {
+        return state.started() && rollouts.progressKnown() && quarantine.caughtUp();
+    }
+
+    /**
+     * Accepts connections once the first answers of the log have arrived, or after a short time without them. Otherwise the
+     * requests of a burst would be read first, although none of them can be forwarded before these answers.
+     */
+    private void acceptWhenStarted(long startNanos) {
+        if (started() || loop.nanos() - startNanos >= MAX_ACCEPT_DELAY.toNanos()) {
+            server.accept();
+        } else {
+            loop.schedule(ACCEPT_POLL_INTERVAL_MILLIS, () -> acceptWhenStarted(startNanos));
+        }
+    }
+
     /**
      * Drains and stops: reports not ready, accepts requests until the load balancer has removed the gateway, rejects further
      * ones and waits for those in flight. Requests that are still in flight near the end of the grace period are ended: with an
--- a/src/main/java/org/masticpaddle/wire/HttpServer.java
+++ b/src/main/java/org/masticpaddle/wire/HttpServer.java
@@ -65,6 +65,7 @@
             Collections.synchronizedSet(Collections.newSetFromMap(new WeakHashMap<>()));
     private XnioWorker worker;
     private AcceptingChannel<StreamConnection> listener;
+    private boolean acceptsAtStart = true;
 
     /**
      * Creates a server with its own I/O threads, which {@link #start()} starts.
@@ -107,6 +108,16 @@
         this.handler = Objects.requireNonNull(handler, "handler is null");
     }
 
+    /** Lets connections wait in the queue of the operating system from {@link #start()} until {@link #accept()}. */
+    public void acceptLater() {
+        acceptsAtStart = false;
+    }
+
+    /** Accepts connections, if the started server does not yet. May be called by any thread. */
+    public void accept() {
+        listener.resumeAccepts();
+    }
+
     @Override
     public void start() {
         final HttpOpenListener openListener = new HttpOpenListener(
@@ -139,7 +150,9 @@
         } catch (IOException e) {
             throw new IllegalStateException("cannot listen on " + host + ":" + port, e);
         }
-        listener.resumeAccepts();
+        if (acceptsAtStart) {
+            accept();
+        }
     }
 
     private XnioWorker createWorker() throws IOException {
