--- a/src/main/java/org/masticpaddle/routing/EscalationPolicy.java
+++ b/src/main/java/org/masticpaddle/routing/EscalationPolicy.java
@@ -40,6 +40,16 @@
             final double price = estimate.waitMillis() / maxWaitMillis * draft.middleGain();
             return gain > price ? DraftDecision.ESCALATED : DraftDecision.RESERVED;
         }
+
+        @Override
+        boolean learnsConfidences() {
+            return true;
+        }
+
+        @Override
+        boolean holdsDrafts() {
+            return true;
+        }
     };
 
     /**
@@ -63,6 +73,16 @@
      */
     abstract DraftDecision decide(Draft draft, ModelCascade.LatencyEstimate estimate, double maxWaitMillis);
 
+    /** Returns whether {@link DraftConfidences} decides which confidences count. */
+    boolean learnsConfidences() {
+        return false;
+    }
+
+    /** Returns whether a draft is held until the largest model has begun to answer. */
+    boolean holdsDrafts() {
+        return false;
+    }
+
     /**
      * Doubtful draft. Immutable.
      *
--- a/src/main/java/org/masticpaddle/routing/ModelCascade.java
+++ b/src/main/java/org/masticpaddle/routing/ModelCascade.java
@@ -83,7 +83,7 @@
      * @return {@code true} if {@link DraftConfidences} decides which confidences count
      */
     public boolean learnsConfidences() {
-        return policy == EscalationPolicy.BY_VALUE;
+        return policy.learnsConfidences();
     }
 
     /**
@@ -92,7 +92,7 @@
      * @return {@code false} if it is dropped when that model is asked
      */
     public boolean holdsDrafts() {
-        return policy == EscalationPolicy.BY_VALUE;
+        return policy.holdsDrafts();
     }
 
     /**
