--- a/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
+++ b/src/main/java/org/masticpaddle/gateway/RequestForwarder.java
@@ -17,8 +17,9 @@
  * Forwards one caller's request to upstreams, with retries, stream resumption and escalation to a larger model, until the
  * caller has its final answer.
  *
- * <p>Invariants: at most one attempt is in flight, besides the one whose draft is held while the largest model is asked; an attempt that may have run is retried only if the route allows it; the
- * final answer comes at the deadline at the latest. Used on the event loop only.
+ * <p>Invariants: at most one attempt is in flight, besides the one whose draft is held while the largest model is asked; an
+ * attempt that may have run is retried only if the route allows it; the final answer comes at the deadline at the latest. Used
+ * on the event loop only.
  */
 final class RequestForwarder implements Attempt.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
