Share the client and the peer's socket of four tests of the HTTP client

Cause: four classes of tests had the same 18 lines of setup. Change: ClientFixture, an extension of JUnit. No assertion changed.

--- a/src/test/java/org/masticpaddle/wire/CancelledRequestTest.java
+++ b/src/test/java/org/masticpaddle/wire/CancelledRequestTest.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.URI;
@@ -12,9 +10,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -29,29 +26,15 @@
     private static final int LARGE_BODY_BYTES = 32 * 1024 * 1024;
     private static final int READ_TIMEOUT_MILLIS = 30_000;
 
-    private final EventLoop loop = new EventLoop("test");
-    private final HttpClient client = new HttpClient(loop, ConnectionTimeouts.DEFAULT);
-    private ServerSocket server;
-
-    @BeforeEach
-    void start() throws IOException {
-        client.start();
-        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        server.close();
-        client.stop();
-        loop.stop();
-    }
+    @RegisterExtension
+    final ClientFixture fixture = new ClientFixture();
 
     @ParameterizedTest
     @EnumSource(State.class)
     void shouldResetTheConnection(State state) throws Exception {
         final SignallingListener listener = new SignallingListener();
-        final StreamHandle handle = client.stream(request(state.bodyBytes), listener);
-        try (Socket socket = server.accept()) {
+        final StreamHandle handle = fixture.client().stream(request(state.bodyBytes), listener);
+        try (Socket socket = fixture.server().accept()) {
             final InputStream input = socket.getInputStream();
             if (state == State.REQUEST_BEING_SENT) {
                 assertThat(input.read()).isEqualTo('P');
@@ -63,10 +46,10 @@
                 listener.bytesReceived.await();
             }
             if (state == State.RESPONSE_PAUSED) {
-                loop.execute(handle::pause);
+                fixture.loop().execute(handle::pause);
             }
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
-            loop.execute(handle::cancel);
+            fixture.loop().execute(handle::cancel);
             assertThrows(SocketException.class, () -> readToEnd(input));
         }
     }
@@ -89,7 +72,7 @@
 
     private HttpRequest request(int bodyBytes) {
         return new HttpRequest(
-                URI.create("http://127.0.0.1:" + server.getLocalPort()),
+                URI.create("http://127.0.0.1:" + fixture.server().getLocalPort()),
                 "POST",
                 "/",
                 Map.of(),
--- a/src/test/java/org/masticpaddle/wire/ConnectionEndTest.java
+++ b/src/test/java/org/masticpaddle/wire/ConnectionEndTest.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -13,9 +11,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -27,22 +24,8 @@
 class ConnectionEndTest {
     private static final String BODY = "body";
 
-    private final EventLoop loop = new EventLoop("test");
-    private final HttpClient client = new HttpClient(loop, ConnectionTimeouts.DEFAULT);
-    private ServerSocket server;
-
-    @BeforeEach
-    void start() throws IOException {
-        client.start();
-        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        server.close();
-        client.stop();
-        loop.stop();
-    }
+    @RegisterExtension
+    final ClientFixture fixture = new ClientFixture();
 
     @ParameterizedTest
     @ValueSource(
@@ -93,18 +76,19 @@
         final Thread peer = new Thread(() -> answer(answer, reset));
         peer.setDaemon(true);
         peer.start();
-        return client.send(new HttpRequest(
-                URI.create("http://127.0.0.1:" + server.getLocalPort()),
-                "GET",
-                "/",
-                Map.of(),
-                new byte[0],
-                Duration.ofSeconds(30),
-                false));
+        return fixture.client()
+                .send(new HttpRequest(
+                        URI.create("http://127.0.0.1:" + fixture.server().getLocalPort()),
+                        "GET",
+                        "/",
+                        Map.of(),
+                        new byte[0],
+                        Duration.ofSeconds(30),
+                        false));
     }
 
     private void answer(String answer, boolean reset) {
-        try (Socket socket = server.accept()) {
+        try (Socket socket = fixture.server().accept()) {
             final byte[] request = new byte[4_096];
             assertThat(socket.getInputStream().read(request)).isGreaterThan(0);
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
--- a/src/test/java/org/masticpaddle/wire/EndedRequestMemoryTest.java
+++ b/src/test/java/org/masticpaddle/wire/EndedRequestMemoryTest.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.ref.WeakReference;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -12,31 +10,16 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.masticpaddle.standin.Conditions;
 
 /** Guards against requests whose callers have left, and which a timer keeps with their bodies until it is due. */
 @Timeout(60)
 class EndedRequestMemoryTest {
-    private final EventLoop loop = new EventLoop("test");
-    private final HttpClient client = new HttpClient(loop, ConnectionTimeouts.DEFAULT);
-    private ServerSocket server;
-
-    @BeforeEach
-    void start() throws IOException {
-        client.start();
-        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        server.close();
-        client.stop();
-        loop.stop();
-    }
+    @RegisterExtension
+    final ClientFixture fixture = new ClientFixture();
 
     @Test
     void shouldKeepNothingOfACancelledRequest() throws IOException {
@@ -63,7 +46,7 @@
 
     private Socket accept() {
         try {
-            return server.accept();
+            return fixture.server().accept();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -85,7 +68,7 @@
     private WeakReference<byte[]> sendAndCancel() throws IOException {
         final byte[] body = new byte[100_000];
         final StreamHandle handle = stream(body);
-        try (var connection = server.accept()) {
+        try (var connection = fixture.server().accept()) {
             connection.getInputStream().readNBytes(body.length);
             handle.cancel();
         }
@@ -93,9 +76,9 @@
     }
 
     private StreamHandle stream(byte[] body) {
-        return client.stream(
+        return fixture.client().stream(
                 new HttpRequest(
-                        URI.create("http://127.0.0.1:" + server.getLocalPort()),
+                        URI.create("http://127.0.0.1:" + fixture.server().getLocalPort()),
                         "POST",
                         "/",
                         Map.of(),
--- a/src/test/java/org/masticpaddle/wire/EndlessResponseTest.java
+++ b/src/test/java/org/masticpaddle/wire/EndlessResponseTest.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -14,9 +12,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -29,24 +26,11 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
     private static final byte[] BLOCK = "x".repeat(64 * 1024).getBytes(StandardCharsets.US_ASCII);
 
-    private final EventLoop loop = new EventLoop("test");
-    private final HttpClient client = new HttpClient(loop, ConnectionTimeouts.DEFAULT);
+    @RegisterExtension
+    final ClientFixture fixture = new ClientFixture();
+
     private final CountDownLatch closedByClient = new CountDownLatch(1);
     private final CountDownLatch flowing = new CountDownLatch(1);
-    private ServerSocket server;
-
-    @BeforeEach
-    void start() throws IOException {
-        client.start();
-        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        server.close();
-        client.stop();
-        loop.stop();
-    }
 
     @ParameterizedTest
     @ValueSource(
@@ -61,7 +45,7 @@
             })
     void shouldCloseConnectionThatNeverStopsSending(String beginning) throws Exception {
         sendEndlessly(beginning);
-        final CompletableFuture<HttpResponse> response = client.send(request());
+        final CompletableFuture<HttpResponse> response = fixture.client().send(request());
         assertThrows(ExecutionException.class, () -> response.get(20, TimeUnit.SECONDS));
         assertThat(closedByClient.await(5, TimeUnit.SECONDS)).isTrue();
     }
@@ -70,10 +54,10 @@
     @ValueSource(strings = {HEAD + "a: ", HEAD + "\r\n"})
     void shouldServeOtherTasksMeanwhile(String beginning) throws Exception {
         sendEndlessly(beginning);
-        final StreamHandle handle = client.stream(request(), new DiscardingListener());
+        final StreamHandle handle = fixture.client().stream(request(), new DiscardingListener());
         assertThat(flowing.await(5, TimeUnit.SECONDS)).isTrue();
         final CompletableFuture<Void> task = new CompletableFuture<>();
-        loop.defer(() -> task.complete(null));
+        fixture.loop().defer(() -> task.complete(null));
         task.get(1, TimeUnit.SECONDS);
         handle.cancel();
         assertThat(closedByClient.await(5, TimeUnit.SECONDS)).isTrue();
@@ -81,7 +65,7 @@
 
     private HttpRequest request() {
         return new HttpRequest(
-                URI.create("http://127.0.0.1:" + server.getLocalPort()),
+                URI.create("http://127.0.0.1:" + fixture.server().getLocalPort()),
                 "GET",
                 "/",
                 Map.of(),
@@ -92,12 +76,12 @@
 
     private void sendEndlessly(String beginning) {
         final Thread sender = new Thread(() -> {
-            try (Socket socket = server.accept()) {
+            try (Socket socket = fixture.server().accept()) {
                 final OutputStream output = socket.getOutputStream();
                 output.write(beginning.getBytes(StandardCharsets.US_ASCII));
                 output.write(BLOCK);
                 flowing.countDown();
-                while (!server.isClosed()) {
+                while (!fixture.server().isClosed()) {
                     output.write(BLOCK);
                 }
             } catch (IOException e) {
