Log the offset in force at refusals and the outages of every stream, with gauges of both

Cause: neither a log nor a gauge told a gateway that compares offsets of two histories from one whose reader stands still: a refusal named the version and its age, not the offset; the outages of three streams were in no line, those of the others had no duration. Change: `request.refused` has `configuration_offset`; `dependency.lost` and `.regained` exist for each stream, with `outage_ms`; gauges of the version, offset and age of the configuration, and of position, age of the last response and outage of the streams.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -57,6 +57,7 @@
     private long lastSentNanos;
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
     private Optional<Scheduler.Timer> backoffEnd = Optional.empty();
+    private volatile StreamHealth health;
 
     /**
      * Creates a follower that is not started.
@@ -84,6 +85,7 @@
         this.random = Objects.requireNonNull(random, "random is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
         this.errors = Objects.requireNonNull(errors, "errors is null");
+        health = StreamHealth.unread(stream);
     }
 
     /** Starts to list and read the stream. */
@@ -135,6 +137,15 @@
         return following ? OptionalLong.of(nextOffset) : OptionalLong.empty();
     }
 
+    /**
+     * Returns what is known of the stream; may be called by any thread.
+     *
+     * @return state after the last response or failure
+     */
+    public StreamHealth health() {
+        return health;
+    }
+
     private void listOrRead() {
         if (stopped) {
             return;
@@ -233,6 +244,7 @@
             if (error == null) {
                 requestSucceeded();
                 onSuccess.accept(value);
+                health = health.at(position());
             } else {
                 requestFailed(error);
             }
@@ -241,6 +253,7 @@
 
     private void requestSucceeded() {
         failures = 0;
+        health = health.onResponse(scheduler.nanos());
         if (!available) {
             available = true;
             notifyListener(listener::onAvailable);
@@ -257,6 +270,7 @@
             listOrRead();
             return;
         }
+        health = health.onFailure(scheduler.nanos());
         if (available) {
             available = false;
             notifyListener(() -> listener.onUnavailable(String.valueOf(cause.getMessage())));
--- /dev/null
+++ b/src/main/java/org/masticpaddle/control/StreamHealth.java
@@ -0,0 +1,47 @@
+package org.masticpaddle.control;
+
+import java.util.Objects;
+import java.util.OptionalLong;
+
+/**
+ * What a reader knows of its stream. Immutable. Times are those of the reader's scheduler.
+ *
+ * @param stream stream that is read
+ * @param position offset of the next record to read, empty while the newest records are being listed
+ * @param lastResponseNanos time of the last usable response, empty before the first one
+ * @param outageStartNanos time of the first failed request since the last usable response, empty if none has failed
+ */
+public record StreamHealth(
+        LogStream stream, OptionalLong position, OptionalLong lastResponseNanos, OptionalLong outageStartNanos) {
+    /** Checks the arguments. */
+    public StreamHealth {
+        Objects.requireNonNull(stream, "stream is null");
+        Objects.requireNonNull(position, "position is null");
+        Objects.requireNonNull(lastResponseNanos, "lastResponseNanos is null");
+        Objects.requireNonNull(outageStartNanos, "outageStartNanos is null");
+    }
+
+    /**
+     * Describes a reader that has sent no request.
+     *
+     * @param stream stream that is read
+     * @return health without a position and without a response
+     */
+    static StreamHealth unread(LogStream stream) {
+        return new StreamHealth(stream, OptionalLong.empty(), OptionalLong.empty(), OptionalLong.empty());
+    }
+
+    StreamHealth onResponse(long nowNanos) {
+        return new StreamHealth(stream, position, OptionalLong.of(nowNanos), OptionalLong.empty());
+    }
+
+    StreamHealth onFailure(long nowNanos) {
+        return outageStartNanos.isPresent()
+                ? this
+                : new StreamHealth(stream, position, lastResponseNanos, OptionalLong.of(nowNanos));
+    }
+
+    StreamHealth at(OptionalLong newPosition) {
+        return new StreamHealth(stream, newPosition, lastResponseNanos, outageStartNanos);
+    }
+}
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.Objects;
+import java.util.stream.Stream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.control.ControlCodec;
@@ -11,6 +12,7 @@
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.control.StoreCadence;
+import org.masticpaddle.control.StreamHealth;
 import org.masticpaddle.control.UndecodableRecordException;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
@@ -66,7 +68,7 @@
                 cadence.operatorStream(),
                 scheduler,
                 random,
-                new OperatorListener(),
+                new LoggedStream(LogStream.OPERATOR, "log/operator", new OperatorListener(), scheduler::nanos, log),
                 error -> log.writeError("log/operator", error));
         upstreamFollower = new KeyedFollower(
                 sharedLog,
@@ -74,7 +76,7 @@
                 cadence.upstreamList(),
                 scheduler,
                 random,
-                new UpstreamListener(),
+                new LoggedStream(LogStream.UPSTREAMS, "log/upstreams", new UpstreamListener(), scheduler::nanos, log),
                 error -> log.writeError("log/upstreams", error));
     }
 
@@ -83,6 +85,11 @@
         upstreamFollower.start();
     }
 
+    /** Returns the health of the operator's stream and of the list; may be called by any thread. */
+    Stream<StreamHealth> health() {
+        return Stream.of(operatorFollower, upstreamFollower).map(KeyedFollower::health);
+    }
+
     /**
      * Adapts the timing of the reads to the limits in force.
      *
@@ -119,7 +126,7 @@
             try {
                 final OperatorRecord decoded = codec.operatorRecord(keyed);
                 if (decoded instanceof OperatorRecord.Configuration configuration) {
-                    if (state.applyTable(configuration.table())) {
+                    if (state.applyTable(configuration.table(), keyed.offset())) {
                         log.write(
                                 Decision.CONFIGURATION_APPLIED,
                                 "version",
@@ -141,22 +148,11 @@
             state.recordConfirmation(nanos);
         }
 
-        @Override
-        public void onUnavailable(String reason) {
-            log.write(Decision.DEPENDENCY_LOST, "dependency", "log/operator", "reason", reason);
-        }
-
         @Override
         public void onAvailable() {
-            log.write(Decision.DEPENDENCY_RECOVERED, "dependency", "log/operator");
             upstreamFollower.retry();
             listener.logAvailable();
         }
-
-        @Override
-        public void onHistoryLost() {
-            log.write(Decision.HISTORY_LOST, "stream", LogStream.OPERATOR);
-        }
     }
 
     private final class UpstreamListener implements KeyedFollower.Listener {
@@ -217,18 +213,11 @@
         @Override
         public void onUnavailable(String reason) {
             state.registry().onOutageStart();
-            log.write(Decision.DEPENDENCY_LOST, "dependency", "log/upstreams", "reason", reason);
         }
 
         @Override
         public void onAvailable() {
             state.registry().onOutageEnd(scheduler.nanos());
-            log.write(Decision.DEPENDENCY_RECOVERED, "dependency", "log/upstreams");
-        }
-
-        @Override
-        public void onHistoryLost() {
-            log.write(Decision.HISTORY_LOST, "stream", LogStream.UPSTREAMS);
         }
     }
 
--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -228,6 +228,10 @@
                 path(exchange),
                 "configuration",
                 context.state().table().map(RoutingTable::version).orElse(null),
+                "configuration_offset",
+                context.state().tableOffset().isPresent()
+                        ? context.state().tableOffset().getAsLong()
+                        : null,
                 "configuration_age_ms",
                 context.state().confirmedAgeMillis(context.scheduler().nanos()).orElse(-1)));
         line.addAll(Arrays.asList(fields));
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -302,7 +302,14 @@
     public List<Gauge> gauges() {
         final Gauge inFlight = Gauge.of(
                 "gateway.requests_in_flight", "requests whose answers are not complete", handler::requestsInFlight);
-        return Stream.of(counters.gauges(), List.of(sharedLog.gauge(), inFlight), bodies.gauges(), loopLag.gauges())
+        final LogGauges logGauges = new LogGauges(
+                state, () -> Stream.concat(logFollower.health(), Stream.of(quarantine.health())), loop::nanos);
+        return Stream.of(
+                        counters.gauges(),
+                        List.of(sharedLog.gauge(), inFlight),
+                        logGauges.gauges(),
+                        bodies.gauges(),
+                        loopLag.gauges())
                 .flatMap(List::stream)
                 .toList();
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -17,7 +17,8 @@
 /**
  * Mutable state of a gateway: the routing table in force and its freshness, upstreams, service times and retry budgets.
  *
- * <p>Invariant: the version of the routing table only increases. Used on the event loop only.
+ * <p>Invariant: the version of the routing table only increases. Used on the event loop only, but the table, its offset and the age
+ * of its confirmation may be read by any thread.
  */
 final class GatewayState {
     /**
@@ -42,8 +43,9 @@
     private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
     private final Map<String, DraftConfidences> draftConfidences = new HashMap<>();
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
-    private Optional<RoutingTable> table = Optional.empty();
-    private OptionalLong confirmedNanos = OptionalLong.empty();
+    private volatile Optional<RoutingTable> table = Optional.empty();
+    private volatile OptionalLong tableOffset = OptionalLong.empty();
+    private volatile OptionalLong confirmedNanos = OptionalLong.empty();
     private boolean upstreamsListed;
 
     /**
@@ -74,16 +76,24 @@
     /**
      * Puts a routing table in force if its version is higher than that of the current one.
      *
+     * @param newTable routing table of a record of the operator
+     * @param offset offset of the record
      * @return whether the table was applied
      */
-    boolean applyTable(RoutingTable newTable) {
+    boolean applyTable(RoutingTable newTable, long offset) {
         if (table.isPresent() && newTable.version() <= table.get().version()) {
             return false;
         }
         table = Optional.of(newTable);
+        tableOffset = OptionalLong.of(offset);
         return true;
     }
 
+    /** Returns the offset of the record that holds the routing table in force, empty if none is in force. */
+    OptionalLong tableOffset() {
+        return tableOffset;
+    }
+
     /** Records the time at which the log confirmed that the configuration was current. */
     void recordConfirmation(long nanos) {
         confirmedNanos = OptionalLong.of(Math.max(nanos, confirmedNanos.orElse(nanos)));
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -21,6 +21,7 @@
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.ReadTiming;
 import org.masticpaddle.control.SharedLog;
+import org.masticpaddle.control.StreamHealth;
 import org.masticpaddle.control.SuccessorWatch;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
@@ -112,13 +113,18 @@
                 CALM,
                 scheduler,
                 random,
-                this::onReport,
+                new LoggedStream(LogStream.CRASH_REPORTS, "log/crashes", this::onReport, scheduler::nanos, log),
                 error -> log.writeError("log/crashes", error));
         alertUntilNanos = scheduler.nanos();
         nextPublishNanos = scheduler.nanos();
         clearanceNanos = scheduler.nanos();
     }
 
+    /** Returns the health of the stream of reports; may be called by any thread. */
+    StreamHealth health() {
+        return follower.health();
+    }
+
     /** Starts to read the reports of the gateways. */
     void start() {
         follower.start();
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -154,7 +154,7 @@
                     state.bounds().storeCadence().rolloutStatus(),
                     scheduler,
                     random,
-                    this::onStatus,
+                    new LoggedStream(LogStream.STATUS, "log/status", this::onStatus, scheduler::nanos, log),
                     error -> log.writeError("log/status", error)));
             statusFollower.get().start();
         }
@@ -165,7 +165,7 @@
                     state.bounds().storeCadence().rolloutCounts(EARLY_COUNTS_PAUSE),
                     scheduler,
                     random,
-                    this::onCounts,
+                    new LoggedStream(LogStream.ROLLOUT_COUNTS, "log/counts", this::onCounts, scheduler::nanos, log),
                     error -> log.writeError("log/counts", error)));
             countsFollower.get().start();
         }
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -102,6 +102,23 @@
         assertThat(events).containsAtLeast("lost", "regained").inOrder();
     }
 
+    @Test
+    void shouldTellWhereItStandsAndSinceWhenRequestsFail() {
+        log.put("config", "1");
+        assertThat(follower.health().position()).isEqualTo(OptionalLong.empty());
+        follower.start();
+        scheduler.advance(1_000);
+        assertThat(follower.health().position()).isEqualTo(OptionalLong.of(1));
+        assertThat(follower.health().lastResponseNanos()).isEqualTo(OptionalLong.of(1_000_000_000L));
+        assertThat(follower.health().outageStartNanos()).isEqualTo(OptionalLong.empty());
+        log.setUnavailable(true);
+        scheduler.advance(5_000);
+        assertThat(follower.health().outageStartNanos()).isEqualTo(OptionalLong.of(2_000_000_000L));
+        log.setUnavailable(false);
+        scheduler.advance(1_000);
+        assertThat(follower.health().outageStartNanos()).isEqualTo(OptionalLong.empty());
+    }
+
     @Test
     void shouldDropKeysWhoseTombstonesWereDeleted() {
         log.put("a", "1");
--- a/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
@@ -102,7 +102,7 @@
     @Test
     void shouldServeNothingBeforeAllOrdersAreListed() {
         state = gatewayState();
-        state.applyTable(RoutingTable.of(1, Set.of(), Map.of(), Set.of(), RequestLimits.DEFAULT, false));
+        state.applyTable(RoutingTable.of(1, Set.of(), Map.of(), Set.of(), RequestLimits.DEFAULT, false), 0);
         state.markUpstreamsListed();
         assertThat(state.started()).isFalse();
         state.recordConfirmation(1);
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -215,7 +215,7 @@
 
         Gateway(int weight) {
             this.weight = weight;
-            state.applyTable(table);
+            state.applyTable(table, 0);
             engines.forEach(this::list);
             state.markUpstreamsListed();
             Arrays.fill(toldMillis, Long.MAX_VALUE / 2);
