Read the log again when it came back from an older copy

Cause: callers got 404 for routes of a confirmed configuration, and moved routes led to the old service, until the next change: after a restore the store gives offsets out again, and `KeyedFollower` dropped each record whose offset was not above the last one of its key, and read on from a position that counts in the history that is gone. All the while its reads confirmed the configuration. The class of fault: an identifier is compared beyond the scope in which it is unique. Change: offsets are compared within one history only (`DeliveredRecords`). A follower lists its stream again when an answer, its own or that of another stream, names another era; where the log names none, after each failure, as a held read fails when a log is restored. A listing that is shorter than what was read, or holds an older or other record at a known offset, shows another history too. The listener is told before the first record (`log.restored`, `gateway.stream_era`, `gateway.stream_restores`, era and offset of the configuration in each refusal). Keys that the copy lacks stay until their writers have had the time to write them again. While a stream is listed again what was read before stays in use. Why it works: no decision compares offsets of two histories any more, and a follower cannot take an answer for its own history without its era, or without having listed it.

--- a/src/main/java/org/masticpaddle/control/CountedSharedLog.java
+++ b/src/main/java/org/masticpaddle/control/CountedSharedLog.java
@@ -36,6 +36,11 @@
         }
     }
 
+    @Override
+    public long era() {
+        return log.era();
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(LogStream stream, String after) {
         counts.get(stream).get(Call.LIST).increment();
--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -1,17 +1,13 @@
 package org.masticpaddle.control;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -19,11 +15,14 @@
 
 /**
  * Follows a keyed stream: lists the newest record of each key once, then reads on from the end of the listing. Lists
- * again if the log has deleted records that were not read.
+ * again if the log has deleted records that were not read, if it begins another era and, where it names no era, after each failure,
+ * since it may have been restored from a copy meanwhile.
  *
- * <p>Invariants: the listener receives the records of a key in the order of their offsets, never an older one after a
- * newer one; all records acknowledged by a time that is passed to {@link Listener#onCaughtUp} have been delivered; a listener
- * that throws does not end the reads. All methods and the listener run on the scheduler's thread.
+ * <p>Invariants: within one history of the stream, the listener receives the records of a key in the order of their offsets, never
+ * an older one after a newer one; it is told of another history before the first record of it; a key that only an earlier history
+ * held is removed once its writers have had the time to write it again; all records acknowledged by a time that is passed to {@link
+ * Listener#onCaughtUp} have been delivered, unless the log has lost them; a listener that throws does not end the reads. All methods
+ * and the listener run on the scheduler's thread, except {@link #health()}.
  */
 public final class KeyedFollower {
     /**
@@ -42,21 +41,24 @@
     private final UniformRandomProvider random;
     private final Listener listener;
     private final Consumer<RuntimeException> errors;
-    private final Map<String, Long> lastOffsets = new HashMap<>();
+    private final DeliveredRecords delivered = new DeliveredRecords();
     private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
     private long listEndOffset;
     private long listStartNanos;
     private long nextOffset;
+    private long era = SharedLog.NO_ERA;
+    private boolean listed;
     private boolean following;
     private boolean available;
     private boolean stopped;
     private int failures;
-    private long reads;
+    private long requests;
     private boolean readInFlight;
     private long lastSentNanos;
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
     private Optional<Scheduler.Timer> backoffEnd = Optional.empty();
+    private Optional<Scheduler.Timer> rewriteEnd = Optional.empty();
     private volatile StreamHealth health;
 
     /**
@@ -122,12 +124,49 @@
     public void retry() {
         failures = Math.min(failures, 1);
         backoffEnd.ifPresent(timer -> {
-            timer.cancel();
-            backoffEnd = Optional.empty();
+            cancelTimers();
             listOrRead();
         });
     }
 
+    /**
+     * Lists the stream again if a response about another stream has named another era. The response of a request in flight is
+     * ignored.
+     */
+    public void followEra() {
+        if (following && !stopped && log.era() != SharedLog.NO_ERA && log.era() != era) {
+            cancelTimers();
+            readInFlight = false;
+            following = false;
+            listNewest("");
+        }
+    }
+
+    private void cancelTimers() {
+        pauseEnd.ifPresent(Scheduler.Timer::cancel);
+        pauseEnd = Optional.empty();
+        backoffEnd.ifPresent(Scheduler.Timer::cancel);
+        backoffEnd = Optional.empty();
+    }
+
+    /**
+     * Returns the era of the records that are delivered.
+     *
+     * @return era of the log, {@link SharedLog#NO_ERA} if it names none
+     */
+    public long era() {
+        return era;
+    }
+
+    /**
+     * Returns whether the stream was listed since the start.
+     *
+     * @return {@code true} also while it is listed again
+     */
+    public boolean listed() {
+        return listed;
+    }
+
     /**
      * Returns the position of the follower in the stream.
      *
@@ -150,7 +189,7 @@
         if (stopped) {
             return;
         }
-        if (following) {
+        if (following && (failures == 0 || era != SharedLog.NO_ERA)) {
             read();
         } else {
             listNewest("");
@@ -162,9 +201,23 @@
             listedKeys = new HashSet<>();
             listStartNanos = scheduler.nanos();
         }
-        handleResponse(log.newest(stream, after), () -> true, page -> {
+        handleResponse(log.newest(stream, after), page -> {
+            if (!after.isEmpty() && page.era() != era) {
+                listNewest("");
+                return;
+            }
             if (after.isEmpty()) {
                 listEndOffset = page.endOffset();
+                if (!listed && era == SharedLog.NO_ERA) {
+                    era = page.era();
+                }
+            }
+            if (historyReplaced(page)) {
+                beginHistory(page);
+                if (!after.isEmpty()) {
+                    listNewest("");
+                    return;
+                }
             }
             page.records().forEach(keyedRecord -> {
                 listedKeys.add(keyedRecord.key());
@@ -175,6 +228,7 @@
                 return;
             }
             deliverMissingTombstones();
+            listed = true;
             following = true;
             nextOffset = listEndOffset;
             notifyListener(() -> listener.onCaughtUp(listStartNanos));
@@ -186,22 +240,61 @@
         });
     }
 
+    private boolean historyReplaced(NewestPage page) {
+        return page.era() != era
+                || page.endOffset() < nextOffset
+                || page.records().stream().anyMatch(delivered::contradictedBy);
+    }
+
+    private void beginHistory(NewestPage page) {
+        final HistoryChange change = new HistoryChange(era, page.era(), nextOffset, page.endOffset());
+        delivered.beginHistory();
+        era = page.era();
+        nextOffset = 0;
+        following = false;
+        health = health.onRestore();
+        notifyListener(() -> listener.onHistoryReplaced(change));
+        awaitRewrites();
+    }
+
+    /** Removes the keys that the present history lacks once their writers have had the time to write them again. */
+    private void awaitRewrites() {
+        rewriteEnd.ifPresent(Scheduler.Timer::cancel);
+        rewriteEnd = Optional.of(scheduler.schedule(stream.rewriteTime().toMillis(), () -> {
+            rewriteEnd = Optional.empty();
+            if (stopped || !delivered.retainsKeys()) {
+                return;
+            }
+            if (!following || !available) {
+                awaitRewrites();
+                return;
+            }
+            final long lastOffset = Math.max(0, nextOffset - 1);
+            delivered
+                    .removeRetained()
+                    .forEach(key ->
+                            notifyListener(() -> listener.onRecord(new KeyedRecord(lastOffset, key, new byte[0]))));
+        }));
+    }
+
     private void deliverMissingTombstones() {
-        final List<String> missing = lastOffsets.entrySet().stream()
-                .filter(last -> last.getValue() < listEndOffset && !listedKeys.contains(last.getKey()))
-                .map(Map.Entry::getKey)
-                .toList();
-        missing.forEach(key -> deliver(new KeyedRecord(listEndOffset - 1, key, new byte[0])));
+        delivered
+                .missingIn(listedKeys, listEndOffset)
+                .forEach(key -> deliver(new KeyedRecord(listEndOffset - 1, key, new byte[0])));
     }
 
     private void read() {
         final long sentNanos = scheduler.nanos();
         // After a failure, a read that returns at once confirms that nothing was missed.
         final Duration longPollTimeout = failures > 0 ? Duration.ZERO : timing.longPollTimeout();
-        final long number = ++reads;
         readInFlight = true;
-        handleResponse(log.read(stream, nextOffset, longPollTimeout), () -> number == reads, batch -> {
+        handleResponse(log.read(stream, nextOffset, longPollTimeout), batch -> {
             readInFlight = false;
+            if (batch.era() != era) {
+                following = false;
+                listOrRead();
+                return;
+            }
             batch.records().forEach(this::deliver);
             nextOffset = batch.nextOffset();
             if (batch.complete()) {
@@ -236,15 +329,17 @@
         }));
     }
 
-    private <T> void handleResponse(CompletableFuture<T> response, BooleanSupplier expected, Consumer<T> onSuccess) {
+    /** Handles the response of a request, unless another request is sent before it arrives. */
+    private <T> void handleResponse(CompletableFuture<T> response, Consumer<T> onSuccess) {
+        final long number = ++requests;
         response.whenComplete((value, error) -> {
-            if (stopped || !expected.getAsBoolean()) {
+            if (stopped || number != requests) {
                 return;
             }
             if (error == null) {
                 requestSucceeded();
                 onSuccess.accept(value);
-                health = health.at(position());
+                health = health.at(era, position());
             } else {
                 requestFailed(error);
             }
@@ -286,16 +381,9 @@
     }
 
     private void deliver(KeyedRecord keyedRecord) {
-        final Long lastOffset = lastOffsets.get(keyedRecord.key());
-        if (lastOffset != null && lastOffset >= keyedRecord.offset()) {
-            return;
+        if (delivered.add(keyedRecord)) {
+            notifyListener(() -> listener.onRecord(keyedRecord));
         }
-        if (keyedRecord.tombstone()) {
-            lastOffsets.remove(keyedRecord.key());
-        } else {
-            lastOffsets.put(keyedRecord.key(), keyedRecord.offset());
-        }
-        notifyListener(() -> listener.onRecord(keyedRecord));
     }
 
     /** Calls the listener; an exception must not end the reads. */
@@ -336,5 +424,13 @@
 
         /** Called when records were deleted before they were read. The stream is then listed again. */
         default void onHistoryLost() {}
+
+        /**
+         * Called before the first record of another history of the stream, whose records up to the next call of {@link #onCaughtUp}
+         * may be older than those delivered before. Keys that it lacks are removed later, unless they are written again.
+         *
+         * @param change eras and offsets of both histories
+         */
+        default void onHistoryReplaced(HistoryChange change) {}
     }
 }
--- a/src/main/java/org/masticpaddle/control/NewestPage.java
+++ b/src/main/java/org/masticpaddle/control/NewestPage.java
@@ -9,10 +9,22 @@
  * @param records newest records, one per key
  * @param hasMore whether further keys follow the last one
  * @param endOffset offset at which the next record will be appended, at the time of the page
+ * @param era history to which the offsets belong, {@link SharedLog#NO_ERA} if the log names none
  */
-public record NewestPage(List<KeyedRecord> records, boolean hasMore, long endOffset) {
+public record NewestPage(List<KeyedRecord> records, boolean hasMore, long endOffset, long era) {
     /** Copies the list. */
     public NewestPage {
         records = List.copyOf(records);
     }
+
+    /**
+     * Creates a page of a log that names no era.
+     *
+     * @param records newest records, one per key
+     * @param hasMore whether further keys follow the last one
+     * @param endOffset offset at which the next record will be appended, at the time of the page
+     */
+    public NewestPage(List<KeyedRecord> records, boolean hasMore, long endOffset) {
+        this(records, hasMore, endOffset, SharedLog.NO_ERA);
+    }
 }
--- a/src/main/java/org/masticpaddle/control/SharedLog.java
+++ b/src/main/java/org/masticpaddle/control/SharedLog.java
@@ -5,10 +5,24 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Client of the platform's log. Reads and appends are linearizable. Futures fail with {@link SharedLogException} and
- * complete on the event loop. Thread-safe.
+ * Client of the platform's log. Futures fail with {@link SharedLogException} and complete on the event loop. Thread-safe.
+ *
+ * <p>Reads and appends are linearizable within an era. A log that is restored from a copy begins a new era: records that the copy
+ * does not hold are gone, and their offsets are given out again. Offsets of different eras must not be compared.
  */
 public interface SharedLog {
+    /** Era of a log that names none. */
+    long NO_ERA = -1;
+
+    /**
+     * Returns the era of the log.
+     *
+     * @return era that the newest response named, {@link #NO_ERA} if none did
+     */
+    default long era() {
+        return NO_ERA;
+    }
+
     /**
      * Lists the newest record of each key, page by page.
      *
--- a/src/main/java/org/masticpaddle/decisions/Decision.java
+++ b/src/main/java/org/masticpaddle/decisions/Decision.java
@@ -16,6 +16,8 @@
     DEPENDENCY_RECOVERED("dependency.regained", Priority.IMPORTANT),
     /** Records of the shared log were deleted before they were read. */
     HISTORY_LOST("log.history_lost", Priority.IMPORTANT),
+    /** The shared log was restored from a copy, so that offsets of a stream are given out again. */
+    LOG_RESTORED("log.restored", Priority.IMPORTANT),
     /** A record of the shared log is invalid and was ignored. */
     RECORD_IGNORED("log.record_ignored", Priority.IMPORTANT),
     /** A component failed unexpectedly and goes on; the defect has to be found and mended. */
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -8,6 +8,7 @@
 import org.masticpaddle.control.ControlCodec;
 import org.masticpaddle.control.KeyedFollower;
 import org.masticpaddle.control.KeyedRecord;
+import org.masticpaddle.control.LogPosition;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.control.SharedLog;
@@ -91,7 +92,7 @@
     }
 
     /**
-     * Adapts the timing of the reads to the limits in force.
+     * Adapts the timing of the reads to the limits in force, and the reads to the era of the log.
      *
      * @param successorsAwaited whether the successors of lost upstreams may be listed soon
      */
@@ -99,6 +100,8 @@
         final StoreCadence cadence = state.bounds().storeCadence();
         operatorFollower.setTiming(cadence.operatorStream());
         upstreamFollower.setTiming(successorsAwaited ? cadence.awaitedUpstreamList() : cadence.upstreamList());
+        operatorFollower.followEra();
+        upstreamFollower.followEra();
     }
 
     /** Removes upstreams whose entries were not renewed within the grace period after an outage of the log. */
@@ -120,13 +123,17 @@
         log.write(Decision.RECORD_IGNORED, "key", keyed.key(), "offset", keyed.offset(), "reason", error.getMessage());
     }
 
+    private LogPosition position(KeyedRecord operatorRecord) {
+        return new LogPosition(operatorFollower.era(), operatorRecord.offset());
+    }
+
     private final class OperatorListener implements KeyedFollower.Listener {
         @Override
         public void onRecord(KeyedRecord keyed) {
             try {
                 final OperatorRecord decoded = codec.operatorRecord(keyed);
                 if (decoded instanceof OperatorRecord.Configuration configuration) {
-                    if (state.applyTable(configuration.table(), keyed.offset())) {
+                    if (state.applyTable(configuration.table(), position(keyed))) {
                         log.write(
                                 Decision.CONFIGURATION_APPLIED,
                                 "version",
--- a/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayHandler.java
@@ -18,6 +18,8 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import org.masticpaddle.admission.RetryAfterPolicy;
+import org.masticpaddle.control.LogPosition;
+import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.routes.KeyOwner;
 import org.masticpaddle.routes.RequestLimits;
@@ -229,9 +231,13 @@
                 "configuration",
                 context.state().table().map(RoutingTable::version).orElse(null),
                 "configuration_offset",
-                context.state().tableOffset().isPresent()
-                        ? context.state().tableOffset().getAsLong()
-                        : null,
+                context.state().tablePosition().map(LogPosition::offset).orElse(null),
+                "configuration_era",
+                context.state()
+                        .tablePosition()
+                        .map(LogPosition::era)
+                        .filter(era -> era != SharedLog.NO_ERA)
+                        .orElse(null),
                 "configuration_age_ms",
                 context.state().confirmedAgeMillis(context.scheduler().nanos()).orElse(-1)));
         line.addAll(Arrays.asList(fields));
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -9,6 +9,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.admission.TrafficShare;
 import org.masticpaddle.admission.WindowedRetryBudget;
+import org.masticpaddle.control.LogPosition;
 import org.masticpaddle.fleet.UpstreamRegistry;
 import org.masticpaddle.routes.RoutingTable;
 import org.masticpaddle.routing.DraftConfidences;
@@ -17,7 +18,7 @@
 /**
  * Mutable state of a gateway: the routing table in force and its freshness, upstreams, service times and retry budgets.
  *
- * <p>Invariant: the version of the routing table only increases. Used on the event loop only, but the table, its offset and the age
+ * <p>Invariant: the version of the routing table only increases. Used on the event loop only, but the table, its position and the age
  * of its confirmation may be read by any thread.
  */
 final class GatewayState {
@@ -44,7 +45,7 @@
     private final Map<String, DraftConfidences> draftConfidences = new HashMap<>();
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private volatile Optional<RoutingTable> table = Optional.empty();
-    private volatile OptionalLong tableOffset = OptionalLong.empty();
+    private volatile Optional<LogPosition> tablePosition = Optional.empty();
     private volatile OptionalLong confirmedNanos = OptionalLong.empty();
     private boolean upstreamsListed;
 
@@ -77,21 +78,21 @@
      * Puts a routing table in force if its version is higher than that of the current one.
      *
      * @param newTable routing table of a record of the operator
-     * @param offset offset of the record
+     * @param position place of the record in the log
      * @return whether the table was applied
      */
-    boolean applyTable(RoutingTable newTable, long offset) {
+    boolean applyTable(RoutingTable newTable, LogPosition position) {
         if (table.isPresent() && newTable.version() <= table.get().version()) {
             return false;
         }
         table = Optional.of(newTable);
-        tableOffset = OptionalLong.of(offset);
+        tablePosition = Optional.of(position);
         return true;
     }
 
-    /** Returns the offset of the record that holds the routing table in force, empty if none is in force. */
-    OptionalLong tableOffset() {
-        return tableOffset;
+    /** Returns the place of the record that holds the routing table in force, empty if none is in force. */
+    Optional<LogPosition> tablePosition() {
+        return tablePosition;
     }
 
     /** Records the time at which the log confirmed that the configuration was current. */
--- a/src/main/java/org/masticpaddle/gateway/LogGauges.java
+++ b/src/main/java/org/masticpaddle/gateway/LogGauges.java
@@ -45,7 +45,9 @@
                 Gauge.of(
                         "gateway.configuration_offset",
                         "offset of the record that holds the configuration in force",
-                        () -> orUnknown(state.tableOffset())),
+                        () -> state.tablePosition()
+                                .map(position -> (double) position.offset())
+                                .orElse(UNKNOWN)),
                 Gauge.of(
                         "gateway.configuration_age_seconds",
                         "time since the log confirmed that the configuration is current",
@@ -54,6 +56,11 @@
                         "gateway.stream_position",
                         "offset of the next record of a stream",
                         health -> orUnknown(health.position())),
+                byStream("gateway.stream_era", "era of the log that a stream was read from", StreamHealth::era),
+                byStream(
+                        "gateway.stream_restores",
+                        "times that the log came back from a copy since the start",
+                        StreamHealth::restores),
                 byStream(
                         "gateway.stream_response_age_seconds",
                         "time since the last usable response about a stream",
--- a/src/main/java/org/masticpaddle/gateway/LoggedStream.java
+++ b/src/main/java/org/masticpaddle/gateway/LoggedStream.java
@@ -4,9 +4,11 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
+import org.masticpaddle.control.HistoryChange;
 import org.masticpaddle.control.KeyedFollower;
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
+import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.decisions.Decision;
 import org.masticpaddle.decisions.DecisionLog;
 
@@ -76,4 +78,25 @@
         log.write(Decision.HISTORY_LOST, "stream", stream);
         listener.onHistoryLost();
     }
+
+    @Override
+    public void onHistoryReplaced(HistoryChange change) {
+        log.write(
+                Decision.LOG_RESTORED,
+                "stream",
+                stream,
+                "era_before",
+                named(change.eraBefore()),
+                "era",
+                named(change.era()),
+                "position_before",
+                change.positionBefore(),
+                "end",
+                change.endOffset());
+        listener.onHistoryReplaced(change);
+    }
+
+    private static Long named(long era) {
+        return era == SharedLog.NO_ERA ? null : era;
+    }
 }
--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -132,7 +132,7 @@
 
     /** Returns whether the reports were listed, so that what the other gateways know is known here. */
     boolean caughtUp() {
-        return follower.position().isPresent();
+        return follower.listed();
     }
 
     /**
@@ -153,6 +153,7 @@
     void tick() {
         change(() -> quarantine.expire(wallMillis.getAsLong()));
         follower.setTiming(scheduler.nanos() < alertUntilNanos ? ALERT : CALM);
+        follower.followEra();
         publish();
     }
 
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -143,7 +143,11 @@
 
     /** Repeats failed reads at once, since the log responds again. */
     void onLogAvailable() {
-        Stream.of(statusFollower, countsFollower).flatMap(Optional::stream).forEach(KeyedFollower::retry);
+        followers().forEach(KeyedFollower::retry);
+    }
+
+    private Stream<KeyedFollower> followers() {
+        return Stream.of(statusFollower, countsFollower).flatMap(Optional::stream);
     }
 
     private void startFollowers() {
@@ -250,6 +254,7 @@
         if (!unfinished && statusFollower.isPresent()) {
             stopFollowers();
         }
+        followers().forEach(KeyedFollower::followEra);
         countsFollower.ifPresent(
                 follower -> follower.setTiming(state.bounds().storeCadence().rolloutCounts(countsPause(now))));
     }
@@ -405,8 +410,6 @@
      * this gateway started is known. Always true if no rollout is in progress.
      */
     boolean progressKnown() {
-        return Stream.of(statusFollower, countsFollower)
-                .flatMap(Optional::stream)
-                .allMatch(follower -> follower.position().isPresent());
+        return followers().allMatch(KeyedFollower::listed);
     }
 }
--- a/src/test/java/org/masticpaddle/control/FakeSharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FakeSharedLog.java
@@ -12,7 +12,7 @@
 
 /**
  * In-memory log with one keyed stream. Holds a read until there is a record or its wait is over; can simulate an outage, slow
- * responses and requests that get no response until their timeout. Not thread-safe.
+ * responses, requests that get no response until their timeout and a restore from a copy. Not thread-safe.
  */
 public final class FakeSharedLog implements SharedLog {
     /** Time between an append and the response to a read that waits for it. */
@@ -28,6 +28,8 @@
     private boolean silent;
     private long slowResponseMillis;
     private int requests;
+    private boolean namesEra;
+    private long era = 1;
 
     /**
      * Creates an empty log.
@@ -91,6 +93,27 @@
         earliestOffset = records.size();
     }
 
+    /** Makes responses name the era of the log. */
+    public void nameEras() {
+        namesEra = true;
+    }
+
+    /**
+     * Restores the log from a copy that holds its first records. Reads that it holds stay open.
+     *
+     * @param recordCount number of records of the copy
+     */
+    public void restore(int recordCount) {
+        records.subList(recordCount, records.size()).clear();
+        earliestOffset = Math.min(earliestOffset, recordCount);
+        era++;
+    }
+
+    @Override
+    public long era() {
+        return namesEra ? era : NO_ERA;
+    }
+
     /**
      * Returns the number of requests.
      *
@@ -118,7 +141,7 @@
             }
         });
         return slowResponse(
-                new NewestPage(List.copyOf(newest.tailMap(after, false).values()), false, records.size()));
+                new NewestPage(List.copyOf(newest.tailMap(after, false).values()), false, records.size(), era()));
     }
 
     @Override
@@ -130,7 +153,7 @@
         if (unavailable) {
             return failed(SharedLogException.Kind.REJECTED);
         }
-        if (from < earliestOffset) {
+        if (from < earliestOffset || from > records.size()) {
             return failed(SharedLogException.Kind.HISTORY_LOST);
         }
         if (from < records.size() || wait.isZero()) {
@@ -163,7 +186,11 @@
     }
 
     private LogBatch batch(long from) {
-        return new LogBatch(List.copyOf(records.subList((int) from, records.size())), records.size(), records.size());
+        return new LogBatch(
+                List.copyOf(records.subList((int) Math.min(from, records.size()), records.size())),
+                Math.max(from, records.size()),
+                records.size(),
+                era());
     }
 
     @Override
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -9,6 +9,8 @@
 import com.google.common.collect.Range;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.masticpaddle.kernel.FakeScheduler;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -49,6 +51,11 @@
                     events.add("lost");
                 }
 
+                @Override
+                public void onHistoryReplaced(HistoryChange change) {
+                    events.add("restored");
+                }
+
                 @Override
                 public void onAvailable() {
                     events.add("regained");
@@ -144,6 +151,139 @@
         assertThat(events).containsExactly("regained", "config=1");
     }
 
+    /** The record that was lost and the one in its place have the same offset. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void shouldDeliverARecordAtAnOffsetThatWasGivenOutBefore(boolean namesEra) {
+        restoreFrom(namesEra, 1);
+        log.put("config", "3");
+        scheduler.advance(3_000);
+        assertThat(events)
+                .containsExactly(
+                        "regained", "config=1", "config=2", "lost", "regained", "restored", "config=1", "config=3")
+                .inOrder();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void shouldDeliverRecordsBelowThePositionThatWasReadBefore(boolean namesEra) {
+        restoreFrom(namesEra, 1, () -> {
+            log.put("config", "3");
+            log.put("other", "1");
+            log.put("other", "2");
+        });
+        scheduler.advance(3_000);
+        assertThat(events).containsAtLeast("restored", "config=3", "other=2").inOrder();
+        assertThat(events).doesNotContain("other=");
+    }
+
+    /** The follower was frozen or cut off, so that it saw neither the outage nor an answer in it. */
+    @Test
+    void shouldNoticeAnEraByTheAnswerToAReadThatWasHeldMeanwhile() {
+        log.nameEras();
+        log.put("config", "1");
+        follower.start();
+        log.put("config", "2");
+        scheduler.advance(10);
+        log.restore(1);
+        log.put("config", "3");
+        log.put("config", "4");
+        scheduler.advance(3_000);
+        assertThat(events)
+                .containsExactly("regained", "config=1", "config=2", "restored", "config=4")
+                .inOrder();
+    }
+
+    @Test
+    void shouldNoticeAnEraThatAnotherStreamHasSeen() {
+        log.nameEras();
+        log.put("config", "1");
+        follower.start();
+        follower.setTiming(ReadTiming.longPoll(WAIT.multipliedBy(60)));
+        scheduler.advance(WAIT.toMillis());
+        log.restore(0);
+        log.put("config", "2");
+        follower.followEra();
+        follower.followEra();
+        scheduler.advance(1);
+        assertThat(events)
+                .containsExactly("regained", "config=1", "restored", "config=2")
+                .inOrder();
+    }
+
+    @Test
+    void shouldRemoveKeysThatNobodyWritesAgainAfterTheTimeForThat() {
+        log.nameEras();
+        log.put("config", "1");
+        log.put("order", "1");
+        log.put("other", "1");
+        follower.start();
+        log.restore(1);
+        follower.followEra();
+        log.put("order", "1");
+        final long rewriteMillis = LogStream.OPERATOR.rewriteTime().toMillis();
+        scheduler.advance(rewriteMillis - 100);
+        assertThat(events).doesNotContain("other=");
+        scheduler.advance(200);
+        assertThat(events).contains("other=");
+        assertThat(events).doesNotContain("order=");
+        assertThat(events).doesNotContain("config=");
+    }
+
+    @Test
+    void shouldNotRemoveKeysInAnOutageAfterARestore() {
+        log.nameEras();
+        log.put("order", "1");
+        follower.start();
+        log.restore(0);
+        follower.followEra();
+        scheduler.advance(1_500);
+        log.setUnavailable(true);
+        scheduler.advance(3 * LogStream.OPERATOR.rewriteTime().toMillis());
+        assertThat(events).doesNotContain("order=");
+        log.setUnavailable(false);
+        scheduler.advance(3_000);
+        log.put("order", "1");
+        scheduler.advance(2 * LogStream.OPERATOR.rewriteTime().toMillis());
+        assertThat(events).doesNotContain("order=");
+    }
+
+    @Test
+    void shouldKeepAnAppendFromBeingJudgedByAPositionInAnotherHistory() {
+        log.nameEras();
+        log.put("config", "1");
+        follower.start();
+        scheduler.advance(WAIT.toMillis());
+        log.setSlowResponse(100);
+        log.restore(0);
+        follower.followEra();
+        assertThat(follower.position()).isEqualTo(OptionalLong.empty());
+        assertThat(follower.listed()).isTrue();
+        scheduler.advance(200);
+        assertThat(follower.position()).isEqualTo(OptionalLong.of(0));
+    }
+
+    private void restoreFrom(boolean namesEra, int recordCount) {
+        restoreFrom(namesEra, recordCount, () -> {});
+    }
+
+    /** Restores the log in an outage, after the records "1" and "2" of one key were delivered. */
+    private void restoreFrom(boolean namesEra, int recordCount, Runnable beforeReads) {
+        if (namesEra) {
+            log.nameEras();
+        }
+        log.put("config", "1");
+        follower.start();
+        log.put("config", "2");
+        scheduler.advance(10);
+        log.setUnavailable(true);
+        scheduler.advance(2_000);
+        log.restore(recordCount);
+        beforeReads.run();
+        log.setUnavailable(false);
+        scheduler.advance(500);
+    }
+
     @Test
     void shouldBackOffWhileRequestsFail() {
         log.setUnavailable(true);
--- a/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
@@ -9,8 +9,10 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.masticpaddle.control.LogPosition;
 import org.masticpaddle.control.LogStream;
 import org.masticpaddle.control.OperatorRecord;
+import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.Availability;
 import org.masticpaddle.fleet.Upstream;
@@ -102,7 +104,9 @@
     @Test
     void shouldServeNothingBeforeAllOrdersAreListed() {
         state = gatewayState();
-        state.applyTable(RoutingTable.of(1, Set.of(), Map.of(), Set.of(), RequestLimits.DEFAULT, false), 0);
+        state.applyTable(
+                RoutingTable.of(1, Set.of(), Map.of(), Set.of(), RequestLimits.DEFAULT, false),
+                new LogPosition(SharedLog.NO_ERA, 0));
         state.markUpstreamsListed();
         assertThat(state.started()).isFalse();
         state.recordConfirmation(1);
--- a/src/test/java/org/masticpaddle/gateway/FakeStreams.java
+++ b/src/test/java/org/masticpaddle/gateway/FakeStreams.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.ToIntFunction;
 
 import org.masticpaddle.control.FakeSharedLog;
 import org.masticpaddle.control.KeyedRecord;
@@ -38,6 +39,15 @@
         return logs.get(stream);
     }
 
+    void nameEras() {
+        logs.values().forEach(FakeSharedLog::nameEras);
+    }
+
+    /** Restores all streams from a copy that holds their first records, as many as a supplier names for each. */
+    void restore(ToIntFunction<LogStream> recordCounts) {
+        logs.forEach((stream, log) -> log.restore(recordCounts.applyAsInt(stream)));
+    }
+
     List<RolloutProgress> statuses() {
         return writtenStatuses;
     }
@@ -52,6 +62,11 @@
         return crashReportReads;
     }
 
+    @Override
+    public long era() {
+        return logs.values().stream().mapToLong(FakeSharedLog::era).max().orElse(NO_ERA);
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(LogStream stream, String after) {
         return logs.get(stream).newest(stream, after);
--- a/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
+++ b/src/test/java/org/masticpaddle/gateway/LimitedDeployment.java
@@ -10,6 +10,8 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.masticpaddle.control.LogPosition;
+import org.masticpaddle.control.SharedLog;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.InFlightRequest;
 import org.masticpaddle.fleet.SelfReport;
@@ -215,7 +217,7 @@
 
         Gateway(int weight) {
             this.weight = weight;
-            state.applyTable(table, 0);
+            state.applyTable(table, new LogPosition(SharedLog.NO_ERA, 0));
             engines.forEach(this::list);
             state.markUpstreamsListed();
             Arrays.fill(toldMillis, Long.MAX_VALUE / 2);
