Do not compare the offsets of evacuation orders across a restore of the log

Cause: after a restore from a copy, the withdrawal of an evacuation was ignored as stale if its offset was below that of the order in the history that is gone: callers got 503 or longer ways, as the failure domain stayed empty. Evidence: RestoredLogTest, domain b empty.

--- a/src/main/java/org/masticpaddle/fleet/EvacuatedDomains.java
+++ b/src/main/java/org/masticpaddle/fleet/EvacuatedDomains.java
@@ -11,13 +11,17 @@
  * Failure domains that the operator has evacuated, built by applying the orders and withdrawals of a log.
  *
  * <p>Load pattern: the log is listed again after an outage, so that records may be applied twice or after later ones. Invariants:
- * the record of a domain with the highest offset applies, in whatever order records arrive; at most {@link #MAX_DOMAINS} domains
+ * the record of a domain with the highest offset in the present history of the log applies, in whatever order records arrive; a
+ * record of the present history applies before one of an earlier history; at most {@link #MAX_DOMAINS} domains
  * are kept, of which those with an order are never dropped for others. Not thread-safe: confined to the thread of its owner.
  */
 public final class EvacuatedDomains {
     /** Largest number of domains that are kept, withdrawn orders included. */
     static final int MAX_DOMAINS = 1_024;
 
+    /** Stands for the offset of an order in an earlier history of the log; lower than any offset. */
+    private static final long EARLIER_HISTORY = -1;
+
     private final Map<String, Order> newestOrders = new LinkedHashMap<>();
 
     /** Creates a set without orders. */
@@ -45,6 +49,11 @@
         return apply(domain, new Order(offset, false));
     }
 
+    /** Records that the log has begun another history, whose offsets must not be compared with those of the present one. */
+    void beginHistory() {
+        newestOrders.replaceAll((domain, order) -> new Order(EARLIER_HISTORY, order.inForce));
+    }
+
     private EvacuationChange apply(String domain, Order newest) {
         Objects.requireNonNull(domain, "domain is null");
         final Order previous = newestOrders.get(domain);
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -145,6 +145,11 @@
         return change;
     }
 
+    /** Records that the operators' stream has begun another history, whose offsets must not be compared with the present ones. */
+    public void onOrderHistoryReplaced() {
+        evacuatedDomains.beginHistory();
+    }
+
     /**
      * Returns the failure domains that are evacuated.
      *
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.control.ControlCodec;
+import org.masticpaddle.control.HistoryChange;
 import org.masticpaddle.control.KeyedFollower;
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogPosition;
@@ -150,6 +151,11 @@
             }
         }
 
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            evacuations.onHistoryReplaced();
+        }
+
         @Override
         public void onCaughtUp(long nanos) {
             state.recordConfirmation(nanos);
--- a/src/main/java/org/masticpaddle/gateway/EvacuationOrders.java
+++ b/src/main/java/org/masticpaddle/gateway/EvacuationOrders.java
@@ -60,6 +60,11 @@
         }
     }
 
+    /** Records that the operators' stream has begun another history, in which all orders in force are written again. */
+    void onHistoryReplaced() {
+        registry.onOrderHistoryReplaced();
+    }
+
     private void write(String failureDomain, EvacuationChange change, long offset) {
         if (change == EvacuationChange.UNCHANGED) {
             return;
--- a/src/test/java/org/masticpaddle/control/FakeSharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FakeSharedLog.java
@@ -101,11 +101,13 @@
     /**
      * Restores the log from a copy that holds its first records. Reads that it holds stay open.
      *
-     * @param recordCount number of records of the copy
+     * @param recordCount number of records of the copy; a larger number than there are loses nothing
      */
     public void restore(int recordCount) {
-        records.subList(recordCount, records.size()).clear();
-        earliestOffset = Math.min(earliestOffset, recordCount);
+        if (recordCount < records.size()) {
+            records.subList(recordCount, records.size()).clear();
+            earliestOffset = Math.min(earliestOffset, recordCount);
+        }
         era++;
     }
 
--- a/src/test/java/org/masticpaddle/gateway/TextControlCodec.java
+++ b/src/test/java/org/masticpaddle/gateway/TextControlCodec.java
@@ -12,7 +12,7 @@
 
 /**
  * Encodes records as text. The key of an operator's record is the failure domain that it evacuates, the value of an upstream is
- * its failure domain.
+ * its failure domain, followed by "draining" if it drains.
  */
 final class TextControlCodec implements ControlCodec {
     @Override
@@ -24,9 +24,17 @@
 
     @Override
     public Upstream upstream(KeyedRecord keyed) {
-        final String failureDomain = new String(keyed.value(), StandardCharsets.UTF_8);
+        final String[] fields = new String(keyed.value(), StandardCharsets.UTF_8).split(" ");
         return new Upstream(
-                keyed.key(), "s", URI.create("http://" + keyed.key() + ":1"), failureDomain, "v1", 8, false, 1, 0);
+                keyed.key(),
+                "s",
+                URI.create("http://" + keyed.key() + ":1"),
+                fields[0],
+                "v1",
+                8,
+                fields.length > 1,
+                1,
+                0);
     }
 
     @Override
