Do not send to upstreams that only a restored copy of the list names

Cause: a list that came back from an older copy named upstreams as ready that had been draining or were removed, and gateways sent requests to them until their entries lapsed; callers got connection errors. Evidence: RestoredLogTest, a draining and a removed upstream are members again. Change: between the replacement of the list's history and the end of its listing, entries go through `UpstreamRegistry.applyRestoredEntry`: they revive no removed incarnation and end no drain. What an upstream writes after that counts. An upstream that was removed by mistake and writes again before the listing is used one heartbeat later.

--- a/src/main/java/org/masticpaddle/fleet/RegistryChange.java
+++ b/src/main/java/org/masticpaddle/fleet/RegistryChange.java
@@ -12,7 +12,7 @@
     LAPSED,
     /** An upstream was removed. */
     REMOVED,
-    /** The record belongs to an earlier incarnation and was ignored. */
+    /** The record belongs to an earlier incarnation, or is older than what is known, and was ignored. */
     STALE,
     /** Neither the availability nor the incarnation of an upstream changed. */
     UNCHANGED
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -18,10 +18,10 @@
  * during an outage of the list, or within the grace period after it, has lapsed: a live upstream may only have been
  * unable to renew it, so it stays a member until the grace period ends. An upstream in an evacuated failure domain is no member
  * while the order is in force, also if it is listed later. An entry of an earlier incarnation never
- * replaces one of a later incarnation. Not thread-safe: confined to the thread of its owner.
+ * replaces one of a later incarnation, and one from a copy of the list neither revives a removed incarnation nor ends a drain. Not thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamRegistry {
-    /** Largest number of removed upstreams that are remembered as leaving. */
+    /** Largest number of removed upstreams that are remembered. */
     private static final int MAX_REMEMBERED = 4_096;
     /** Lower than the start time of any upstream. */
     private static final long NO_START = Long.MIN_VALUE;
@@ -36,6 +36,14 @@
         }
     };
 
+    /** Start times of removed incarnations, by identifier. */
+    private final Map<String, Long> removedStarts = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_REMEMBERED;
+        }
+    };
+
     private final EvacuatedDomains evacuatedDomains = new EvacuatedDomains();
     private long outageEndNanos = Long.MIN_VALUE / 2;
     private boolean outage;
@@ -93,6 +101,25 @@
         return renewed ? RegistryChange.ADDED : RegistryChange.UNCHANGED;
     }
 
+    /**
+     * Applies an entry of a list that was restored from a copy, which may be older than what was applied before. It takes effect
+     * unless it says that a removed incarnation is registered or that a draining one is not; the next entry of a live upstream does.
+     *
+     * @param upstream upstream described by the entry
+     * @param now current time in nanoseconds
+     * @return effect of the entry
+     */
+    public RegistryChange applyRestoredEntry(Upstream upstream, long now) {
+        Objects.requireNonNull(upstream, "upstream is null");
+        final Registration registration = registrations.get(upstream.id());
+        final boolean outdated = registration == null
+                ? removedStarts.getOrDefault(upstream.id(), NO_START) >= upstream.startMillis()
+                : registration.state.upstream().draining()
+                        && !upstream.draining()
+                        && registration.state.upstream().startMillis() >= upstream.startMillis();
+        return outdated ? RegistryChange.STALE : applyEntry(upstream, now);
+    }
+
     /**
      * Applies the removal of an entry.
      *
@@ -216,6 +243,7 @@
     /** Removes an upstream; keeps in mind that it is leaving, since its entry may be listed again. */
     private void remove(String id) {
         final UpstreamState state = registrations.remove(id).state;
+        removedStarts.put(id, state.upstream().startMillis());
         if (state.leaving()) {
             leavingStarts.put(id, state.upstream().startMillis());
         }
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -169,6 +169,9 @@
     }
 
     private final class UpstreamListener implements KeyedFollower.Listener {
+        /** Whether the records belong to a listing that may be older than what is known. */
+        private boolean restoring;
+
         @Override
         public void onRecord(KeyedRecord keyed) {
             if (keyed.tombstone()) {
@@ -177,7 +180,9 @@
             }
             try {
                 final Upstream upstream = codec.upstream(keyed);
-                final RegistryChange change = state.registry().applyEntry(upstream, scheduler.nanos());
+                final RegistryChange change = restoring
+                        ? state.registry().applyRestoredEntry(upstream, scheduler.nanos())
+                        : state.registry().applyEntry(upstream, scheduler.nanos());
                 listener.upstreamListed(upstream);
                 if (change != RegistryChange.UNCHANGED) {
                     log.write(
@@ -218,8 +223,14 @@
             }
         }
 
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            restoring = true;
+        }
+
         @Override
         public void onCaughtUp(long nanos) {
+            restoring = false;
             state.markUpstreamsListed();
         }
 
