Continue rollouts when the log is restored and their orders are written again

Cause: an order is identified by its offset. After a restore the same order had another one, so that gateways began its rollout anew: requests went again to a version that had been rolled back, the verdict that the log had lost was not written again, and an older order of the copy replaced the present one. Evidence: RolloutCoordinatorTest, status RUNNING instead of ROLLED_BACK after the restore. Change: `RestoredOrders` (pure) decides what an order of the restored log means: the known version continues its rollout under the new offset; another version waits until the operator has had the time to write the known order again. A status that the log has lost is written again by whichever gateway appends first, once the order has its new offset; counts are published again. A status must also name the version.

--- a/src/main/java/org/masticpaddle/gateway/ActiveRollout.java
+++ b/src/main/java/org/masticpaddle/gateway/ActiveRollout.java
@@ -36,6 +36,7 @@
     private long publishedNanos;
     private Optional<RolloutCounts> publishedCounts = Optional.empty();
     private double loggedShare;
+    private boolean statusLost;
 
     /**
      * Starts without answers in progress.
@@ -56,6 +57,27 @@
         return sessions;
     }
 
+    /** Records that the log may have lost the status that the gateways agreed on. */
+    void recordStatusLost() {
+        statusLost = rollout.progress().isPresent();
+    }
+
+    /** Returns the progress that is written again unless the log holds it, empty if nothing was lost. */
+    Optional<RolloutProgress> lostProgress() {
+        return statusLost ? rollout.progress() : Optional.empty();
+    }
+
+    /** Records that the log holds the status that the gateways agreed on. */
+    void recordStatusWritten() {
+        statusLost = false;
+    }
+
+    /** Records that the log may have lost the counts of this gateway, which are written again at once. */
+    void recordCountsLost() {
+        publishedCounts = Optional.empty();
+        nextCountsNanos = publishedNanos;
+    }
+
     boolean ended() {
         return rollout.progress().filter(RolloutProgress::ended).isPresent();
     }
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -154,6 +154,7 @@
         @Override
         public void onHistoryReplaced(HistoryChange change) {
             evacuations.onHistoryReplaced();
+            listener.orderHistoryReplaced();
         }
 
         @Override
@@ -269,6 +270,9 @@
          */
         void rolloutRecord(OperatorRecord order, long offset);
 
+        /** Called when the operators' stream has begun another history, before the first order of it. */
+        void orderHistoryReplaced();
+
         /** Called when the log responds again, so that followers of other streams need not wait to repeat failed requests. */
         void logAvailable();
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -188,6 +188,11 @@
                         rollouts.onOperatorRecord(order, offset);
                     }
 
+                    @Override
+                    public void orderHistoryReplaced() {
+                        rollouts.onHistoryReplaced();
+                    }
+
                     @Override
                     public void logAvailable() {
                         rollouts.onLogAvailable();
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -13,6 +13,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.control.ControlCodec;
+import org.masticpaddle.control.HistoryChange;
 import org.masticpaddle.control.KeyedFollower;
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
@@ -42,8 +43,8 @@
  * writer has read the stream up to its end (compare-and-append), so that of two concurrent writers one fails and reads the
  * status of the other. Invariants: an active session stays on its version, except that it may move to the new version in
  * the second half of the time limit and leaves it when it is found bad; the version of any other request depends only on
- * its session, or its identifier if it has none, and on the share of the new version, so that all gateways choose alike.
- * Runs on the event loop.
+ * its session, or its identifier if it has none, and on the share of the new version, so that all gateways choose alike; a
+ * rollout goes on where it was when the log is restored and the operator writes its order again. Runs on the event loop.
  */
 final class RolloutCoordinator implements VersionRouter {
     /** Pause between reads of the other gateways' counts before the canary starts, by when all have to know the active sessions. */
@@ -75,6 +76,7 @@
     private final Map<String, EstablishedVersions> establishedByService = new HashMap<>();
     private final Map<String, ActiveRollout> rollouts = new HashMap<>();
     private final Map<String, RolloutStatus> statuses = new HashMap<>();
+    private final RestoredOrders restoredOrders = new RestoredOrders(LogStream.OPERATOR.rewriteTime());
     private Optional<KeyedFollower> statusFollower = Optional.empty();
     private Optional<KeyedFollower> countsFollower = Optional.empty();
 
@@ -114,26 +116,15 @@
      */
     void onOperatorRecord(OperatorRecord operatorRecord, long offset) {
         if (operatorRecord instanceof OperatorRecord.RolloutOrder order) {
-            final long now = scheduler.nanos();
-            final VersionRollout rollout = new VersionRollout(
-                    order.service(),
-                    order.version(),
-                    offset,
-                    order.timeLimit(),
-                    state.bounds().exposureShare(),
-                    now);
-            final ActiveRollout active =
-                    new ActiveRollout(rollout, now + (long) (random.nextDouble() * FIRST_STATUS_JITTER_NANOS));
-            rollouts.put(order.service(), active);
-            sessions(order.service())
-                    .versions(now)
-                    .forEach((session, version) -> active.recordSession(session, version, now));
-            Optional.ofNullable(statuses.get(order.service()))
-                    .filter(status -> status.order() == offset)
-                    .ifPresent(status -> rollout.applyProgress(status.progress()));
-            logRollout(rollout, "ordered");
-            startFollowers();
+            final Optional<ActiveRollout> present = Optional.ofNullable(rollouts.get(order.service()));
+            switch (restoredOrders.onOrder(
+                    order, offset, present.map(active -> active.rollout().version()), scheduler.nanos())) {
+                case CONTINUE -> continueRollout(present.orElseThrow(), offset);
+                case START -> startRollout(order, offset);
+                case WAIT -> {}
+            }
         } else if (operatorRecord instanceof OperatorRecord.RolloutWithdrawn withdrawn) {
+            restoredOrders.onWithdrawal(withdrawn.service());
             final ActiveRollout removed = rollouts.remove(withdrawn.service());
             if (removed != null && removed.rollout().progress().equals(Optional.of(RolloutProgress.ROLLED_BACK))) {
                 established(withdrawn.service()).exclude(removed.rollout().version());
@@ -141,6 +132,44 @@
         }
     }
 
+    private void startRollout(OperatorRecord.RolloutOrder order, long offset) {
+        final long now = scheduler.nanos();
+        final VersionRollout rollout = new VersionRollout(
+                order.service(),
+                order.version(),
+                offset,
+                order.timeLimit(),
+                state.bounds().exposureShare(),
+                now);
+        final ActiveRollout active =
+                new ActiveRollout(rollout, now + (long) (random.nextDouble() * FIRST_STATUS_JITTER_NANOS));
+        rollouts.put(order.service(), active);
+        sessions(order.service())
+                .versions(now)
+                .forEach((session, version) -> active.recordSession(session, version, now));
+        Optional.ofNullable(statuses.get(order.service()))
+                .filter(status -> concerns(status, rollout))
+                .ifPresent(status -> rollout.applyProgress(status.progress()));
+        logRollout(rollout, "ordered");
+        startFollowers();
+    }
+
+    private void continueRollout(ActiveRollout active, long offset) {
+        active.rollout().reidentify(offset);
+        active.recordStatusLost();
+        logRollout(active.rollout(), "ordered again");
+        startFollowers();
+    }
+
+    private static boolean concerns(RolloutStatus status, VersionRollout rollout) {
+        return status.order() == rollout.order() && status.version().equals(rollout.version());
+    }
+
+    /** Records that the operators' stream has begun another history, in which the orders get other offsets. */
+    void onHistoryReplaced() {
+        restoredOrders.onHistoryReplaced(rollouts.keySet());
+    }
+
     /** Repeats failed reads at once, since the log responds again. */
     void onLogAvailable() {
         followers().forEach(KeyedFollower::retry);
@@ -158,7 +187,7 @@
                     state.bounds().storeCadence().rolloutStatus(),
                     scheduler,
                     random,
-                    new LoggedStream(LogStream.STATUS, "log/status", this::onStatus, scheduler::nanos, log),
+                    new LoggedStream(LogStream.STATUS, "log/status", new StatusListener(), scheduler::nanos, log),
                     error -> log.writeError("log/status", error)));
             statusFollower.get().start();
         }
@@ -169,7 +198,8 @@
                     state.bounds().storeCadence().rolloutCounts(EARLY_COUNTS_PAUSE),
                     scheduler,
                     random,
-                    new LoggedStream(LogStream.ROLLOUT_COUNTS, "log/counts", this::onCounts, scheduler::nanos, log),
+                    new LoggedStream(
+                            LogStream.ROLLOUT_COUNTS, "log/counts", new CountsListener(), scheduler::nanos, log),
                     error -> log.writeError("log/counts", error)));
             countsFollower.get().start();
         }
@@ -180,6 +210,32 @@
         countsFollower.ifPresent(KeyedFollower::stop);
         statusFollower = Optional.empty();
         countsFollower = Optional.empty();
+        statuses.clear();
+    }
+
+    private final class StatusListener implements KeyedFollower.Listener {
+        @Override
+        public void onRecord(KeyedRecord keyedRecord) {
+            onStatus(keyedRecord);
+        }
+
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            statuses.clear();
+            rollouts.values().forEach(ActiveRollout::recordStatusLost);
+        }
+    }
+
+    private final class CountsListener implements KeyedFollower.Listener {
+        @Override
+        public void onRecord(KeyedRecord keyedRecord) {
+            onCounts(keyedRecord);
+        }
+
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            rollouts.values().forEach(ActiveRollout::recordCountsLost);
+        }
     }
 
     private void onStatus(KeyedRecord keyed) {
@@ -190,7 +246,7 @@
             final RolloutStatus status = codec.rolloutStatus(keyed);
             statuses.put(status.service(), status);
             final ActiveRollout active = rollouts.get(status.service());
-            if (active != null && active.rollout().order() == status.order()) {
+            if (active != null && concerns(status, active.rollout())) {
                 final Optional<RolloutProgress> progressBefore =
                         active.rollout().progress();
                 active.rollout().applyProgress(status.progress());
@@ -224,6 +280,7 @@
     /** Advances each rollout, proposes its progress and publishes this gateway's counts. Called about ten times a second. */
     void tick() {
         final long now = scheduler.nanos();
+        restoredOrders.due(now).forEach(due -> startRollout(due.order(), due.offset()));
         sessionsByService.values().forEach(sessions -> sessions.removeInactive(now));
         state.registry().all().stream()
                 .map(UpstreamState::upstream)
@@ -233,8 +290,12 @@
         boolean unfinished = false;
         for (final ActiveRollout active : rollouts.values()) {
             final VersionRollout rollout = active.rollout();
-            unfinished |= !active.ended();
-            if (active.ended() || !progressKnown()) {
+            unfinished |= !active.ended() || active.lostProgress().isPresent();
+            if (!progressKnown()) {
+                continue;
+            }
+            if (active.ended()) {
+                writeLostProgress(active, now);
                 continue;
             }
             active.countJudgedAnswers(now);
@@ -248,7 +309,8 @@
             if (active.shareChanged(now)) {
                 logRollout(rollout, "share");
             }
-            proposed.ifPresent(progress -> proposeProgress(active, progress, now));
+            proposed.ifPresentOrElse(
+                    progress -> proposeProgress(active, progress, now), () -> writeLostProgress(active, now));
             publishCounts(active, activity, now);
         }
         if (!unfinished && statusFollower.isPresent()) {
@@ -259,6 +321,24 @@
                 follower -> follower.setTiming(state.bounds().storeCadence().rolloutCounts(countsPause(now))));
     }
 
+    /** Writes a status again that the log has lost; until the order is written again, the status would name another one. */
+    private void writeLostProgress(ActiveRollout active, long now) {
+        if (active.lostProgress().isEmpty()
+                || restoredOrders.awaits(active.rollout().service())) {
+            return;
+        }
+        final RolloutProgress progress = active.lostProgress().get();
+        final boolean written = Optional.ofNullable(
+                        statuses.get(active.rollout().service()))
+                .filter(status -> concerns(status, active.rollout()) && status.progress() == progress)
+                .isPresent();
+        if (written) {
+            active.recordStatusWritten();
+        } else {
+            proposeProgress(active, progress, now);
+        }
+    }
+
     private Duration countsPause(long now) {
         return rollouts.values().stream()
                 .filter(active -> !active.ended())
--- a/src/main/java/org/masticpaddle/rollout/VersionRollout.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionRollout.java
@@ -51,7 +51,7 @@
 
     private final String service;
     private final String version;
-    private final long order;
+    private long order;
     private final Duration timeLimit;
     private final double exposureShare;
     private long startNanos;
@@ -113,6 +113,16 @@
         return order;
     }
 
+    /**
+     * Takes over the identifier that the order has since the log was restored and the operator wrote the order again. Counts and
+     * stage stay.
+     *
+     * @param newOrder identifier of the order, its offset in the restored stream
+     */
+    public void reidentify(long newOrder) {
+        order = newOrder;
+    }
+
     /**
      * Returns the progress that the gateways agreed on.
      *
--- a/src/test/java/org/masticpaddle/gateway/ControlLogFollowerTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ControlLogFollowerTest.java
@@ -44,6 +44,9 @@
                             @Override
                             public void rolloutRecord(OperatorRecord order, long offset) {}
 
+                            @Override
+                            public void orderHistoryReplaced() {}
+
                             @Override
                             public void logAvailable() {
                                 timesAvailable++;
--- a/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
@@ -159,6 +159,9 @@
                             @Override
                             public void rolloutRecord(OperatorRecord operatorRecord, long offset) {}
 
+                            @Override
+                            public void orderHistoryReplaced() {}
+
                             @Override
                             public void logAvailable() {}
                         })
--- a/src/test/java/org/masticpaddle/gateway/RestoredLogTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RestoredLogTest.java
@@ -48,6 +48,9 @@
                     @Override
                     public void rolloutRecord(OperatorRecord order, long offset) {}
 
+                    @Override
+                    public void orderHistoryReplaced() {}
+
                     @Override
                     public void logAvailable() {}
                 });
--- a/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RolloutCoordinatorTest.java
@@ -8,8 +8,11 @@
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
+import org.masticpaddle.control.LogStream;
+import org.masticpaddle.control.NewestPage;
 import org.masticpaddle.control.OperatorRecord;
 import org.masticpaddle.control.RolloutProgress;
+import org.masticpaddle.control.RolloutStatus;
 import org.masticpaddle.decisions.DecisionLog;
 import org.masticpaddle.fleet.Upstream;
 import org.masticpaddle.kernel.FakeScheduler;
@@ -22,6 +25,7 @@
  */
 class RolloutCoordinatorTest {
     private static final long ORDER_OFFSET = 3;
+    private static final long REWRITTEN_OFFSET = 1;
     private static final Upstream OLD = upstream("old", "v1");
     private static final Upstream NEW = upstream("new", "v2");
 
@@ -108,9 +112,97 @@
         assertThat(isPermitted(restarted, NEW)).isFalse();
     }
 
+    /** The operator writes the order again, at an offset that it did not have before. */
+    @Test
+    void shouldNotSendAgainToAVersionThatWasRolledBackBeforeTheLogWasRestored() {
+        sharedLog.nameEras();
+        orderRollout();
+        simulate(8_000, false);
+        restoreLog();
+        orderRollout(REWRITTEN_OFFSET);
+        for (int step = 0; step < 50; step++) {
+            gateways.forEach(gateway -> assertThat(isPermitted(gateway, NEW)).isFalse());
+            simulate(100, true);
+        }
+        assertThat(newestStatus().progress()).isEqualTo(RolloutProgress.ROLLED_BACK);
+        assertThat(newestStatus().order()).isEqualTo(REWRITTEN_OFFSET);
+    }
+
+    @Test
+    void shouldTellAGatewayThatStartsAfterARestoreOfTheVerdictBeforeIt() {
+        sharedLog.nameEras();
+        orderRollout();
+        simulate(8_000, false);
+        restoreLog();
+        orderRollout(REWRITTEN_OFFSET);
+        simulate(2_000, true);
+        final RolloutCoordinator restarted = gateway("c");
+        restarted.onOperatorRecord(
+                new OperatorRecord.RolloutOrder("s", "v2", Duration.ofSeconds(20)), REWRITTEN_OFFSET);
+        scheduler.advance(200);
+        assertThat(isPermitted(restarted, NEW)).isFalse();
+    }
+
+    @Test
+    void shouldCompleteARolloutInTimeAcrossARestore() {
+        sharedLog.nameEras();
+        orderRollout();
+        simulate(10_000, true);
+        restoreLog();
+        orderRollout(REWRITTEN_OFFSET);
+        simulate(9_000, true);
+        assertThat(newestStatus().progress()).isEqualTo(RolloutProgress.COMPLETED);
+        assertThat(newestStatus().order()).isEqualTo(REWRITTEN_OFFSET);
+    }
+
+    /** The copy holds an order that was replaced by the present one. */
+    @Test
+    void shouldContinueARolloutWhileTheRestoredLogNamesAnEarlierOne() {
+        sharedLog.nameEras();
+        orderRollout();
+        simulate(8_000, false);
+        restoreLog();
+        gateways.forEach(gateway ->
+                gateway.onOperatorRecord(new OperatorRecord.RolloutOrder("s", "v1", Duration.ofSeconds(20)), 0));
+        simulate(2_000, true);
+        gateways.forEach(gateway -> assertThat(isPermitted(gateway, OLD)).isTrue());
+        gateways.forEach(gateway -> assertThat(isPermitted(gateway, NEW)).isFalse());
+        orderRollout(REWRITTEN_OFFSET);
+        simulate(2_000, true);
+        gateways.forEach(gateway -> assertThat(isPermitted(gateway, NEW)).isFalse());
+        assertThat(newestStatus().progress()).isEqualTo(RolloutProgress.ROLLED_BACK);
+    }
+
+    @Test
+    void shouldStartAnotherRolloutThatIsOrderedAgainInTheSameHistory() {
+        orderRollout();
+        simulate(8_000, false);
+        orderRollout(ORDER_OFFSET + 1);
+        simulate(4_000, true);
+        assertThat(sharedLog.statuses())
+                .containsExactly(RolloutProgress.RUNNING, RolloutProgress.ROLLED_BACK, RolloutProgress.RUNNING)
+                .inOrder();
+    }
+
+    /** Restores the log from a copy that was made before the order. */
+    private void restoreLog() {
+        sharedLog.restore(stream -> 0);
+        gateways.forEach(RolloutCoordinator::onHistoryReplaced);
+        simulate(500, true);
+    }
+
+    private RolloutStatus newestStatus() {
+        final NewestPage page = sharedLog.newest(LogStream.STATUS, "").join();
+        return new TextControlCodec().rolloutStatus(page.records().get(0));
+    }
+
     private void orderRollout() {
-        gateways.forEach(gateway -> gateway.onOperatorRecord(
-                new OperatorRecord.RolloutOrder("s", "v2", Duration.ofSeconds(20)), ORDER_OFFSET));
+        orderRollout(ORDER_OFFSET);
+    }
+
+    private void orderRollout(long offset) {
+        gateways.forEach(gateway ->
+                gateway.onOperatorRecord(new OperatorRecord.RolloutOrder("s", "v2", Duration.ofSeconds(20)), offset));
     }
 
     /**
