Publish crash reports again when the log is restored

Cause: a gateway publishes its report of crashes only when it changes. A restored log without it told gateways that start of no crash, so that they sent a segment that crashes upstreams again; one with an earlier report told them of crashes that had been retracted. Change: the report counts as unpublished when the history of its stream is replaced, and as whatever the restored log holds once that is listed; so the present one is written, or a withdrawn one withdrawn, once. Conclusion: what the system itself had written is written again by its writer.

--- a/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/QuarantineCoordinator.java
@@ -16,6 +16,7 @@
 import java.util.function.ToIntFunction;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.masticpaddle.control.HistoryChange;
 import org.masticpaddle.control.KeyedFollower;
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogStream;
@@ -113,7 +114,7 @@
                 CALM,
                 scheduler,
                 random,
-                new LoggedStream(LogStream.CRASH_REPORTS, "log/crashes", this::onReport, scheduler::nanos, log),
+                new LoggedStream(LogStream.CRASH_REPORTS, "log/crashes", new ReportListener(), scheduler::nanos, log),
                 error -> log.writeError("log/crashes", error));
         alertUntilNanos = scheduler.nanos();
         nextPublishNanos = scheduler.nanos();
@@ -238,7 +239,29 @@
         follower.setTiming(ALERT);
     }
 
-    private void onReport(KeyedRecord keyed) {
+    private final class ReportListener implements KeyedFollower.Listener {
+        /** Whether the records belong to a listing of a restored log. */
+        private boolean restoring;
+
+        @Override
+        public void onRecord(KeyedRecord keyedRecord) {
+            onReport(keyedRecord, restoring);
+        }
+
+        @Override
+        public void onCaughtUp(long nanos) {
+            restoring = false;
+        }
+
+        /** The restored log may hold an earlier report of this gateway or none, so that the present one is published again. */
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            restoring = true;
+            quarantine.recordPublished(GatewayReport.EMPTY);
+        }
+    }
+
+    private void onReport(KeyedRecord keyed, boolean restoring) {
         try {
             final GatewayReport report =
                     keyed.tombstone() ? GatewayReport.EMPTY : Json.decode(keyed.value(), GatewayReport.class);
@@ -248,6 +271,8 @@
                 startAlert();
             } else if (!caughtUp()) {
                 change(() -> quarantine.restoreReport(report));
+            } else if (restoring) {
+                quarantine.recordPublished(report);
             }
         } catch (MalformedMessageException e) {
             log.write(Decision.RECORD_IGNORED, "key", keyed.key(), "offset", keyed.offset(), "reason", e.getMessage());
--- a/src/test/java/org/masticpaddle/control/FakeSharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FakeSharedLog.java
@@ -111,6 +111,15 @@
         era++;
     }
 
+    /**
+     * Returns the number of records.
+     *
+     * @return records that were appended and not lost by a restore, compacted ones included
+     */
+    public int recordCount() {
+        return records.size();
+    }
+
     @Override
     public long era() {
         return namesEra ? era : NO_ERA;
--- a/src/test/java/org/masticpaddle/gateway/CrashingSegmentTest.java
+++ b/src/test/java/org/masticpaddle/gateway/CrashingSegmentTest.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.masticpaddle.control.LogStream;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -52,6 +53,27 @@
         assertStopped(deployment, deployment.crashMillis().get(0));
     }
 
+    /** The restored log holds no report, and every gateway is restarted after that. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void shouldTellRestartedGatewaysOfSegmentWhoseReportsTheLogHasLost(long seed) {
+        final CrashingDeployment deployment = new CrashingDeployment(4, 6, seed);
+        deployment.sharedLog().nameEras();
+        deployment.run(5_000, SOUND_PER_SECOND, 0);
+        deployment.run(5_000, SOUND_PER_SECOND, CRASHING_PER_SECOND);
+        final int reports = deployment.sharedLog().recordCount(LogStream.CRASH_REPORTS);
+        assertThat(reports).isAtLeast(1);
+        deployment.sharedLog().restore(stream -> 0);
+        deployment.run(1_000, SOUND_PER_SECOND, CRASHING_PER_SECOND);
+        assertThat(deployment.sharedLog().recordCount(LogStream.CRASH_REPORTS)).isAtLeast(1);
+        for (int index = 0; index < 4; index++) {
+            deployment.restartGateway(index);
+            deployment.run(1_000, SOUND_PER_SECOND, CRASHING_PER_SECOND);
+        }
+        deployment.run(EPISODE_MILLIS, SOUND_PER_SECOND, CRASHING_PER_SECOND);
+        assertStopped(deployment, deployment.crashMillis().get(0));
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void shouldLearnOfSegmentAfterOutageOfLog(long seed) {
--- a/src/test/java/org/masticpaddle/gateway/FakeStreams.java
+++ b/src/test/java/org/masticpaddle/gateway/FakeStreams.java
@@ -48,6 +48,11 @@
         logs.forEach((stream, log) -> log.restore(recordCounts.applyAsInt(stream)));
     }
 
+    /** Returns the number of records of a stream that have not been lost. */
+    int recordCount(LogStream stream) {
+        return logs.get(stream).recordCount();
+    }
+
     List<RolloutProgress> statuses() {
         return writtenStatuses;
     }
