Send the next request of a follower however the last one ends

The continuation of a request ran inside CompletableFuture.whenComplete, which drops what it throws, and only RuntimeExceptions of the listener were caught. An Error of a listener (no memory, stack overflow, linkage), an answer that is null, a request that throws instead of returning a failed future, and a future that nobody completes each ended the reads of the stream for good, without a log line. A record for which the listener had no memory counted as delivered. Change: a request ends once: with its answer, its failure or 8 s after the end of its wait; later answers are ignored, those of listings included. Errors do not end the process, since the follower's state is consistent after each of them: a record counts as delivered only after the listener has returned, and one for which there was no memory is delivered again for about 5 s, without a confirmation meanwhile. Failures that are not SharedLogExceptions are reported as well.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -11,8 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.kernel.Scheduler;
@@ -22,8 +22,9 @@
  * again if the log has deleted records that were not read.
  *
  * <p>Invariants: the listener receives the records of a key in the order of their offsets, never an older one after a
- * newer one; all records acknowledged by a time that is passed to {@link Listener#onCaughtUp} have been delivered; a listener
- * that throws does not end the reads. All methods and the listener run on the scheduler's thread.
+ * newer one; all records acknowledged by a time that is passed to {@link Listener#onCaughtUp} have been delivered; neither a
+ * listener that throws, nor a request that fails in any way or has no answer, ends the reads. All methods and the listener run on
+ * the scheduler's thread.
  */
 public final class KeyedFollower {
     /**
@@ -31,6 +32,15 @@
      */
     private static final long INITIAL_BACKOFF_MILLIS = 60;
 
+    /**
+     * Time after the wait of a request at which it counts as failed. Longer than any timeout of the log's client, which covers
+     * the cases in which a connection is at fault.
+     */
+    private static final Duration MAX_RESPONSE_TIME = Duration.ofSeconds(8);
+
+    /** Number of attempts, a few seconds of them, to deliver a record for which the listener runs out of memory. */
+    private static final int MAX_DELIVERY_ATTEMPTS = 20;
+
     /** Fraction by which a pause may be shorter than the timing permits. */
     private static final double PAUSE_JITTER = 0.05;
 
@@ -41,7 +51,7 @@
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final Listener listener;
-    private final Consumer<RuntimeException> errors;
+    private final Consumer<Throwable> errors;
     private final Map<String, Long> lastOffsets = new HashMap<>();
     private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
@@ -52,9 +62,11 @@
     private boolean available;
     private boolean stopped;
     private int failures;
-    private long reads;
+    private int deliveryAttempts;
+    private long requests;
     private boolean readInFlight;
     private long lastSentNanos;
+    private Optional<Scheduler.Timer> responseLimit = Optional.empty();
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
     private Optional<Scheduler.Timer> backoffEnd = Optional.empty();
     private volatile StreamHealth health;
@@ -68,7 +80,8 @@
      * @param scheduler clock and timers of the thread that owns the follower
      * @param random source of jitter
      * @param listener receives the records and the state of the connection to the log
-     * @param errors receives the exceptions that the listener throws; the record concerned counts as delivered
+     * @param errors receives what the listener throws, and the failures of requests that a log must not show. The record
+     *     concerned counts as delivered, except that an {@link OutOfMemoryError} has its delivery repeated for some time
      */
     public KeyedFollower(
             SharedLog log,
@@ -77,7 +90,7 @@
             Scheduler scheduler,
             UniformRandomProvider random,
             Listener listener,
-            Consumer<RuntimeException> errors) {
+            Consumer<Throwable> errors) {
         this.log = Objects.requireNonNull(log, "log is null");
         this.stream = Objects.requireNonNull(stream, "stream is null");
         this.timing = Objects.requireNonNull(timing, "timing is null");
@@ -162,7 +175,7 @@
             listedKeys = new HashSet<>();
             listStartNanos = scheduler.nanos();
         }
-        handleResponse(log.newest(stream, after), () -> true, page -> {
+        send(Duration.ZERO, () -> log.newest(stream, after), page -> {
             if (after.isEmpty()) {
                 listEndOffset = page.endOffset();
             }
@@ -198,11 +211,12 @@
         final long sentNanos = scheduler.nanos();
         // After a failure, a read that returns at once confirms that nothing was missed.
         final Duration longPollTimeout = failures > 0 ? Duration.ZERO : timing.longPollTimeout();
-        final long number = ++reads;
         readInFlight = true;
-        handleResponse(log.read(stream, nextOffset, longPollTimeout), () -> number == reads, batch -> {
-            readInFlight = false;
-            batch.records().forEach(this::deliver);
+        send(longPollTimeout, () -> log.read(stream, nextOffset, longPollTimeout), batch -> {
+            batch.records().forEach(keyedRecord -> {
+                deliver(keyedRecord);
+                nextOffset = keyedRecord.offset() + 1;
+            });
             nextOffset = batch.nextOffset();
             if (batch.complete()) {
                 // The log holds an empty response for the whole wait, so there was no further record until then.
@@ -236,19 +250,51 @@
         }));
     }
 
-    private <T> void handleResponse(CompletableFuture<T> response, BooleanSupplier expected, Consumer<T> onSuccess) {
-        response.whenComplete((value, error) -> {
-            if (stopped || !expected.getAsBoolean()) {
-                return;
+    /** Sends a request, which ends with its response, its failure or the time limit, whichever comes first. */
+    private <T> void send(Duration wait, Supplier<CompletableFuture<T>> request, Consumer<T> onSuccess) {
+        final long number = ++requests;
+        final Duration limit = wait.plus(MAX_RESPONSE_TIME);
+        responseLimit.ifPresent(Scheduler.Timer::cancel);
+        responseLimit = Optional.of(scheduler.schedule(limit.toMillis(), () -> {
+            if (number == requests && !stopped) {
+                final SharedLogException error = new SharedLogException(
+                        SharedLogException.Kind.UNKNOWN, "no answer from " + stream + " in " + limit, null);
+                report(error);
+                handleResponse(number, null, error, onSuccess);
             }
-            if (error == null) {
-                requestSucceeded();
-                onSuccess.accept(value);
-                health = health.at(position());
-            } else {
-                requestFailed(error);
+        }));
+        try {
+            request.get().whenComplete((value, error) -> handleResponse(number, value, error, onSuccess));
+        } catch (Throwable e) {
+            handleResponse(number, null, e, onSuccess);
+        }
+    }
+
+    private <T> void handleResponse(long number, T value, Throwable error, Consumer<T> onSuccess) {
+        if (stopped || number != requests) {
+            return;
+        }
+        final long handled = ++requests;
+        responseLimit.ifPresent(Scheduler.Timer::cancel);
+        readInFlight = false;
+        if (error != null) {
+            requestFailed(error);
+            return;
+        }
+        final int failuresBefore = failures;
+        final StreamHealth healthBefore = health;
+        try {
+            requestSucceeded();
+            onSuccess.accept(value);
+            health = health.at(position());
+        } catch (Throwable e) {
+            report(e);
+            if (requests == handled && pauseEnd.isEmpty()) {
+                failures = failuresBefore;
+                health = healthBefore.onFailure(scheduler.nanos());
+                backOff();
             }
-        });
+        }
     }
 
     private void requestSucceeded() {
@@ -261,20 +307,27 @@
     }
 
     private void requestFailed(Throwable error) {
-        readInFlight = false;
-        final Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        final Throwable cause =
+                error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
         if (cause instanceof SharedLogException logError && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
+            following = false;
             requestSucceeded();
             notifyListener(listener::onHistoryLost);
-            following = false;
             listOrRead();
             return;
         }
+        if (!(cause instanceof SharedLogException)) {
+            report(cause);
+        }
         health = health.onFailure(scheduler.nanos());
+        backOff();
         if (available) {
             available = false;
             notifyListener(() -> listener.onUnavailable(String.valueOf(cause.getMessage())));
         }
+    }
+
+    private void backOff() {
         final long maxDelayMillis =
                 Math.min(timing.maxBackoff().toMillis(), INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
         failures++;
@@ -290,20 +343,39 @@
         if (lastOffset != null && lastOffset >= keyedRecord.offset()) {
             return;
         }
+        try {
+            listener.onRecord(keyedRecord);
+        } catch (OutOfMemoryError e) {
+            deliveryAttempts++;
+            if (deliveryAttempts < MAX_DELIVERY_ATTEMPTS) {
+                throw e;
+            }
+            report(e);
+        } catch (Throwable e) {
+            report(e);
+        }
+        deliveryAttempts = 0;
         if (keyedRecord.tombstone()) {
             lastOffsets.remove(keyedRecord.key());
         } else {
             lastOffsets.put(keyedRecord.key(), keyedRecord.offset());
         }
-        notifyListener(() -> listener.onRecord(keyedRecord));
     }
 
-    /** Calls the listener; an exception must not end the reads. */
+    /** Calls the listener; neither an exception nor an error may end the reads. */
     private void notifyListener(Runnable notification) {
         try {
             notification.run();
-        } catch (RuntimeException e) {
-            errors.accept(e);
+        } catch (Throwable e) {
+            report(e);
+        }
+    }
+
+    private void report(Throwable error) {
+        try {
+            errors.accept(error);
+        } catch (Throwable e) {
+            // Nothing else can tell of it; the outage of the stream shows in its health.
         }
     }
 
--- a/src/main/java/org/masticpaddle/decisions/DecisionLog.java
+++ b/src/main/java/org/masticpaddle/decisions/DecisionLog.java
@@ -110,7 +110,7 @@
      * @param component name for the line, for example {@code log/status}
      * @param error exception that it threw
      */
-    public void writeError(String component, RuntimeException error) {
+    public void writeError(String component, Throwable error) {
         errors.incrementAndGet();
         final StackTraceElement[] stack = error.getStackTrace();
         write(
--- a/src/test/java/org/masticpaddle/control/StoreCadenceBoundsTest.java
+++ b/src/test/java/org/masticpaddle/control/StoreCadenceBoundsTest.java
@@ -1,7 +1,9 @@
 package org.masticpaddle.control;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -24,6 +26,7 @@
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11L);
     private final FakeSharedLog log = new FakeSharedLog(scheduler);
     private final Map<String, Long> knownMillis = new HashMap<>();
+    private final List<Throwable> errors = new ArrayList<>();
 
     /** Load pattern: the log is slow, and many entries are renewed all the time. */
     @ParameterizedTest
@@ -37,6 +40,7 @@
             final long putMillis = put("draining-" + trial);
             assertThat(awaitMillis("draining-" + trial) - putMillis).isAtMost(drain - CONNECT_MILLIS);
         }
+        assertThat(errors).isEmpty();
     }
 
     @ParameterizedTest
@@ -65,6 +69,7 @@
         assertSettles(timing + " rejected", log::setUnavailable, boundMillis);
         assertSettles(timing + " silent", log::setSilent, boundMillis);
         follower.stop();
+        assertThat(errors).isEmpty();
     }
 
     private void assertSettles(String key, Consumer<Boolean> disturb, long boundMillis) {
@@ -87,9 +92,7 @@
                 scheduler,
                 random,
                 keyed -> knownMillis.put(keyed.key(), millis()),
-                error -> {
-                    throw error;
-                });
+                errors::add);
         follower.start();
         scheduler.advance(1_000);
         return follower;
