Repeat periodic tasks after one of them throws an Error

Cause: PeriodicTasks caught RuntimeExceptions only, so that an Error of one task ended the repetition of all for good: the timing of the reads, the expiry of upstreams, rollouts and idle connections. So did a failure of the report itself. Found by reading. A scheduler that itself throws still ends the repetition.

--- a/src/main/java/org/masticpaddle/kernel/PeriodicTasks.java
+++ b/src/main/java/org/masticpaddle/kernel/PeriodicTasks.java
@@ -8,14 +8,14 @@
 /**
  * Runs named tasks one after the other, again and again at a fixed interval.
  *
- * <p>Invariant: a task that throws ends neither the other tasks nor the repetition. Not thread-safe: used on the scheduler's
+ * <p>Invariant: a task that throws, also an error, ends neither the other tasks nor the repetition. Not thread-safe: used on the scheduler's
  * thread only.
  */
 public final class PeriodicTasks {
     private final Scheduler scheduler;
     private final long intervalMillis;
     private final Map<String, Runnable> tasks = new LinkedHashMap<>();
-    private final BiConsumer<String, RuntimeException> onFailure;
+    private final BiConsumer<String, Throwable> onFailure;
     private boolean stopped;
 
     /**
@@ -23,9 +23,9 @@
      *
      * @param scheduler clock and timers of the thread that runs the tasks
      * @param intervalMillis interval in milliseconds
-     * @param onFailure receives the name of a task that threw and the exception
+     * @param onFailure receives the name of a task that threw and what it threw
      */
-    public PeriodicTasks(Scheduler scheduler, long intervalMillis, BiConsumer<String, RuntimeException> onFailure) {
+    public PeriodicTasks(Scheduler scheduler, long intervalMillis, BiConsumer<String, Throwable> onFailure) {
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
         this.intervalMillis = intervalMillis;
         this.onFailure = Objects.requireNonNull(onFailure, "onFailure is null");
@@ -48,16 +48,26 @@
         if (stopped) {
             return;
         }
-        tasks.forEach((name, task) -> {
-            try {
-                task.run();
-            } catch (RuntimeException e) {
-                onFailure.accept(name, e);
-            }
-        });
+        tasks.forEach(this::run);
         scheduler.schedule(intervalMillis, this::start);
     }
 
+    private void run(String name, Runnable task) {
+        try {
+            task.run();
+        } catch (Throwable e) {
+            report(name, e);
+        }
+    }
+
+    private void report(String name, Throwable error) {
+        try {
+            onFailure.accept(name, error);
+        } catch (Throwable e) {
+            // The other tasks are more important than the report.
+        }
+    }
+
     /** Ends the repetition. */
     public void stop() {
         stopped = true;
--- a/src/test/java/org/masticpaddle/kernel/PeriodicTasksTest.java
+++ b/src/test/java/org/masticpaddle/kernel/PeriodicTasksTest.java
@@ -26,6 +26,33 @@
         assertThat(events).hasSize(6);
     }
 
+    @Test
+    void shouldRunTheOtherTasksAndRepeatAfterATaskThrowsAnError() {
+        tasks.add("first", () -> {
+                    throw new NoClassDefFoundError("broken");
+                })
+                .add("second", () -> events.add("second"));
+        tasks.start();
+        assertThat(events).containsExactly("first: broken", "second").inOrder();
+        scheduler.advance(250);
+        assertThat(events).hasSize(6);
+    }
+
+    @Test
+    void shouldRepeatAfterAFailureThatCannotBeReported() {
+        final PeriodicTasks unreported = new PeriodicTasks(scheduler, 100, (name, error) -> {
+            throw new OutOfMemoryError("Java heap space");
+        });
+        unreported
+                .add("first", () -> {
+                    throw new IllegalStateException("broken");
+                })
+                .add("second", () -> events.add("second"));
+        unreported.start();
+        scheduler.advance(250);
+        assertThat(events).containsExactly("second", "second", "second");
+    }
+
     @Test
     void shouldNotRunAfterTheStop() {
         tasks.add("only", () -> events.add("only"));
