Write later lines of the decision log after a line or the output fails

Cause: an exception of the output, or of the text of one value, ended the writer thread of the decision log for good, so that the process went on without any line. Found by reading; values such as exceptions are turned into text on that thread. Change: a line that cannot be encoded and lines whose output fails count as dropped and as unexpected errors; the next write says how many. Conclusion: a missing line in the record of the users no longer has this explanation; nothing shows that it was one there.

--- a/src/main/java/org/masticpaddle/decisions/DecisionLog.java
+++ b/src/main/java/org/masticpaddle/decisions/DecisionLog.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,7 +22,8 @@
  * Writes one JSON line for each decision, on a thread of its own.
  *
  * <p>Invariants: {@link #write} never blocks; at most {@link #QUEUE_CAPACITY} lines are queued, and routine lines are
- * dropped while the queue is at least half full; the number of dropped lines is written to the log. Thread-safe.
+ * dropped while the queue is at least half full; the number of dropped lines is written to the log. A line that cannot be encoded
+ * and lines whose output fails count as dropped and as unexpected errors; the lines after them are written. Thread-safe.
  */
 public final class DecisionLog implements Service {
     /** Maximum number of lines that wait to be written. */
@@ -42,6 +42,9 @@
     private final ArrayBlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
     private final AtomicLong errors = new AtomicLong();
+    /** Lines of one write; used by the writer thread only. */
+    private final List<Line> lines = new ArrayList<>(MAX_LINES_PER_WRITE);
+
     private final JsonFactory json = new JsonFactory();
     private final Thread writer = new Thread(this::run, "decision-log");
     private volatile boolean stopping;
@@ -126,7 +129,7 @@
     /**
      * Returns the number of unexpected errors.
      *
-     * @return number of calls of {@link #writeError} since the start
+     * @return number of calls of {@link #writeError} and of failures to write lines since the start
      */
     public long errorCount() {
         return errors.get();
@@ -159,30 +162,50 @@
             if (!finalWrite) {
                 LockSupport.parkNanos(WRITE_INTERVAL_NANOS);
             }
-            final List<Line> lines = new ArrayList<>();
-            queue.drainTo(lines, finalWrite ? QUEUE_CAPACITY : MAX_LINES_PER_WRITE);
+            writeQueued(finalWrite ? QUEUE_CAPACITY : MAX_LINES_PER_WRITE);
+        }
+    }
+
+    private void writeQueued(int maxLines) {
+        try {
+            queue.drainTo(lines, maxLines);
             if (!lines.isEmpty()) {
-                output.accept(encode(lines));
+                output.accept(encode());
             }
+        } catch (Throwable e) {
+            errors.incrementAndGet();
+            dropped.addAndGet(lines.size());
+        } finally {
+            lines.clear();
         }
     }
 
-    private String encode(List<Line> lines) {
-        final ByteArrayOutputStream text = new ByteArrayOutputStream();
+    private String encode() {
+        final StringBuilder text = new StringBuilder();
+        lines.forEach(line -> appendEncoded(line, text));
+        final long count = dropped.get();
+        if (count > loggedDroppedCount) {
+            loggedDroppedCount = count;
+            text.append("{\"event\":\"log.dropped\",\"instance\":\"")
+                    .append(instance)
+                    .append("\",\"lines\":")
+                    .append(count)
+                    .append("}\n");
+        }
+        return text.toString();
+    }
+
+    /** Appends a line as a whole or, if one of its values cannot be encoded, not at all. */
+    private void appendEncoded(Line line, StringBuilder text) {
+        final ByteArrayOutputStream encoded = new ByteArrayOutputStream();
         try {
-            for (final Line line : lines) {
-                encode(line, text);
-            }
-            final long count = dropped.get();
-            if (count > loggedDroppedCount) {
-                loggedDroppedCount = count;
-                text.write(("{\"event\":\"log.dropped\",\"instance\":\"" + instance + "\",\"lines\":" + count + "}\n")
-                        .getBytes(StandardCharsets.UTF_8));
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            encode(line, encoded);
+        } catch (IOException | RuntimeException e) {
+            errors.incrementAndGet();
+            dropped.incrementAndGet();
+            return;
         }
-        return text.toString(StandardCharsets.UTF_8);
+        text.append(encoded.toString(StandardCharsets.UTF_8));
     }
 
     private void encode(Line line, ByteArrayOutputStream text) throws IOException {
--- a/src/test/java/org/masticpaddle/decisions/DecisionLogTest.java
+++ b/src/test/java/org/masticpaddle/decisions/DecisionLogTest.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -39,6 +41,47 @@
         assertThat(output.toString()).contains("\"event\":\"log.dropped\"");
     }
 
+    @Test
+    void shouldWriteLaterLinesAfterALineThatCannotBeWritten() {
+        final DecisionLog log = log(output::append);
+        log.start();
+        log.write(Decision.REQUEST_ANSWERED, "request", "before");
+        log.write(Decision.REQUEST_ANSWERED, "request", new Object() {
+            @Override
+            public String toString() {
+                throw new IllegalStateException("broken");
+            }
+        });
+        log.write(Decision.REQUEST_ANSWERED, "request", "after");
+        log.stop();
+        assertThat(output.toString().lines().map(line -> line.replaceAll("\"time\":5,|\"instance\":\"g\",", "")))
+                .containsExactly(
+                        "{\"event\":\"request.answered\",\"request\":\"before\"}",
+                        "{\"event\":\"request.answered\",\"request\":\"after\"}",
+                        "{\"event\":\"log.dropped\",\"lines\":1}")
+                .inOrder();
+    }
+
+    @ParameterizedTest
+    @ValueSource(classes = {IllegalStateException.class, NoClassDefFoundError.class, OutOfMemoryError.class})
+    void shouldWriteLaterLinesAfterTheOutputFails(Class<? extends Throwable> error) throws InterruptedException {
+        final CountDownLatch failed = new CountDownLatch(1);
+        final DecisionLog log = log(text -> {
+            if (failed.getCount() > 0) {
+                failed.countDown();
+                throwNew(error);
+            }
+            output.append(text);
+        });
+        log.start();
+        log.write(Decision.STARTED);
+        assertThat(failed.await(10, TimeUnit.SECONDS)).isTrue();
+        log.write(Decision.STOPPED);
+        log.stop();
+        assertThat(output.toString()).contains("process.stopped");
+        assertThat(output.toString()).contains("\"event\":\"log.dropped\",\"instance\":\"g\",\"lines\":1");
+    }
+
     @Test
     void shouldStopBeforeABlockedOutputIsReleased() throws InterruptedException {
         final CountDownLatch release = new CountDownLatch(1);
@@ -67,6 +110,16 @@
         return new DecisionLog("g", () -> 5, consumer);
     }
 
+    private static void throwNew(Class<? extends Throwable> error) {
+        if (error == IllegalStateException.class) {
+            throw new IllegalStateException("broken");
+        }
+        if (error == OutOfMemoryError.class) {
+            throw new OutOfMemoryError("Java heap space");
+        }
+        throw new NoClassDefFoundError("broken");
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
