Confirm no more than a log that does not hold a read has confirmed

Cause: an empty answer to a held read confirmed the state up to the end of the hold, also if it came at once. The time of the confirmation lay up to a hold ahead of the clock, so that keys could have been accepted for that much longer than their bound after the store was lost. The next read followed at once, as did that after an empty answer that names a later end. Change: an empty answer confirms the end of the hold only if it came then, else the time of its sending; the next read follows after 100 ms. Result: shouldNotConfirmMoreThanALogThatDoesNotHoldReadsHasConfirmed failed before (confirmed up to 1,045 ms at 50 ms; without a slow answer the requests recur without an end) and holds now, with all tests of control.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -43,6 +43,12 @@
     /** Fraction by which a pause may be shorter than the timing permits. */
     private static final double PAUSE_JITTER = 0.05;
 
+    /** Time by which an empty response may come before the end of the wait, for rounded times. */
+    private static final long HOLD_TOLERANCE_NANOS = 20_000_000L;
+
+    /** Pause after an empty response that the log did not hold. */
+    private static final long UNHELD_READ_PAUSE_MILLIS = 100;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final SharedLog log;
@@ -312,11 +318,19 @@
                 nextOffset = keyedRecord.offset() + 1;
             });
             nextOffset = batch.nextOffset();
+            final boolean empty = batch.records().isEmpty();
+            final long elapsedNanos = scheduler.nanos() - sentNanos;
+            final boolean held = elapsedNanos >= longPollTimeout.toNanos() - HOLD_TOLERANCE_NANOS;
             if (batch.complete()) {
-                // The log holds an empty response for the whole wait, so there was no further record until then.
+                // If the log has held an empty response for the whole wait, there was no further record until then.
                 final long caughtUpNanos =
-                        batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos;
+                        empty && held ? sentNanos + Math.min(elapsedNanos, longPollTimeout.toNanos()) : sentNanos;
                 notifyListener(() -> listener.onCaughtUp(caughtUpNanos));
+            }
+            if (empty && !(held && batch.complete())) {
+                lastSentNanos = sentNanos;
+                schedulePause(UNHELD_READ_PAUSE_MILLIS);
+            } else if (batch.complete()) {
                 pause(sentNanos);
             } else {
                 listOrRead();
@@ -338,7 +352,11 @@
         lastSentNanos = sentNanos;
         final long elapsedMillis = returnsAtOnce() ? (scheduler.nanos() - sentNanos) / NANOS_PER_MILLI : 0;
         final double pauseMillis = timing.pause().toMillis() * (1 - PAUSE_JITTER * random.nextDouble());
-        pauseEnd = Optional.of(scheduler.schedule(Math.max(0, (long) pauseMillis - elapsedMillis), () -> {
+        schedulePause(Math.max(0, (long) pauseMillis - elapsedMillis));
+    }
+
+    private void schedulePause(long millis) {
+        pauseEnd = Optional.of(scheduler.schedule(millis, () -> {
             pauseEnd = Optional.empty();
             listOrRead();
         }));
--- a/src/test/java/org/masticpaddle/control/FaultySharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FaultySharedLog.java
@@ -46,6 +46,9 @@
 
     @Override
     public CompletableFuture<LogBatch> read(LogStream stream, long from, Duration wait) {
+        if (fault.equals(Optional.of(Fault.DOES_NOT_HOLD))) {
+            return log.read(stream, from, Duration.ZERO);
+        }
         return answer(() -> log.read(stream, from, wait));
     }
 
@@ -70,6 +73,8 @@
             case LOSES_HISTORY:
                 return CompletableFuture.failedFuture(
                         new SharedLogException(SharedLogException.Kind.HISTORY_LOST, "lost", null));
+            case DOES_NOT_HOLD:
+                return request.get();
             case ANSWERS_NULL:
                 return CompletableFuture.completedFuture(null);
             case NO_FUTURE:
@@ -89,6 +94,8 @@
         FAILS_WITH_EXCEPTION,
         FAILS_WITH_ERROR,
         LOSES_HISTORY,
+        /** Reads return at once, also if there is no record. */
+        DOES_NOT_HOLD,
         ANSWERS_NULL,
         NO_FUTURE,
         UNANSWERED
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerFaultTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerFaultTest.java
@@ -29,7 +29,10 @@
     private final KeyedFollower follower = follower();
 
     @ParameterizedTest
-    @EnumSource(value = FaultySharedLog.Fault.class, mode = EnumSource.Mode.EXCLUDE, names = "LOSES_HISTORY")
+    @EnumSource(
+            value = FaultySharedLog.Fault.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"LOSES_HISTORY", "DOES_NOT_HOLD"})
     void shouldListAgainAfterAListingEndedUnexpectedly(FaultySharedLog.Fault fault) {
         log.put("config", "1");
         faulty.setFault(fault);
@@ -45,7 +48,10 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = FaultySharedLog.Fault.class, mode = EnumSource.Mode.EXCLUDE, names = "LOSES_HISTORY")
+    @EnumSource(
+            value = FaultySharedLog.Fault.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"LOSES_HISTORY", "DOES_NOT_HOLD"})
     void shouldReadAgainAfterAReadEndedUnexpectedly(FaultySharedLog.Fault fault) {
         log.put("config", "1");
         follower.start();
@@ -76,6 +82,20 @@
         assertThat(listener.events).containsExactly("config=1", "config=2").inOrder();
     }
 
+    @Test
+    void shouldNotConfirmMoreThanALogThatDoesNotHoldReadsHasConfirmed() {
+        log.put("config", "1");
+        log.setSlowResponse(5);
+        faulty.setFault(FaultySharedLog.Fault.DOES_NOT_HOLD);
+        follower.start();
+        for (int step = 0; step < 100; step++) {
+            scheduler.advance(50);
+            assertThat(listener.caughtUpMillis).isAtMost(scheduler.nanos() / 1_000_000);
+        }
+        assertThat(listener.caughtUpMillis).isAtLeast(scheduler.nanos() / 1_000_000 - 500);
+        assertThat(log.requests()).isAtMost(60);
+    }
+
     @Test
     void shouldIgnoreTheAnswerOfAListingThatWasGivenUp() {
         log.put("config", "1");
