--- a/src/main/java/org/masticpaddle/control/DeliveredRecords.java
+++ b/src/main/java/org/masticpaddle/control/DeliveredRecords.java
@@ -29,23 +29,20 @@
                         || listed.offset() == delivered.offset && Delivered.hash(listed) != delivered.valueHash);
     }
 
-    /**
-     * Records that a record is delivered.
-     *
-     * @return {@code false} if it or a newer one of its key was delivered already
-     */
-    boolean add(KeyedRecord keyedRecord) {
+    /** Returns whether neither a record nor a newer one of its key was delivered. */
+    boolean isNew(KeyedRecord keyedRecord) {
         final Delivered delivered = newest.get(keyedRecord.key());
-        if (delivered != null && delivered.offset >= keyedRecord.offset()) {
-            return false;
-        }
+        return delivered == null || delivered.offset < keyedRecord.offset();
+    }
+
+    /** Records that a new record was delivered. */
+    void add(KeyedRecord keyedRecord) {
         retained.remove(keyedRecord.key());
         if (keyedRecord.tombstone()) {
             newest.remove(keyedRecord.key());
         } else {
             newest.put(keyedRecord.key(), new Delivered(keyedRecord.offset(), Delivered.hash(keyedRecord)));
         }
-        return true;
     }
 
     /** Begins another history, in which no record was delivered yet. */
--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.kernel.Scheduler;
@@ -21,8 +22,8 @@
  * <p>Invariants: within one history of the stream, the listener receives the records of a key in the order of their offsets, never
  * an older one after a newer one; it is told of another history before the first record of it; a key that only an earlier history
  * held is removed once its writers have had the time to write it again; all records acknowledged by a time that is passed to {@link
- * Listener#onCaughtUp} have been delivered, unless the log has lost them; a listener that throws does not end the reads. All methods
- * and the listener run on the scheduler's thread, except {@link #health()}.
+ * Listener#onCaughtUp} have been delivered, unless the log has lost them; neither a listener that throws, nor a request that fails in
+ * any way or has no answer, ends the reads. All methods and the listener run on the scheduler's thread, except {@link #health()}.
  */
 public final class KeyedFollower {
     /**
@@ -30,9 +31,24 @@
      */
     private static final long INITIAL_BACKOFF_MILLIS = 60;
 
+    /**
+     * Time after the wait of a request at which it counts as failed. Longer than any timeout of the log's client, which covers
+     * the cases in which a connection is at fault.
+     */
+    private static final Duration MAX_RESPONSE_TIME = Duration.ofSeconds(8);
+
+    /** Number of attempts, a few seconds of them, to deliver a record for which the listener runs out of memory. */
+    private static final int MAX_DELIVERY_ATTEMPTS = 20;
+
     /** Fraction by which a pause may be shorter than the timing permits. */
     private static final double PAUSE_JITTER = 0.05;
 
+    /** Time by which an empty response may come before the end of the wait, for rounded times. */
+    private static final long HOLD_TOLERANCE_NANOS = 20_000_000L;
+
+    /** Pause after an empty response that the log did not hold. */
+    private static final long UNHELD_READ_PAUSE_MILLIS = 100;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final SharedLog log;
@@ -40,7 +56,7 @@
     private final Scheduler scheduler;
     private final UniformRandomProvider random;
     private final Listener listener;
-    private final Consumer<RuntimeException> errors;
+    private final Consumer<Throwable> errors;
     private final DeliveredRecords delivered = new DeliveredRecords();
     private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
@@ -53,9 +69,11 @@
     private boolean available;
     private boolean stopped;
     private int failures;
+    private int deliveryAttempts;
     private long requests;
     private boolean readInFlight;
     private long lastSentNanos;
+    private Optional<Scheduler.Timer> responseLimit = Optional.empty();
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
     private Optional<Scheduler.Timer> backoffEnd = Optional.empty();
     private Optional<Scheduler.Timer> rewriteEnd = Optional.empty();
@@ -70,7 +88,8 @@
      * @param scheduler clock and timers of the thread that owns the follower
      * @param random source of jitter
      * @param listener receives the records and the state of the connection to the log
-     * @param errors receives the exceptions that the listener throws; the record concerned counts as delivered
+     * @param errors receives what the listener throws, and the failures of requests that a log must not show. The record
+     *     concerned counts as delivered, except that an {@link OutOfMemoryError} has its delivery repeated for some time
      */
     public KeyedFollower(
             SharedLog log,
@@ -79,7 +98,7 @@
             Scheduler scheduler,
             UniformRandomProvider random,
             Listener listener,
-            Consumer<RuntimeException> errors) {
+            Consumer<Throwable> errors) {
         this.log = Objects.requireNonNull(log, "log is null");
         this.stream = Objects.requireNonNull(stream, "stream is null");
         this.timing = Objects.requireNonNull(timing, "timing is null");
@@ -201,7 +220,7 @@
             listedKeys = new HashSet<>();
             listStartNanos = scheduler.nanos();
         }
-        handleResponse(log.newest(stream, after), page -> {
+        send(Duration.ZERO, () -> log.newest(stream, after), page -> {
             if (!after.isEmpty() && page.era() != era) {
                 listNewest("");
                 return;
@@ -288,20 +307,30 @@
         // After a failure, a read that returns at once confirms that nothing was missed.
         final Duration longPollTimeout = failures > 0 ? Duration.ZERO : timing.longPollTimeout();
         readInFlight = true;
-        handleResponse(log.read(stream, nextOffset, longPollTimeout), batch -> {
-            readInFlight = false;
+        send(longPollTimeout, () -> log.read(stream, nextOffset, longPollTimeout), batch -> {
             if (batch.era() != era) {
                 following = false;
                 listOrRead();
                 return;
             }
-            batch.records().forEach(this::deliver);
+            batch.records().forEach(keyedRecord -> {
+                deliver(keyedRecord);
+                nextOffset = keyedRecord.offset() + 1;
+            });
             nextOffset = batch.nextOffset();
+            final boolean empty = batch.records().isEmpty();
+            final long elapsedNanos = scheduler.nanos() - sentNanos;
+            final boolean held = elapsedNanos >= longPollTimeout.toNanos() - HOLD_TOLERANCE_NANOS;
             if (batch.complete()) {
-                // The log holds an empty response for the whole wait, so there was no further record until then.
+                // If the log has held an empty response for the whole wait, there was no further record until then.
                 final long caughtUpNanos =
-                        batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos;
+                        empty && held ? sentNanos + Math.min(elapsedNanos, longPollTimeout.toNanos()) : sentNanos;
                 notifyListener(() -> listener.onCaughtUp(caughtUpNanos));
+            }
+            if (empty && !(held && batch.complete())) {
+                lastSentNanos = sentNanos;
+                schedulePause(UNHELD_READ_PAUSE_MILLIS);
+            } else if (batch.complete()) {
                 pause(sentNanos);
             } else {
                 listOrRead();
@@ -323,27 +352,61 @@
         lastSentNanos = sentNanos;
         final long elapsedMillis = returnsAtOnce() ? (scheduler.nanos() - sentNanos) / NANOS_PER_MILLI : 0;
         final double pauseMillis = timing.pause().toMillis() * (1 - PAUSE_JITTER * random.nextDouble());
-        pauseEnd = Optional.of(scheduler.schedule(Math.max(0, (long) pauseMillis - elapsedMillis), () -> {
+        schedulePause(Math.max(0, (long) pauseMillis - elapsedMillis));
+    }
+
+    private void schedulePause(long millis) {
+        pauseEnd = Optional.of(scheduler.schedule(millis, () -> {
             pauseEnd = Optional.empty();
             listOrRead();
         }));
     }
 
-    /** Handles the response of a request, unless another request is sent before it arrives. */
-    private <T> void handleResponse(CompletableFuture<T> response, Consumer<T> onSuccess) {
+    /** Sends a request, which ends with its response, its failure or the time limit, whichever comes first. */
+    private <T> void send(Duration wait, Supplier<CompletableFuture<T>> request, Consumer<T> onSuccess) {
         final long number = ++requests;
-        response.whenComplete((value, error) -> {
-            if (stopped || number != requests) {
-                return;
+        final Duration limit = wait.plus(MAX_RESPONSE_TIME);
+        responseLimit.ifPresent(Scheduler.Timer::cancel);
+        responseLimit = Optional.of(scheduler.schedule(limit.toMillis(), () -> {
+            if (number == requests && !stopped) {
+                final SharedLogException error = new SharedLogException(
+                        SharedLogException.Kind.UNKNOWN, "no answer from " + stream + " in " + limit, null);
+                report(error);
+                handleResponse(number, null, error, onSuccess);
             }
-            if (error == null) {
-                requestSucceeded();
-                onSuccess.accept(value);
-                health = health.at(era, position());
-            } else {
-                requestFailed(error);
+        }));
+        try {
+            request.get().whenComplete((value, error) -> handleResponse(number, value, error, onSuccess));
+        } catch (Throwable e) {
+            handleResponse(number, null, e, onSuccess);
+        }
+    }
+
+    private <T> void handleResponse(long number, T value, Throwable error, Consumer<T> onSuccess) {
+        if (stopped || number != requests) {
+            return;
+        }
+        final long handled = ++requests;
+        responseLimit.ifPresent(Scheduler.Timer::cancel);
+        readInFlight = false;
+        if (error != null) {
+            requestFailed(error);
+            return;
+        }
+        final int failuresBefore = failures;
+        final OptionalLong outageBefore = health.outageStartNanos();
+        try {
+            requestSucceeded();
+            onSuccess.accept(value);
+            health = health.at(era, position());
+        } catch (Throwable e) {
+            report(e);
+            if (requests == handled && pauseEnd.isEmpty()) {
+                failures = failuresBefore;
+                health = health.onFailure(outageBefore.orElse(scheduler.nanos()));
+                backOff();
             }
-        });
+        }
     }
 
     private void requestSucceeded() {
@@ -356,20 +419,29 @@
     }
 
     private void requestFailed(Throwable error) {
-        readInFlight = false;
-        final Throwable cause = error instanceof CompletionException ? error.getCause() : error;
-        if (cause instanceof SharedLogException logError && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
+        final Throwable cause =
+                error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+        if (following
+                && cause instanceof SharedLogException logError
+                && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
+            following = false;
             requestSucceeded();
             notifyListener(listener::onHistoryLost);
-            following = false;
             listOrRead();
             return;
         }
+        if (!(cause instanceof SharedLogException)) {
+            report(cause);
+        }
         health = health.onFailure(scheduler.nanos());
+        backOff();
         if (available) {
             available = false;
             notifyListener(() -> listener.onUnavailable(String.valueOf(cause.getMessage())));
         }
+    }
+
+    private void backOff() {
         final long maxDelayMillis =
                 Math.min(timing.maxBackoff().toMillis(), INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
         failures++;
@@ -380,18 +452,40 @@
         }));
     }
 
+    /** Delivers a record unless it or a newer one of its key was delivered. It counts as delivered once the listener has returned. */
     private void deliver(KeyedRecord keyedRecord) {
-        if (delivered.add(keyedRecord)) {
-            notifyListener(() -> listener.onRecord(keyedRecord));
+        if (!delivered.isNew(keyedRecord)) {
+            return;
+        }
+        try {
+            listener.onRecord(keyedRecord);
+        } catch (OutOfMemoryError e) {
+            deliveryAttempts++;
+            if (deliveryAttempts < MAX_DELIVERY_ATTEMPTS) {
+                throw e;
+            }
+            report(e);
+        } catch (Throwable e) {
+            report(e);
         }
+        deliveryAttempts = 0;
+        delivered.add(keyedRecord);
     }
 
-    /** Calls the listener; an exception must not end the reads. */
+    /** Calls the listener; neither an exception nor an error may end the reads. */
     private void notifyListener(Runnable notification) {
         try {
             notification.run();
-        } catch (RuntimeException e) {
-            errors.accept(e);
+        } catch (Throwable e) {
+            report(e);
+        }
+    }
+
+    private void report(Throwable error) {
+        try {
+            errors.accept(error);
+        } catch (Throwable e) {
+            // Nothing else can tell of it; the outage of the stream shows in its health.
         }
     }
 
