Confirm and remove nothing by a listing that has an item that cannot be read

Cause: an item without Offset got offset 0, one with an offset beyond the end of the stream kept it, so that all later records of its key were dropped as older ones; one without Value was a tombstone; one without Key stood for the empty key, and the key it had was removed as missing. The listing was reported as read all the same, which confirms the configuration in force. KeyedFollower delivers the records beside it, then removes no keys, confirms nothing, reports an error and lists again after a pause that grows as after failures. A store that always lists such an item keeps a gateway from getting ready, though it learns of changes by the repeated listings.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -45,6 +45,7 @@
     private final Map<String, Long> lastOffsets = new HashMap<>();
     private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
+    private boolean listReadable;
     private long listEndOffset;
     private long listStartNanos;
     private long nextOffset;
@@ -68,7 +69,8 @@
      * @param scheduler clock and timers of the thread that owns the follower
      * @param random source of jitter
      * @param listener receives the records and the state of the connection to the log
-     * @param errors receives the exceptions that the listener throws; the record concerned counts as delivered
+     * @param errors receives the exceptions that the listener throws, whose records count as delivered, and an exception for
+     *     each listing that is repeated because some of its records cannot be read
      */
     public KeyedFollower(
             SharedLog log,
@@ -161,19 +163,31 @@
         if (after.isEmpty()) {
             listedKeys = new HashSet<>();
             listStartNanos = scheduler.nanos();
+            listReadable = true;
         }
         handleResponse(log.newest(stream, after), () -> true, page -> {
             if (after.isEmpty()) {
                 listEndOffset = page.endOffset();
             }
-            page.records().forEach(keyedRecord -> {
-                listedKeys.add(keyedRecord.key());
-                deliver(keyedRecord);
-            });
+            listReadable &= page.readable();
+            page.records().stream()
+                    .filter(keyedRecord -> keyedRecord.offset() != KeyedRecord.UNKNOWN_OFFSET)
+                    .forEach(keyedRecord -> {
+                        listedKeys.add(keyedRecord.key());
+                        deliver(keyedRecord);
+                    });
             if (page.hasMore() && !page.records().isEmpty()) {
                 listNewest(page.records().get(page.records().size() - 1).key());
                 return;
             }
+            if (!listReadable) {
+                // The newest record of some key is not known, so that the listing confirms and removes nothing.
+                errors.accept(new SharedLogException(
+                        SharedLogException.Kind.MALFORMED, "the listing has a record that cannot be read", null));
+                backOff();
+                return;
+            }
+            failures = 0;
             deliverMissingTombstones();
             following = true;
             nextOffset = listEndOffset;
@@ -202,6 +216,7 @@
         readInFlight = true;
         handleResponse(log.read(stream, nextOffset, longPollTimeout), () -> number == reads, batch -> {
             readInFlight = false;
+            failures = 0;
             batch.records().forEach(this::deliver);
             nextOffset = batch.nextOffset();
             if (batch.complete()) {
@@ -252,7 +267,6 @@
     }
 
     private void requestSucceeded() {
-        failures = 0;
         health = health.onResponse(scheduler.nanos());
         if (!available) {
             available = true;
@@ -265,6 +279,7 @@
         final Throwable cause = error instanceof CompletionException ? error.getCause() : error;
         if (cause instanceof SharedLogException logError && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
             requestSucceeded();
+            failures = 0;
             notifyListener(listener::onHistoryLost);
             following = false;
             listOrRead();
@@ -275,6 +290,10 @@
             available = false;
             notifyListener(() -> listener.onUnavailable(String.valueOf(cause.getMessage())));
         }
+        backOff();
+    }
+
+    private void backOff() {
         final long maxDelayMillis =
                 Math.min(timing.maxBackoff().toMillis(), INITIAL_BACKOFF_MILLIS << Math.min(failures, 8));
         failures++;
--- a/src/main/java/org/masticpaddle/control/NewestPage.java
+++ b/src/main/java/org/masticpaddle/control/NewestPage.java
@@ -15,4 +15,13 @@
     public NewestPage {
         records = List.copyOf(records);
     }
+
+    /**
+     * Returns whether all records of the page could be read.
+     *
+     * @return {@code false} if the newest record of some key is not known, so that the listing is incomplete
+     */
+    public boolean readable() {
+        return records.stream().noneMatch(keyedRecord -> keyedRecord.offset() == KeyedRecord.UNKNOWN_OFFSET);
+    }
 }
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -24,37 +24,7 @@
     private final FakeSharedLog log = new FakeSharedLog(scheduler);
     private final List<String> events = new ArrayList<>();
     private long caughtUpMillis = -1;
-    private final KeyedFollower follower = new KeyedFollower(
-            log,
-            LogStream.OPERATOR,
-            ReadTiming.longPoll(WAIT),
-            scheduler,
-            RandomSource.XO_RO_SHI_RO_128_PP.create(7L),
-            new KeyedFollower.Listener() {
-                @Override
-                public void onRecord(KeyedRecord keyedRecord) {
-                    if (keyedRecord.key().equals("broken")) {
-                        throw new IllegalStateException("broken");
-                    }
-                    events.add(keyedRecord.key() + "=" + new String(keyedRecord.value(), StandardCharsets.UTF_8));
-                }
-
-                @Override
-                public void onCaughtUp(long nanos) {
-                    caughtUpMillis = nanos / 1_000_000;
-                }
-
-                @Override
-                public void onUnavailable(String reason) {
-                    events.add("lost");
-                }
-
-                @Override
-                public void onAvailable() {
-                    events.add("regained");
-                }
-            },
-            error -> events.add("error: " + error.getMessage()));
+    private final KeyedFollower follower = followerOf(log);
 
     @Test
     void shouldReadLaterRecordsAfterListingTheNewestOnes() {
@@ -289,4 +259,85 @@
         follower.retry();
         assertThat(log.requests()).isEqualTo(requests);
     }
+
+    /** Guards against a listing with a broken item that confirms what was not read, or removes keys that it does not name. */
+    @Test
+    void shouldRepeatAListingThatHasAnItemThatCannotBeRead() {
+        final ScriptedSharedLog scripted = new ScriptedSharedLog(scheduler);
+        final KeyedFollower reader = followerOf(scripted);
+        scripted.respond(page(5, keyed(1, "a", "1"), keyed(2, "b", "1"), keyed(3, "c", "1")));
+        scripted.fail(SharedLogException.Kind.HISTORY_LOST);
+        scripted.respond(page(
+                9,
+                keyed(KeyedRecord.UNKNOWN_OFFSET, "", "?"),
+                keyed(KeyedRecord.UNKNOWN_OFFSET, "b", "?"),
+                keyed(7, "c", "2")));
+        reader.start();
+        assertThat(events)
+                .containsAtLeast("a=1", "b=1", "c=1", "c=2", "error: the listing has a record that cannot be read")
+                .inOrder();
+        assertThat(events).containsNoneOf("a=", "b=", "b=?");
+        assertThat(reader.position()).isEqualTo(OptionalLong.empty());
+        final long confirmedMillis = caughtUpMillis;
+        scheduler.advance(50);
+        assertThat(caughtUpMillis).isEqualTo(confirmedMillis);
+        scripted.respond(page(9, keyed(8, "b", "2"), keyed(7, "c", "2")));
+        scheduler.advance(1_000);
+        assertThat(events).containsAtLeast("b=2", "a=").inOrder();
+        assertThat(caughtUpMillis).isGreaterThan(confirmedMillis);
+    }
+
+    @Test
+    void shouldBackOffWhileListingsCannotBeRead() {
+        final ScriptedSharedLog scripted = new ScriptedSharedLog(scheduler);
+        for (int count = 0; count < 1_000; count++) {
+            scripted.respond(page(9, keyed(KeyedRecord.UNKNOWN_OFFSET, "b", "?")));
+        }
+        followerOf(scripted).start();
+        scheduler.advance(10_000);
+        assertThat(events.size()).isIn(Range.closed(10, 40));
+        assertThat(caughtUpMillis).isEqualTo(-1);
+    }
+
+    private static NewestPage page(long end, KeyedRecord... records) {
+        return new NewestPage(List.of(records), false, end);
+    }
+
+    private static KeyedRecord keyed(long offset, String key, String value) {
+        return new KeyedRecord(offset, key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private KeyedFollower followerOf(SharedLog followed) {
+        return new KeyedFollower(
+                followed,
+                LogStream.OPERATOR,
+                ReadTiming.longPoll(WAIT),
+                scheduler,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(7L),
+                new KeyedFollower.Listener() {
+                    @Override
+                    public void onRecord(KeyedRecord keyedRecord) {
+                        if (keyedRecord.key().equals("broken")) {
+                            throw new IllegalStateException("broken");
+                        }
+                        events.add(keyedRecord.key() + "=" + new String(keyedRecord.value(), StandardCharsets.UTF_8));
+                    }
+
+                    @Override
+                    public void onCaughtUp(long nanos) {
+                        caughtUpMillis = nanos / 1_000_000;
+                    }
+
+                    @Override
+                    public void onUnavailable(String reason) {
+                        events.add("lost");
+                    }
+
+                    @Override
+                    public void onAvailable() {
+                        events.add("regained");
+                    }
+                },
+                error -> events.add("error: " + error.getMessage()));
+    }
 }
