Send no request on an idle connection that has unread bytes

Cause: bytes that arrive on an idle connection were noticed only by the event loop's next turn. A request that was sent before that turn took a second response to the earlier request as its own. Concerns the log and upstreams alike. Change: before it reuses a connection, the client reads from it; if there is a byte, or the peer has closed it, the request goes on a new one. Bytes that arrive after the request was sent cannot be told from its response.

--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -14,6 +14,7 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientProvider;
+import io.undertow.client.http.ConnectionSilence;
 import io.undertow.client.http.HttpClientProvider;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
@@ -27,7 +28,8 @@
  * Asynchronous HTTP client that pools idle connections per origin.
  *
  * <p>Invariants: a connection carries one request at a time; it is closed and never reused after a request that failed,
- * timed out or was cancelled; a request is written at most once, as the client does not retry. Thread-safe.
+ * timed out or was cancelled, or after bytes that belong to no request; a request is written at most once, as the client
+ * does not retry. Thread-safe.
  */
 public final class HttpClient implements Service, StreamClient {
     private static final int BUFFER_BYTES = 8 * 1024;
@@ -150,9 +152,9 @@
         final ActiveRequest active = new ActiveRequest(request, listener, buffers, this::release);
         final ClientConnection pooled = request.freshConnection() ? null : takeIdle(request.origin());
         if (pooled != null && Thread.currentThread() == pooled.getIoThread()) {
-            active.sendOn(pooled);
+            sendOnIdle(pooled, request, active);
         } else if (pooled != null) {
-            pooled.getIoThread().execute(() -> active.sendOn(pooled));
+            pooled.getIoThread().execute(() -> sendOnIdle(pooled, request, active));
         } else {
             connect(request, active);
         }
@@ -189,6 +191,16 @@
         return reached;
     }
 
+    /** Sends on an idle connection, or on a new one if the peer has closed it or has sent bytes that nobody asked for. */
+    private void sendOnIdle(ClientConnection pooled, HttpRequest request, ActiveRequest active) {
+        if (ConnectionSilence.holds(pooled)) {
+            active.sendOn(pooled);
+        } else {
+            IoUtils.safeClose(pooled);
+            connect(request, active);
+        }
+    }
+
     private void connect(HttpRequest request, ActiveRequest active) {
         active.armConnectTimeout(worker.getIoThread(), timeouts.connectTimeout());
         open(request.origin(), OptionMap.create(Options.TCP_NODELAY, true), new ClientCallback<>() {
