Confirm the state of a stream no later than an empty response can have been made

Cause: KeyedFollower took every empty response to a held read for one that the log had held for the whole wait, and reported the stream as read up to the end of the wait. One that came at once (a log that ends its held reads, or a gateway in between) confirmed a time in the future, by up to the hold of 1.9 to 3.3 s, by which revoked keys were accepted too long. Change: an empty response that comes before the wait is over (by more than 10 ms, for clocks of different rates) confirms the time of sending; others confirm the end of the wait, but no time in the future. Result: mvn test -Dtest=KeyedFollowerTest: the new test failed before (confirmed 1,100 ms at 110 ms where 100 is right); KeyedFollowerTest, StoreCadenceTest and StoreCadenceBoundsTest pass.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -36,6 +36,9 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Time by which a response of a log whose clock is fast may come before the end of its wait. */
+    private static final long HOLD_TOLERANCE_NANOS = 10 * NANOS_PER_MILLI;
+
     private final SharedLog log;
     private final LogStream stream;
     private final Scheduler scheduler;
@@ -220,9 +223,9 @@
             batch.records().forEach(this::deliver);
             nextOffset = batch.nextOffset();
             if (batch.complete()) {
-                // The log holds an empty response for the whole wait, so there was no further record until then.
-                final long caughtUpNanos =
-                        batch.records().isEmpty() ? sentNanos + longPollTimeout.toNanos() : sentNanos;
+                final long caughtUpNanos = batch.records().isEmpty()
+                        ? sentNanos + confirmedHoldNanos(scheduler.nanos() - sentNanos, longPollTimeout)
+                        : sentNanos;
                 notifyListener(() -> listener.onCaughtUp(caughtUpNanos));
                 pause(sentNanos);
             } else {
@@ -231,6 +234,15 @@
         });
     }
 
+    /**
+     * Returns for how long after its sending an empty response shows that there was no further record. The log holds it for the
+     * whole wait; one that comes earlier was not held and may have been made as soon as the request was sent.
+     */
+    private static long confirmedHoldNanos(long elapsedNanos, Duration longPollTimeout) {
+        final long waitNanos = longPollTimeout.toNanos();
+        return elapsedNanos + HOLD_TOLERANCE_NANOS < waitNanos ? 0 : Math.min(elapsedNanos, waitNanos);
+    }
+
     private boolean returnsAtOnce() {
         return timing.longPollTimeout().isZero();
     }
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -299,6 +299,25 @@
         assertThat(caughtUpMillis).isEqualTo(-1);
     }
 
+    /** Guards against keys that are accepted for too long, since an empty response came before its wait was over. */
+    @Test
+    void shouldNotBeCaughtUpLaterThanAnEmptyResponseCanHaveBeenMade() {
+        final ScriptedSharedLog scripted = new ScriptedSharedLog(scheduler);
+        scripted.respondAfter(100, page(1, keyed(0, "config", "1")));
+        scripted.respondAfter(10, new LogBatch(List.of(), 1, 1));
+        scripted.respondAfter(WAIT.toMillis() + 20, new LogBatch(List.of(), 1, 1));
+        scripted.respondAfter(WAIT.toMillis() / 2, new LogBatch(List.of(), 1, 1));
+        followerOf(scripted).start();
+        scheduler.advance(100);
+        assertThat(caughtUpMillis).isEqualTo(0);
+        scheduler.advance(10);
+        assertThat(caughtUpMillis).isEqualTo(100);
+        scheduler.advance(WAIT.toMillis() + 20);
+        assertThat(caughtUpMillis).isEqualTo(110 + WAIT.toMillis());
+        scheduler.advance(WAIT.toMillis() / 2);
+        assertThat(caughtUpMillis).isEqualTo(110 + WAIT.toMillis() + 20);
+    }
+
     private static NewestPage page(long end, KeyedRecord... records) {
         return new NewestPage(List.of(records), false, end);
     }
--- a/src/test/java/org/masticpaddle/control/ScriptedSharedLog.java
+++ b/src/test/java/org/masticpaddle/control/ScriptedSharedLog.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.masticpaddle.kernel.FakeScheduler;
 
@@ -14,7 +15,7 @@
  */
 final class ScriptedSharedLog implements SharedLog {
     private final FakeScheduler scheduler;
-    private final Deque<CompletableFuture<Object>> responses = new ArrayDeque<>();
+    private final Deque<Consumer<CompletableFuture<Object>>> responses = new ArrayDeque<>();
     private final Deque<CompletableFuture<Object>> requests = new ArrayDeque<>();
 
     ScriptedSharedLog(FakeScheduler scheduler) {
@@ -23,38 +24,37 @@
 
     /** Responds to the next request at once. */
     void respond(Object response) {
-        next().complete(response);
+        add(request -> request.complete(response));
     }
 
-    /** Responds to the next request after a time. */
+    /** Responds to the next request a time after it was sent. */
     void respondAfter(long millis, Object response) {
-        final CompletableFuture<Object> future = next();
-        scheduler.schedule(millis, () -> future.complete(response));
+        add(request -> scheduler.schedule(millis, () -> request.complete(response)));
     }
 
     /** Fails the next request at once. */
     void fail(SharedLogException.Kind kind) {
-        next().completeExceptionally(new SharedLogException(kind, kind.toString(), null));
+        add(request -> request.completeExceptionally(new SharedLogException(kind, kind.toString(), null)));
     }
 
-    private CompletableFuture<Object> next() {
+    private void add(Consumer<CompletableFuture<Object>> response) {
         final CompletableFuture<Object> waiting = requests.poll();
-        if (waiting != null) {
-            return waiting;
+        if (waiting == null) {
+            responses.add(response);
+        } else {
+            response.accept(waiting);
         }
-        final CompletableFuture<Object> future = new CompletableFuture<>();
-        responses.add(future);
-        return future;
     }
 
     private CompletableFuture<Object> request() {
-        final CompletableFuture<Object> prepared = responses.poll();
-        if (prepared != null) {
-            return prepared;
+        final CompletableFuture<Object> request = new CompletableFuture<>();
+        final Consumer<CompletableFuture<Object>> response = responses.poll();
+        if (response == null) {
+            requests.add(request);
+        } else {
+            response.accept(request);
         }
-        final CompletableFuture<Object> future = new CompletableFuture<>();
-        requests.add(future);
-        return future;
+        return request;
     }
 
     @Override
