--- a/src/main/java/org/masticpaddle/control/DeliveredRecords.java
+++ b/src/main/java/org/masticpaddle/control/DeliveredRecords.java
@@ -20,11 +20,12 @@
 
     /**
      * Returns whether a listed record shows that the history was replaced: in one history, the newest record of a key never
-     * changes and never becomes an older one.
+     * changes and never becomes an older one. A record whose offset is not known shows nothing.
      */
     boolean contradictedBy(KeyedRecord listed) {
         final Delivered delivered = newest.get(listed.key());
         return delivered != null
+                && listed.offset() != KeyedRecord.UNKNOWN_OFFSET
                 && (listed.offset() < delivered.offset
                         || listed.offset() == delivered.offset && Delivered.hash(listed) != delivered.valueHash);
     }
--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -60,6 +60,7 @@
     private final DeliveredRecords delivered = new DeliveredRecords();
     private ReadTiming timing;
     private Set<String> listedKeys = new HashSet<>();
+    private boolean listReadable;
     private long listEndOffset;
     private long listStartNanos;
     private long nextOffset;
@@ -88,8 +89,9 @@
      * @param scheduler clock and timers of the thread that owns the follower
      * @param random source of jitter
      * @param listener receives the records and the state of the connection to the log
-     * @param errors receives what the listener throws, and the failures of requests that a log must not show. The record
-     *     concerned counts as delivered, except that an {@link OutOfMemoryError} has its delivery repeated for some time
+     * @param errors receives what the listener throws, the failures of requests that a log must not show, and an exception for each
+     *     listing that is repeated because some of its records cannot be read. The record concerned counts as delivered, except that
+     *     an {@link OutOfMemoryError} has its delivery repeated for some time
      */
     public KeyedFollower(
             SharedLog log,
@@ -219,6 +221,7 @@
         if (after.isEmpty()) {
             listedKeys = new HashSet<>();
             listStartNanos = scheduler.nanos();
+            listReadable = true;
         }
         send(Duration.ZERO, () -> log.newest(stream, after), page -> {
             if (!after.isEmpty() && page.era() != era) {
@@ -238,14 +241,25 @@
                     return;
                 }
             }
-            page.records().forEach(keyedRecord -> {
-                listedKeys.add(keyedRecord.key());
-                deliver(keyedRecord);
-            });
+            listReadable &= page.readable();
+            page.records().stream()
+                    .filter(keyedRecord -> keyedRecord.offset() != KeyedRecord.UNKNOWN_OFFSET)
+                    .forEach(keyedRecord -> {
+                        listedKeys.add(keyedRecord.key());
+                        deliver(keyedRecord);
+                    });
             if (page.hasMore() && !page.records().isEmpty()) {
                 listNewest(page.records().get(page.records().size() - 1).key());
                 return;
             }
+            if (!listReadable) {
+                // The newest record of some key is not known, so that the listing confirms and removes nothing.
+                errors.accept(new SharedLogException(
+                        SharedLogException.Kind.MALFORMED, "the listing has a record that cannot be read", null));
+                backOff();
+                return;
+            }
+            failures = 0;
             deliverMissingTombstones();
             listed = true;
             following = true;
@@ -308,6 +322,7 @@
         final Duration longPollTimeout = failures > 0 ? Duration.ZERO : timing.longPollTimeout();
         readInFlight = true;
         send(longPollTimeout, () -> log.read(stream, nextOffset, longPollTimeout), batch -> {
+            failures = 0;
             if (batch.era() != era) {
                 following = false;
                 listOrRead();
@@ -410,7 +425,6 @@
     }
 
     private void requestSucceeded() {
-        failures = 0;
         health = health.onResponse(scheduler.nanos());
         if (!available) {
             available = true;
@@ -426,6 +440,7 @@
                 && logError.kind() == SharedLogException.Kind.HISTORY_LOST) {
             following = false;
             requestSucceeded();
+            failures = 0;
             notifyListener(listener::onHistoryLost);
             listOrRead();
             return;
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -117,11 +117,12 @@
     void onOperatorRecord(OperatorRecord operatorRecord, long offset) {
         if (operatorRecord instanceof OperatorRecord.RolloutOrder order) {
             final Optional<ActiveRollout> present = Optional.ofNullable(rollouts.get(order.service()));
-            switch (restoredOrders.onOrder(
-                    order, offset, present.map(active -> active.rollout().version()), scheduler.nanos())) {
-                case CONTINUE -> continueRollout(present.orElseThrow(), offset);
-                case START -> startRollout(order, offset);
-                case WAIT -> {}
+            final RestoredOrders.Effect effect = restoredOrders.onOrder(
+                    order, offset, present.map(active -> active.rollout().version()), scheduler.nanos());
+            if (effect == RestoredOrders.Effect.CONTINUE) {
+                continueRollout(present.orElseThrow(), offset);
+            } else if (effect == RestoredOrders.Effect.START) {
+                startRollout(order, offset);
             }
         } else if (operatorRecord instanceof OperatorRecord.RolloutWithdrawn withdrawn) {
             restoredOrders.onWithdrawal(withdrawn.service());
