--- a/src/test/java/org/masticpaddle/kernel/SuspendAwareClockTest.java
+++ b/src/test/java/org/masticpaddle/kernel/SuspendAwareClockTest.java
@@ -1,5 +1,7 @@
 package org.masticpaddle.kernel;
 
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -32,6 +34,27 @@
         assertThat(clock.nanos()).isEqualTo(before + 1_000_000);
     }
 
+    /** Order of events: many steps of the wall clock in both directions, and its drift. */
+    @Test
+    void shouldMakeNoIntervalShorterThanTheMonotonicClock() {
+        final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(5L);
+        for (int trial = 0; trial < 200; trial++) {
+            final long monotonicStart = monotonicNanos;
+            final long start = clock.nanos();
+            long last = start;
+            for (int reading = 0; reading < 50; reading++) {
+                final long elapsedMillis = random.nextLong(500);
+                advance(
+                        elapsedMillis,
+                        elapsedMillis + random.nextLong(trial % 2 == 0 ? 20_001 : 21) - (trial % 2 == 0 ? 10_000 : 10));
+                final long now = clock.nanos();
+                assertThat(now - last).isAtLeast(elapsedMillis * 1_000_000);
+                last = now;
+            }
+            assertThat(last - start).isAtLeast(monotonicNanos - monotonicStart);
+        }
+    }
+
     private void advance(long monotonicStepMillis, long wallStepMillis) {
         monotonicNanos += monotonicStepMillis * 1_000_000;
         wallMillis += wallStepMillis;
