--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -6,6 +6,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticpaddle.control.ControlCodec;
+import org.masticpaddle.control.HistoryChange;
 import org.masticpaddle.control.KeyedFollower;
 import org.masticpaddle.control.KeyedRecord;
 import org.masticpaddle.control.LogPosition;
@@ -150,6 +151,12 @@
             }
         }
 
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            evacuations.onHistoryReplaced();
+            listener.orderHistoryReplaced();
+        }
+
         @Override
         public void onCaughtUp(long nanos) {
             state.recordConfirmation(nanos);
@@ -163,6 +170,9 @@
     }
 
     private final class UpstreamListener implements KeyedFollower.Listener {
+        /** Whether the records belong to a listing that may be older than what is known. */
+        private boolean restoring;
+
         @Override
         public void onRecord(KeyedRecord keyed) {
             if (keyed.tombstone()) {
@@ -171,7 +181,9 @@
             }
             try {
                 final Upstream upstream = codec.upstream(keyed);
-                final RegistryChange change = state.registry().applyEntry(upstream, scheduler.nanos());
+                final RegistryChange change = restoring
+                        ? state.registry().applyRestoredEntry(upstream, scheduler.nanos())
+                        : state.registry().applyEntry(upstream, scheduler.nanos());
                 listener.upstreamListed(upstream);
                 if (change != RegistryChange.UNCHANGED) {
                     log.write(
@@ -212,8 +224,14 @@
             }
         }
 
+        @Override
+        public void onHistoryReplaced(HistoryChange change) {
+            restoring = true;
+        }
+
         @Override
         public void onCaughtUp(long nanos) {
+            restoring = false;
             state.markUpstreamsListed();
         }
 
@@ -252,6 +270,9 @@
          */
         void rolloutRecord(OperatorRecord order, long offset);
 
+        /** Called when the operators' stream has begun another history, before the first order of it. */
+        void orderHistoryReplaced();
+
         /** Called when the log responds again, so that followers of other streams need not wait to repeat failed requests. */
         void logAvailable();
     }
--- a/src/test/java/org/masticpaddle/control/FakeSharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FakeSharedLog.java
@@ -101,14 +101,25 @@
     /**
      * Restores the log from a copy that holds its first records. Reads that it holds stay open.
      *
-     * @param recordCount number of records of the copy
+     * @param recordCount number of records of the copy; a larger number than there are loses nothing
      */
     public void restore(int recordCount) {
-        records.subList(recordCount, records.size()).clear();
-        earliestOffset = Math.min(earliestOffset, recordCount);
+        if (recordCount < records.size()) {
+            records.subList(recordCount, records.size()).clear();
+            earliestOffset = Math.min(earliestOffset, recordCount);
+        }
         era++;
     }
 
+    /**
+     * Returns the number of records.
+     *
+     * @return records that were appended and not lost by a restore, compacted ones included
+     */
+    public int recordCount() {
+        return records.size();
+    }
+
     @Override
     public long era() {
         return namesEra ? era : NO_ERA;
