Fail responses whose status is invalid, and skip interim ones

Cause: callers got an answer whose status was 000 as an answer. Undertow's client takes any three digits for a status, and any interim status but 100 for a final one. Change: a conduit below Undertow's client checks the status line of each response; the bytes of an invalid one are not passed on, and reading fails. An interim status reaches Undertow as 100, which it skips. An idempotent request is repeated, another one fails with 502 after one run. Conclusion: the check acts on all that HttpClient reads: upstreams, streams, the store and health probes. A status line without a blank after the status still fails in Undertow, and so does a 304 with a Content-Length other than 0, both as before.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -124,6 +124,7 @@
         armIdleTimeout();
         sent = true;
         try {
+            CheckedResponses.of(opened).expect();
             final FramingLimit framingLimit = FramingLimit.install(opened, MAX_FRAMING_BYTES);
             opened.sendRequest(clientRequest(), requestListener(framingLimit));
         } catch (RuntimeException e) {
@@ -351,7 +352,11 @@
     private void complete() {
         removeIdleTimer();
         if (!finished.isDone()) {
-            release.accept(request.origin(), connection);
+            if (CheckedResponses.of(connection).intact()) {
+                release.accept(request.origin(), connection);
+            } else {
+                reset(connection);
+            }
             finished.complete(null);
         }
     }
--- a/src/main/java/org/masticpaddle/wire/HttpClient.java
+++ b/src/main/java/org/masticpaddle/wire/HttpClient.java
@@ -13,8 +13,6 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientProvider;
-import io.undertow.client.http.HttpClientProvider;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import org.masticpaddle.kernel.Service;
@@ -41,8 +39,6 @@
     private final Optional<EventLoop> sharedLoop;
     private final Map<URI, Deque<IdleConnection>> idleConnections = new ConcurrentHashMap<>();
     private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
-    // Created directly, because service discovery would open every library on the class path.
-    private final ClientProvider provider = new HttpClientProvider();
     private XnioWorker worker;
 
     /**
@@ -210,7 +206,7 @@
 
     private void open(URI origin, OptionMap options, ClientCallback<ClientConnection> callback) {
         try {
-            provider.connect(callback, origin, worker, null, buffers, options);
+            CheckedResponses.connect(callback, origin, worker, buffers, options);
         } catch (RuntimeException e) {
             // Thrown for an address that no connection can be opened to, such as one with a port out of range.
             callback.failed(new IOException(e));
--- /dev/null
+++ b/src/test/java/org/masticpaddle/wire/MalformedResponseTest.java
@@ -0,0 +1,73 @@
+package org.masticpaddle.wire;
+
+import java.util.concurrent.ExecutionException;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Guards against malformed responses that a client takes for whole ones. */
+@Timeout(60)
+class MalformedResponseTest {
+    private static final String BODY = "\r\nContent-Length: 4\r\n\r\nbody";
+
+    @RegisterExtension
+    final ClientFixture fixture = new ClientFixture();
+
+    private AnsweringPeer peer;
+
+    @BeforeEach
+    void createPeer() {
+        peer = new AnsweringPeer(fixture.client(), fixture.server());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK" + BODY,
+                "HTTP/1.1 001 OK" + BODY,
+                "HTTP/1.1 099 OK" + BODY,
+                "HTTP/1.1 101 Switching Protocols" + BODY,
+                "HTTP/1.1 600 OK" + BODY,
+                "HTTP/1.1 999 OK" + BODY,
+                "HTTP/1.1 20 OK" + BODY,
+                "HTTP/1.1 2000 OK" + BODY,
+                "HTTP/1.1 0200 OK" + BODY,
+                "HTTP/1.1 -20 OK" + BODY,
+                "HTTP/1.1 +20 OK" + BODY,
+                "HTTP/1.1 2x0 OK" + BODY,
+                "HTTP/1.1 200OK" + BODY,
+                "HTTP/1.1  200 OK" + BODY,
+                "HTTP/1.1 OK" + BODY,
+                "HTTP/1.1 " + BODY,
+                "HTTP/1.1" + BODY,
+                "HTTP/1.1 200 O\u0001K" + BODY,
+                "HTTP/1.1 200 200 OK\nHTTP/1.1 200 OK" + BODY,
+                "HTTP/0.9 200 OK" + BODY,
+                "HTTP/1.9 200 OK" + BODY,
+                "HTTP/2.0 200 OK" + BODY,
+                "HTTP/1.10 200 OK" + BODY,
+                "http/1.1 200 OK" + BODY,
+                "\r\nHTTP/1.1 200 OK" + BODY,
+                "200 OK" + BODY,
+                "body"
+            })
+    void shouldFailAfterMalformedStatusLine(String answer) {
+        assertFails("GET", answer);
+    }
+
+    private void assertFails(String method, String answer) {
+        for (final AnsweringPeer.Writing writing : AnsweringPeer.Writing.values()) {
+            final ExecutionException error =
+                    assertThrows(ExecutionException.class, () -> peer.exchange(method, answer, writing));
+            // A response that is not understood says nothing of whether the request ran.
+            assertThat(((HttpRequestException) error.getCause()).delivery())
+                    .isEqualTo(HttpRequestException.Delivery.POSSIBLY_SENT);
+        }
+    }
+}
