Fail responses whose head holds a line that is no field

Cause: callers got an answer as a complete one though its head held a folded line; Undertow's client joins such a line to the value before it, so that a folded Transfer-Encoding or Content-Length changed the body. Change: the check of the status line also checks that each line of the head is a field.

--- a/src/main/java/org/masticpaddle/wire/CheckedResponses.java
+++ b/src/main/java/org/masticpaddle/wire/CheckedResponses.java
@@ -27,7 +27,8 @@
  * Checks the responses that a connection receives: bytes that break the syntax of a response are not passed on, and reading
  * fails from there on.
  *
- * <p>Undertow's client is lenient. It takes any three digits for a status. Used on the connection's I/O thread only.
+ * <p>Undertow's client is lenient. It takes any three digits for a status and joins a line that is no field to
+ * the value before it. Used on the connection's I/O thread only.
  */
 final class CheckedResponses extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final AttachmentKey<CheckedResponses> KEY = AttachmentKey.create(CheckedResponses.class);
--- a/src/main/java/org/masticpaddle/wire/ResponseSyntax.java
+++ b/src/main/java/org/masticpaddle/wire/ResponseSyntax.java
@@ -7,12 +7,14 @@
 import java.util.Optional;
 
 /**
- * Syntax of one HTTP/1.1 response (RFC 9112), checked as its bytes arrive: its status line.
+ * Syntax of one HTTP/1.1 response (RFC 9112), checked as its bytes arrive: the lines of its head.
  *
- * <p>Keeps one line at most. Not thread-safe.
+ * <p>Stricter than the RFC demands of recipients: lines end with CRLF and are not folded. Keeps one line at most. Not
+ * thread-safe.
  */
 final class ResponseSyntax {
     private static final byte[] PROTOCOL = bytes("HTTP/1.");
+    private static final boolean[] TOKEN = token();
 
     private static final int LINE_BYTES = 128;
     private static final int MINOR_VERSION_INDEX = 7;
@@ -29,7 +31,7 @@
 
     private enum Part {
         STATUS_LINE,
-        INTERIM_HEAD,
+        HEAD,
         BODY
     }
 
@@ -95,9 +97,10 @@
     private void onLine() {
         if (part == Part.STATUS_LINE) {
             onStatusLine();
-            part = status < FIRST_FINAL_STATUS ? Part.INTERIM_HEAD : Part.BODY;
-        } else if (lineLength == 0) {
-            part = Part.STATUS_LINE;
+        } else if (lineLength > 0) {
+            checkField();
+        } else {
+            part = status < FIRST_FINAL_STATUS ? Part.STATUS_LINE : Part.BODY;
         }
     }
 
@@ -109,6 +112,16 @@
         status = number(STATUS_INDEX, STATUS_END);
         check(status >= 100 && status < 600 && status != SWITCHING_PROTOCOLS, "its status is invalid");
         checkText(STATUS_END);
+        part = Part.HEAD;
+    }
+
+    private void checkField() {
+        int length = 0;
+        while (length < lineLength && line[length] > 0 && TOKEN[line[length]]) {
+            length++;
+        }
+        check(length > 0 && length < lineLength && line[length] == ':', "a line is no field");
+        checkText(length);
     }
 
     private void checkText(int start) {
@@ -133,6 +146,17 @@
         return Arrays.equals(line, 0, prefix.length, prefix, 0, prefix.length);
     }
 
+    private static boolean[] token() {
+        final boolean[] token = new boolean[128];
+        for (char next = 0; next < token.length; next++) {
+            token[next] = next >= '0' && next <= '9'
+                    || next >= 'A' && next <= 'Z'
+                    || next >= 'a' && next <= 'z'
+                    || "!#$%&'*+-.^_`|~".indexOf(next) >= 0;
+        }
+        return token;
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
--- a/src/test/java/org/masticpaddle/wire/MalformedResponseTest.java
+++ b/src/test/java/org/masticpaddle/wire/MalformedResponseTest.java
@@ -14,7 +14,9 @@
 /** Guards against malformed responses that a client takes for whole ones. */
 @Timeout(60)
 class MalformedResponseTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String BODY = "\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String CHUNKS = "4\r\nbody\r\n0\r\n\r\n";
 
     @RegisterExtension
     final ClientFixture fixture = new ClientFixture();
@@ -61,6 +63,54 @@
         assertFails("GET", answer);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                OK + "X: a\r\n folded" + BODY,
+                OK + "X: a\r\n\tfolded" + BODY,
+                OK + "X: a\r\n Transfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+                OK + "Content-Length:\r\n 4\r\n\r\nbody",
+                OK + " X: a" + BODY,
+                OK + "no field" + BODY,
+                OK + "field" + BODY,
+                OK + "Content-Length\r\n\r\nbody",
+                OK + "Content-Length: 4\r\nfield\r\n\r\nbody",
+                OK + ": a" + BODY,
+                OK + "X: a\rContent-Length: 2" + BODY,
+                OK + "X: a\nContent-Length: 2" + BODY,
+                OK + "X: a\u0000b" + BODY,
+                OK + "X: a\u007fb" + BODY,
+                OK + "Content-Length: 4\r\r\n\r\nbody",
+                OK + "Content-Length: 4\r\n\nbody"
+            })
+    void shouldFailAfterLineThatIsNoField(String answer) {
+        assertFails("GET", answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                OK + "Content Length: 4\r\n\r\nbody",
+                OK + "Content-Length : 4\r\n\r\nbody",
+                OK + "Content-Length\t: 4\r\n\r\nbody",
+                OK + "Content-\u0000Length: 4\r\n\r\nbody",
+                OK + "Content-Length\u0001: 4\r\n\r\nbody",
+                OK + "Transfer-Encoding : chunked\r\n\r\n" + CHUNKS,
+                OK + "X Y: a" + BODY,
+                OK + "X\tY: a" + BODY,
+                OK + "X\u0000Y: a" + BODY,
+                OK + "X\u001fY: a" + BODY,
+                OK + "X\u007fY: a" + BODY,
+                OK + "X\u00e9Y: a" + BODY,
+                OK + "X(Y: a" + BODY,
+                OK + "X/Y: a" + BODY,
+                OK + "X@Y: a" + BODY,
+                OK + "X\"Y: a" + BODY
+            })
+    void shouldFailAfterFieldNameThatIsNoToken(String answer) {
+        assertFails("GET", answer);
+    }
+
     private void assertFails(String method, String answer) {
         for (final AnsweringPeer.Writing writing : AnsweringPeer.Writing.values()) {
             final ExecutionException error =
