Fail responses that do not state one extent of their body

Cause: callers got an answer as a complete one, with a body that was not the worker's, if its head was malformed where it states the length of the body. Undertow's client uses the first of several lengths and a transfer coding beside a length, reads to the end of the connection if it does not know the coding, and skips characters in the size of a chunk. Change: the check goes on to the length, the transfer coding, the chunks and the trailer section. Bytes after the end are not passed on, and their connection is not used again.

--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -124,7 +124,7 @@
         armIdleTimeout();
         sent = true;
         try {
-            CheckedResponses.of(opened).expect();
+            CheckedResponses.of(opened).expect(request.method());
             final FramingLimit framingLimit = FramingLimit.install(opened, MAX_FRAMING_BYTES);
             opened.sendRequest(clientRequest(), requestListener(framingLimit));
         } catch (RuntimeException e) {
--- a/src/main/java/org/masticpaddle/wire/CheckedResponses.java
+++ b/src/main/java/org/masticpaddle/wire/CheckedResponses.java
@@ -27,8 +27,9 @@
  * Checks the responses that a connection receives: bytes that break the syntax of a response are not passed on, and reading
  * fails from there on.
  *
- * <p>Undertow's client is lenient. It takes any three digits for a status and joins a line that is no field to
- * the value before it. Used on the connection's I/O thread only.
+ * <p>Undertow's client is lenient. It takes any three digits for a status, joins a line that is no field to the value before
+ * it, uses the first of several lengths, reads to the end of the connection if it does not know a transfer coding, and skips
+ * characters in the size of a chunk. Used on the connection's I/O thread only.
  */
 final class CheckedResponses extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final AttachmentKey<CheckedResponses> KEY = AttachmentKey.create(CheckedResponses.class);
@@ -86,9 +87,13 @@
         return connection;
     }
 
-    /** Expects the response to the next request, after the one before is complete. */
-    void expect() {
-        expected = Optional.of(new ResponseSyntax());
+    /**
+     * Expects the response to the next request, after the one before is complete.
+     *
+     * @param method method of the request
+     */
+    void expect(String method) {
+        expected = Optional.of(new ResponseSyntax(method));
     }
 
     /** Returns whether nothing that was received breaks the syntax, so that the connection may carry another request. */
--- a/src/test/java/org/masticpaddle/wire/MalformedResponseTest.java
+++ b/src/test/java/org/masticpaddle/wire/MalformedResponseTest.java
@@ -15,6 +15,7 @@
 @Timeout(60)
 class MalformedResponseTest {
     private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
     private static final String BODY = "\r\nContent-Length: 4\r\n\r\nbody";
     private static final String CHUNKS = "4\r\nbody\r\n0\r\n\r\n";
 
@@ -111,6 +112,80 @@
         assertFails("GET", answer);
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                OK + "Content-Length: +4\r\n\r\nbody",
+                OK + "Content-Length: -4\r\n\r\nbody",
+                OK + "Content-Length: -0\r\n\r\n",
+                OK + "Content-Length: 4x\r\n\r\nbody",
+                OK + "Content-Length: 0x4\r\n\r\nbody",
+                OK + "Content-Length: 4.0\r\n\r\nbody",
+                OK + "Content-Length: 4 4\r\n\r\nbody",
+                OK + "Content-Length: 4, 4\r\n\r\nbody",
+                OK + "Content-Length: \r\n\r\nbody",
+                OK + "Content-Length: 18446744073709551620\r\n\r\nbody",
+                OK + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+                OK + "Content-Length: 2\r\ncontent-length: 4\r\n\r\nbody",
+                OK + "Content-Length: 2\r\nContent-Length: x\r\n\r\nbody",
+                OK + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: chunked, chunked\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: gzip, chunked\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: xchunked\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: chunke\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: \"chunked\"\r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: \r\n\r\n" + CHUNKS,
+                OK + "Transfer-Encoding: gzip\r\n\r\nbody",
+                OK + "Transfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+                "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
+                "HTTP/1.0 204 No Content\r\n\r\nbody"
+            })
+    void shouldFailAfterMalformedLength(String answer) {
+        assertFails("GET", answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                CHUNKED + "\r\n\r\n",
+                CHUNKED + "4\r\nbody\r\n\r\n\r\n",
+                CHUNKED + "4g\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "g\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "-4\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "+4\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "0x4\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + " 4\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "4 x\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "4 4\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "4;\u0000\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "10000000000000004\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "8000000000000004\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "100000004\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "2\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "3\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "5\r\nbody\r\n0\r\n\r\n",
+                CHUNKED + "4\r\nbodyxx0\r\n\r\n",
+                CHUNKED + "4\r\nbody0\r\n\r\n",
+                CHUNKED + "4\nbody\n0\n\n",
+                CHUNKED + "4\r\nbody\r0\r\n\r\n",
+                CHUNKED + "4\r\nbody\r\n",
+                CHUNKED + "4\r\nbody\r\n0",
+                CHUNKED + "4\r\nbody\r\n0\r\n",
+                CHUNKED + "4\r\nbody\r\n0\r\nX: a\r\n",
+                CHUNKED + "4\r\nbody\r\n0\r\nx\r\n\r\n",
+                CHUNKED + "4\r\nbody\r\n0\r\nno field\r\n\r\n",
+                CHUNKED + "4\r\nbody\r\n0\r\nX y: a\r\n\r\n",
+                CHUNKED + "4\r\nbody\r\n0\r\nX: a\r\n folded\r\n\r\n"
+            })
+    void shouldFailAfterMalformedChunk(String answer) {
+        assertFails("GET", answer);
+    }
+
     private void assertFails(String method, String answer) {
         for (final AnsweringPeer.Writing writing : AnsweringPeer.Writing.values()) {
             final ExecutionException error =
