Limit the time of a request to the log to the last byte of its response

Cause: the time limit of a request started again with each byte, so that a log, or what lies between, that sends a byte now and then kept a read open without end: no failure, no dependency.lost, and a change on that stream was not learned of. LoopTimeout counts it, so that time in which the event loop was late is no failure; its timer is removed at the end of the request.

--- a/src/main/java/org/masticpaddle/control/StoreCadence.java
+++ b/src/main/java/org/masticpaddle/control/StoreCadence.java
@@ -28,7 +28,7 @@
  * @param rolloutStatus timing of reads of the status of a rollout in progress
  */
 public record StoreCadence(ReadTiming operatorStream, ReadTiming upstreamList, ReadTiming rolloutStatus) {
-    /** Response timeout of the log, beyond the hold of a read. */
+    /** Time from the sending of a read to the last byte of a small response, beyond the hold. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(700);
     /** Time of the short read after a failed one: its delay and the response of a slow log. */
     private static final Duration CONFIRMATION = Duration.ofMillis(400);
--- a/src/main/java/org/masticpaddle/wire/ActiveRequest.java
+++ b/src/main/java/org/masticpaddle/wire/ActiveRequest.java
@@ -57,7 +57,10 @@
     private volatile ClientConnection connection;
     private volatile boolean sent;
     private volatile XnioExecutor.Key idleTimer;
+    private volatile LoopTimeout responseTimeout;
+    private long sentNanos;
     private long lastByteNanos;
+    private long bodyBytes;
     private StreamSourceChannel responseChannel;
     private boolean paused;
 
@@ -120,8 +123,10 @@
             fail(HttpRequestException.Delivery.NOT_SENT, "the request is no longer wanted", null);
             return;
         }
-        lastByteNanos = System.nanoTime();
+        sentNanos = System.nanoTime();
+        lastByteNanos = sentNanos;
         armIdleTimeout();
+        request.responseLimit().ifPresent(limit -> armResponseTimeout(limit, limit.timeFor(0)));
         sent = true;
         try {
             final FramingLimit framingLimit = FramingLimit.install(opened, MAX_FRAMING_BYTES);
@@ -149,7 +154,7 @@
 
     void fail(HttpRequestException.Delivery delivery, String message, Throwable cause) {
         if (finished.completeExceptionally(new HttpRequestException(delivery, message, cause))) {
-            removeIdleTimer();
+            removeTimers();
             final ClientConnection used = connection;
             if (used != null) {
                 reset(used);
@@ -183,16 +188,35 @@
                 .getIoThread()
                 .executeAfter(this::checkIdle, Math.max(1, remainingNanos / 1_000_000 + 1), TimeUnit.MILLISECONDS);
         if (finished.isDone()) {
-            removeIdleTimer();
+            removeTimers();
         }
     }
 
-    /** Removes the timer, which would keep the request with its body until it is due. */
-    private void removeIdleTimer() {
+    private void armResponseTimeout(ResponseLimit limit, Duration remaining) {
+        responseTimeout = LoopTimeout.start(
+                connection.getIoThread(), remaining, finished::isDone, () -> checkResponseLimit(limit));
+    }
+
+    private void checkResponseLimit(ResponseLimit limit) {
+        final Duration allowed = limit.timeFor(bodyBytes);
+        final Duration remaining = allowed.minusNanos(System.nanoTime() - sentNanos);
+        if (remaining.toMillis() > 0) {
+            armResponseTimeout(limit, remaining);
+        } else {
+            fail(currentDelivery(), "the answer from " + request.origin() + " was not complete in " + allowed, null);
+        }
+    }
+
+    /** Removes the timers, which would keep the request with its body until they are due. */
+    private void removeTimers() {
         final XnioExecutor.Key timer = idleTimer;
         if (timer != null) {
             timer.remove();
         }
+        final LoopTimeout timeout = responseTimeout;
+        if (timeout != null) {
+            timeout.remove();
+        }
     }
 
     private void checkIdle() {
@@ -326,6 +350,7 @@
                     return;
                 }
                 lastByteNanos = System.nanoTime();
+                bodyBytes += count;
                 framingLimit.onProgress();
                 buffer.flip();
                 final byte[] bytes = new byte[buffer.remaining()];
@@ -349,7 +374,7 @@
     }
 
     private void complete() {
-        removeIdleTimer();
+        removeTimers();
         if (!finished.isDone()) {
             release.accept(request.origin(), connection);
             finished.complete(null);
--- a/src/main/java/org/masticpaddle/wire/HttpRequest.java
+++ b/src/main/java/org/masticpaddle/wire/HttpRequest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * An HTTP request. Immutable, provided that nobody modifies the body array.
@@ -16,6 +17,7 @@
  * @param idleTimeout time without a byte of the response after which the request fails
  * @param freshConnection whether to open a new connection instead of reusing an idle one, whose peer may no longer
  *     respond
+ * @param responseLimit limit on the time to the last byte of the response, empty if only the time between two bytes is limited
  */
 public record HttpRequest(
         URI origin,
@@ -24,7 +26,8 @@
         Map<String, String> headers,
         byte[] body,
         Duration idleTimeout,
-        boolean freshConnection) {
+        boolean freshConnection,
+        Optional<ResponseLimit> responseLimit) {
     private static final byte[] NO_BODY = new byte[0];
 
     /** Checks the arguments and copies the headers. */
@@ -34,9 +37,32 @@
         Objects.requireNonNull(path, "path is null");
         Objects.requireNonNull(body, "body is null");
         Objects.requireNonNull(idleTimeout, "idleTimeout is null");
+        Objects.requireNonNull(responseLimit, "responseLimit is null");
         headers = Map.copyOf(headers);
     }
 
+    /**
+     * Creates a request without a limit on the time to the last byte of the response.
+     *
+     * @param origin scheme, host and port of the peer
+     * @param method HTTP method
+     * @param path path with query
+     * @param headers header values by name
+     * @param body body, empty for none
+     * @param idleTimeout time without a byte of the response after which the request fails
+     * @param freshConnection whether to open a new connection instead of reusing an idle one
+     */
+    public HttpRequest(
+            URI origin,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            Duration idleTimeout,
+            boolean freshConnection) {
+        this(origin, method, path, headers, body, idleTimeout, freshConnection, Optional.empty());
+    }
+
     /**
      * Creates a GET request without headers.
      *
@@ -75,7 +101,7 @@
      * @return copy with {@code freshConnection} set
      */
     public HttpRequest onFreshConnection() {
-        return new HttpRequest(origin, method, path, headers, body, idleTimeout, true);
+        return new HttpRequest(origin, method, path, headers, body, idleTimeout, true, responseLimit);
     }
 
     /**
@@ -85,6 +111,16 @@
      * @return copy with these headers
      */
     public HttpRequest withHeaders(Map<String, String> replacement) {
-        return new HttpRequest(origin, method, path, replacement, body, idleTimeout, freshConnection);
+        return new HttpRequest(origin, method, path, replacement, body, idleTimeout, freshConnection, responseLimit);
+    }
+
+    /**
+     * Returns a copy whose response must end within a limit.
+     *
+     * @param limit limit on the time from the sending of the request to the last byte of its response
+     * @return copy with this limit in addition to the idle timeout
+     */
+    public HttpRequest withResponseLimit(ResponseLimit limit) {
+        return new HttpRequest(origin, method, path, headers, body, idleTimeout, freshConnection, Optional.of(limit));
     }
 }
