Pause between listings whose end the log does not have

Cause: a lost history is listed again at once, since the log answers; a log that lists an end and denies it to the read that follows got both requests as fast as the network allows, each of them billed. Found by reading; no log has been seen to do so. Change: if no read has succeeded since the last lost history, the next listing follows after the longest backoff.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -73,6 +73,7 @@
     private int deliveryAttempts;
     private long requests;
     private boolean readInFlight;
+    private int lostSinceRead;
     private long lastSentNanos;
     private Optional<Scheduler.Timer> responseLimit = Optional.empty();
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
@@ -323,6 +324,7 @@
         readInFlight = true;
         send(longPollTimeout, () -> log.read(stream, nextOffset, longPollTimeout), batch -> {
             failures = 0;
+            lostSinceRead = 0;
             if (batch.era() != era) {
                 following = false;
                 listOrRead();
@@ -442,7 +444,12 @@
             requestSucceeded();
             failures = 0;
             notifyListener(listener::onHistoryLost);
-            listOrRead();
+            lostSinceRead++;
+            if (lostSinceRead > 1) {
+                schedulePause(timing.maxBackoff().toMillis());
+            } else {
+                listOrRead();
+            }
             return;
         }
         if (!(cause instanceof SharedLogException)) {
--- a/src/test/java/org/masticpaddle/control/FaultySharedLog.java
+++ b/src/test/java/org/masticpaddle/control/FaultySharedLog.java
@@ -49,6 +49,10 @@
         if (fault.equals(Optional.of(Fault.DOES_NOT_HOLD))) {
             return log.read(stream, from, Duration.ZERO);
         }
+        if (fault.equals(Optional.of(Fault.DENIES_WHAT_IT_LISTS))) {
+            return CompletableFuture.failedFuture(
+                    new SharedLogException(SharedLogException.Kind.HISTORY_LOST, "lost", null));
+        }
         return answer(() -> log.read(stream, from, wait));
     }
 
@@ -74,6 +78,7 @@
                 return CompletableFuture.failedFuture(
                         new SharedLogException(SharedLogException.Kind.HISTORY_LOST, "lost", null));
             case DOES_NOT_HOLD:
+            case DENIES_WHAT_IT_LISTS:
                 return request.get();
             case ANSWERS_NULL:
                 return CompletableFuture.completedFuture(null);
@@ -96,6 +101,8 @@
         LOSES_HISTORY,
         /** Reads return at once, also if there is no record. */
         DOES_NOT_HOLD,
+        /** Listings succeed, but the log does not have the offset at which they end. */
+        DENIES_WHAT_IT_LISTS,
         ANSWERS_NULL,
         NO_FUTURE,
         UNANSWERED
--- a/src/test/java/org/masticpaddle/control/KeyedFollowerFaultTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerFaultTest.java
@@ -32,7 +32,7 @@
     @EnumSource(
             value = FaultySharedLog.Fault.class,
             mode = EnumSource.Mode.EXCLUDE,
-            names = {"LOSES_HISTORY", "DOES_NOT_HOLD"})
+            names = {"LOSES_HISTORY", "DOES_NOT_HOLD", "DENIES_WHAT_IT_LISTS"})
     void shouldListAgainAfterAListingEndedUnexpectedly(FaultySharedLog.Fault fault) {
         log.put("config", "1");
         faulty.setFault(fault);
@@ -51,7 +51,7 @@
     @EnumSource(
             value = FaultySharedLog.Fault.class,
             mode = EnumSource.Mode.EXCLUDE,
-            names = {"LOSES_HISTORY", "DOES_NOT_HOLD"})
+            names = {"LOSES_HISTORY", "DOES_NOT_HOLD", "DENIES_WHAT_IT_LISTS"})
     void shouldReadAgainAfterAReadEndedUnexpectedly(FaultySharedLog.Fault fault) {
         log.put("config", "1");
         follower.start();
@@ -82,6 +82,20 @@
         assertThat(listener.events).containsExactly("config=1", "config=2").inOrder();
     }
 
+    @Test
+    void shouldPauseBetweenListingsWhoseEndCannotBeRead() {
+        log.put("config", "1");
+        log.setSlowResponse(5);
+        faulty.setFault(FaultySharedLog.Fault.DENIES_WHAT_IT_LISTS);
+        follower.start();
+        scheduler.advance(10_000);
+        assertThat(log.requests()).isAtMost(10_000 / 200);
+        log.put("config", "2");
+        faulty.clearFault();
+        scheduler.advance(RECOVERY_MILLIS);
+        assertThat(listener.events).containsAtLeast("config=1", "config=2").inOrder();
+    }
+
     @Test
     void shouldNotConfirmMoreThanALogThatDoesNotHoldReadsHasConfirmed() {
         log.put("config", "1");
