--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -213,6 +213,43 @@
         assertThat(events).doesNotContain("order=");
     }
 
+    /** The log is away for most of the time in which the writers should write again. */
+    @Test
+    void shouldNotRemoveKeysSoonAfterAnOutageThatFollowsARestore() {
+        log.nameEras();
+        log.put("order", "1");
+        follower.start();
+        log.restore(0);
+        follower.followEra();
+        scheduler.advance(500);
+        log.setUnavailable(true);
+        scheduler.advance(LogStream.OPERATOR.rewriteTime().toMillis() - 1_500);
+        log.setUnavailable(false);
+        scheduler.advance(2_000);
+        assertThat(events).doesNotContain("order=");
+    }
+
+    /** An answer about another stream has named the era; the follower is told of it only with its owner's next tick. */
+    @Test
+    void shouldHaveNoPositionOnceTheLogHasNamedAnotherEra() {
+        log.nameEras();
+        log.put("config", "1");
+        follower.start();
+        scheduler.advance(WAIT.toMillis());
+        log.restore(0);
+        assertThat(follower.position()).isEqualTo(OptionalLong.empty());
+    }
+
+    /** A log without eras may have been restored in the outage, so the position is in doubt until it is listed. */
+    @Test
+    void shouldHaveNoPositionAfterAFailureOfALogWithoutEras() {
+        log.put("config", "1");
+        follower.start();
+        log.setUnavailable(true);
+        scheduler.advance(2_000);
+        assertThat(follower.position()).isEqualTo(OptionalLong.empty());
+    }
+
     @Test
     void shouldKeepAnAppendFromBeingJudgedByAPositionInAnotherHistory() {
         log.nameEras();
