Show an evacuation that was withdrawn and holds again after a restore

A copy that is older than the withdrawal evacuates the domain again until the operator writes. Change: a test only.

--- a/src/test/java/org/masticpaddle/gateway/RestoredLogTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RestoredLogTest.java
@@ -111,6 +111,18 @@
         assertThat(members()).containsExactly("a", "c");
     }
 
+    /** The copy is older than the withdrawal. */
+    @Test
+    void shouldNotEvacuateADomainAgainWhoseWithdrawalWasLost() {
+        streams.log(LogStream.OPERATOR).put("b", "{}");
+        streams.log(LogStream.OPERATOR).put("b", "");
+        advance(1_000);
+        assertThat(members()).containsExactly("a", "b", "c");
+        restore(LogStream.OPERATOR, 1);
+        advance(1_000);
+        assertThat(members()).containsExactly("a", "b", "c");
+    }
+
     @Test
     void shouldNotSendToADrainingUpstreamThatTheCopyListsAsReady() {
         register("a", "a draining");
