Tell the effect of equal offsets from that of another version

Cause: the test of counts under an offset that was given out before had no control. Change: the same test with another offset.

--- a/src/test/java/org/masticpaddle/gateway/RestoredRolloutTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RestoredRolloutTest.java
@@ -109,17 +109,18 @@
         assertThat(streams.statuses()).isEmpty();
     }
 
-    /** Two orders have the same offset in the two histories; one gateway knows the later one some tenths of a second earlier. */
-    @Test
-    void shouldNotCountTheAnswersOfAnotherVersionWhoseOrderHadTheSameOffset() {
+    /** Two orders may have the same offset in the two histories; one gateway knows the later one some tenths of a second earlier. */
+    @ParameterizedTest
+    @ValueSource(longs = {ORDER_OFFSET, REWRITTEN_OFFSET})
+    void shouldNotCountTheAnswersOfAnotherVersionWhoseOrderHadTheSameOffset(long offset) {
         streams.nameEras();
         order("v2", ORDER_OFFSET);
         simulate(5_000, V2, true);
         restore(0);
         final OperatorRecord later = new OperatorRecord.RolloutOrder("s", "v3", Duration.ofSeconds(20));
-        gateways.get(0).onOperatorRecord(later, ORDER_OFFSET);
+        gateways.get(0).onOperatorRecord(later, offset);
         simulate(900, V2, true);
-        gateways.get(1).onOperatorRecord(later, ORDER_OFFSET);
+        gateways.get(1).onOperatorRecord(later, offset);
         simulate(LogStream.OPERATOR.rewriteTime().toMillis() - 600, V2, true);
         for (int step = 0; step < 40; step++) {
             assertThat(sessionsPreferring(V3)).isAtMost(100);
