Let an evacuation take effect whose order gets the first offset of a restored log

Cause: the end of a lost order was noted at offset 0 of an empty restored stream, so that the next order, at offset 0, was stale: requests went to a domain that the operator had evacuated.

--- a/src/main/java/org/masticpaddle/fleet/EvacuatedDomains.java
+++ b/src/main/java/org/masticpaddle/fleet/EvacuatedDomains.java
@@ -20,7 +20,7 @@
     static final int MAX_DOMAINS = 1_024;
 
     /** Stands for the offset of an order in an earlier history of the log; lower than any offset. */
-    private static final long EARLIER_HISTORY = -1;
+    private static final long EARLIER_HISTORY = Long.MIN_VALUE;
 
     private final Map<String, Order> newestOrders = new LinkedHashMap<>();
 
