Do not count the answers of another version whose order had the same offset

Cause: counts named the order only. After a restore the order of another version may have the offset of the lost one, and its rollout took over stage, start and answers of the earlier one: all sessions at once went to a version that was not tried. Change: `RolloutCounts` names the version; counts of gateways that do not name it are judged by the order alone, as before. Conclusion: the identity of an order is its offset and its version.

--- a/src/main/java/org/masticpaddle/rollout/RolloutCounts.java
+++ b/src/main/java/org/masticpaddle/rollout/RolloutCounts.java
@@ -8,6 +8,7 @@
  * State of a rollout at one gateway since the order, as gateways exchange it through the log. Immutable.
  *
  * @param service name of the service
+ * @param version version that is rolled out, empty in the counts of a gateway that does not name it
  * @param order identifier of the order, its offset in the operators' stream
  * @param routes counts by the name of the route
  * @param stage index of the last stage that the gateway has scheduled
@@ -18,6 +19,7 @@
  */
 public record RolloutCounts(
         String service,
+        String version,
         long order,
         Map<String, RouteCounts> routes,
         int stage,
@@ -28,6 +30,7 @@
     /** Checks the arguments and copies the collections. */
     public RolloutCounts {
         Objects.requireNonNull(service, "service is null");
+        version = Objects.requireNonNullElse(version, "");
         Objects.requireNonNull(activity, "activity is null");
         routes = Map.copyOf(Objects.requireNonNull(routes, "routes is null"));
         sessions = List.copyOf(Objects.requireNonNull(sessions, "sessions is null"));
--- a/src/main/java/org/masticpaddle/rollout/VersionRollout.java
+++ b/src/main/java/org/masticpaddle/rollout/VersionRollout.java
@@ -226,7 +226,7 @@
      * @param now current time by the scheduler's clock, in nanoseconds
      */
     public void mergeCounts(String gatewayId, RolloutCounts counts, long now) {
-        if (counts.order() == order) {
+        if (concerns(counts)) {
             peerCounts.put(gatewayId, counts);
             startNanos = Math.min(startNanos, now - counts.passedMillis() * NANOS_PER_MILLI);
             final RolloutStage peerStage = RolloutStage.values()[Math.min(RolloutStage.ALL.ordinal(), counts.stage())];
@@ -239,6 +239,17 @@
         }
     }
 
+    /**
+     * Returns whether counts belong to this rollout. After a restore of the log, orders of two versions may have the same identifier.
+     *
+     * @param counts counts of another gateway
+     * @return {@code true} if order and version are the same
+     */
+    public boolean concerns(RolloutCounts counts) {
+        return counts.order() == order
+                && (counts.version().isEmpty() || counts.version().equals(version));
+    }
+
     /**
      * Returns the state of this gateway for publication.
      *
@@ -249,7 +260,15 @@
      */
     public RolloutCounts counts(GatewayActivity activity, List<SessionUse> sessions, long now) {
         return new RolloutCounts(
-                service, order, localCounts, stage.ordinal(), stageStartMillis, elapsedMillis(now), activity, sessions);
+                service,
+                version,
+                order,
+                localCounts,
+                stage.ordinal(),
+                stageStartMillis,
+                elapsedMillis(now),
+                activity,
+                sessions);
     }
 
     /**
--- a/src/test/java/org/masticpaddle/rollout/VersionRolloutTest.java
+++ b/src/test/java/org/masticpaddle/rollout/VersionRolloutTest.java
@@ -122,6 +122,7 @@
                 "other",
                 new RolloutCounts(
                         "s",
+                        "v2",
                         3,
                         Map.of("a", RouteCounts.NONE.withAnswer(true, false, false)),
                         3,
