Decide on orders and positions of a restored log by what was read when

Change: only orders of the listing may come from the copy and wait; an order for the version that was known continues its rollout until the operator has had the time to write again. That time ends by one timer of the follower, which an outage stops and a restore starts again (`onRestoreSettled`). A follower has no position while a response has named another era, or after a failure of a log without eras. A lost verdict is not written where the log holds a verdict. Conclusion: an order for another version that is written between the restore and the listing waits, and meanwhile its upstreams count as old ones of a rollout that was rolled back.

--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -79,6 +79,7 @@
     private Optional<Scheduler.Timer> pauseEnd = Optional.empty();
     private Optional<Scheduler.Timer> backoffEnd = Optional.empty();
     private Optional<Scheduler.Timer> rewriteEnd = Optional.empty();
+    private boolean rewritesAwaited;
     private volatile StreamHealth health;
 
     /**
@@ -192,10 +193,12 @@
     /**
      * Returns the position of the follower in the stream.
      *
-     * @return offset of the next record to read, empty while the newest records are being listed
+     * @return offset of the next record to read, empty while it is not known to count in the present history of the log
      */
     public OptionalLong position() {
-        return following ? OptionalLong.of(nextOffset) : OptionalLong.empty();
+        final boolean otherHistory =
+                era == SharedLog.NO_ERA ? failures > 0 : log.era() != era && log.era() != SharedLog.NO_ERA;
+        return following && !otherHistory ? OptionalLong.of(nextOffset) : OptionalLong.empty();
     }
 
     /**
@@ -288,6 +291,7 @@
         following = false;
         health = health.onRestore();
         notifyListener(() -> listener.onHistoryReplaced(change));
+        rewritesAwaited = true;
         awaitRewrites();
     }
 
@@ -296,18 +300,20 @@
         rewriteEnd.ifPresent(Scheduler.Timer::cancel);
         rewriteEnd = Optional.of(scheduler.schedule(stream.rewriteTime().toMillis(), () -> {
             rewriteEnd = Optional.empty();
-            if (stopped || !delivered.retainsKeys()) {
+            if (stopped) {
                 return;
             }
-            if (!following || !available) {
+            if (!following) {
                 awaitRewrites();
                 return;
             }
-            final long lastOffset = Math.max(0, nextOffset - 1);
+            rewritesAwaited = false;
+            final long lastOffset = nextOffset - 1;
             delivered
                     .removeRetained()
                     .forEach(key ->
                             notifyListener(() -> listener.onRecord(new KeyedRecord(lastOffset, key, new byte[0]))));
+            notifyListener(listener::onRestoreSettled);
         }));
     }
 
@@ -428,6 +434,9 @@
 
     private void requestSucceeded() {
         health = health.onResponse(scheduler.nanos());
+        if (rewritesAwaited && rewriteEnd.isEmpty()) {
+            awaitRewrites();
+        }
         if (!available) {
             available = true;
             notifyListener(listener::onAvailable);
@@ -457,6 +466,9 @@
         }
         health = health.onFailure(scheduler.nanos());
         backOff();
+        // The writers may not reach the log either.
+        rewriteEnd.ifPresent(Scheduler.Timer::cancel);
+        rewriteEnd = Optional.empty();
         if (available) {
             available = false;
             notifyListener(() -> listener.onUnavailable(String.valueOf(cause.getMessage())));
@@ -548,5 +560,11 @@
          * @param change eras and offsets of both histories
          */
         default void onHistoryReplaced(HistoryChange change) {}
+
+        /**
+         * Called after the keys were removed that only an earlier history held, when their writers have had the time to write them
+         * again without an outage.
+         */
+        default void onRestoreSettled() {}
     }
 }
--- a/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
+++ b/src/main/java/org/masticpaddle/gateway/ControlLogFollower.java
@@ -160,6 +160,12 @@
         @Override
         public void onCaughtUp(long nanos) {
             state.recordConfirmation(nanos);
+            listener.ordersListed();
+        }
+
+        @Override
+        public void onRestoreSettled() {
+            listener.ordersSettled();
         }
 
         @Override
@@ -273,6 +279,12 @@
         /** Called when the operators' stream has begun another history, before the first order of it. */
         void orderHistoryReplaced();
 
+        /** Called when all orders that the log holds have been passed on. */
+        void ordersListed();
+
+        /** Called when the operator has had the time to write the orders again that the log has lost. */
+        void ordersSettled();
+
         /** Called when the log responds again, so that followers of other streams need not wait to repeat failed requests. */
         void logAvailable();
     }
--- a/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayProcess.java
@@ -193,6 +193,16 @@
                         rollouts.onHistoryReplaced();
                     }
 
+                    @Override
+                    public void ordersListed() {
+                        rollouts.onOrdersListed();
+                    }
+
+                    @Override
+                    public void ordersSettled() {
+                        rollouts.onOrdersSettled();
+                    }
+
                     @Override
                     public void logAvailable() {
                         rollouts.onLogAvailable();
--- a/src/main/java/org/masticpaddle/gateway/LoggedStream.java
+++ b/src/main/java/org/masticpaddle/gateway/LoggedStream.java
@@ -96,6 +96,11 @@
         listener.onHistoryReplaced(change);
     }
 
+    @Override
+    public void onRestoreSettled() {
+        listener.onRestoreSettled();
+    }
+
     private static Long named(long era) {
         return era == SharedLog.NO_ERA ? null : era;
     }
--- a/src/main/java/org/masticpaddle/gateway/RestoredOrders.java
+++ b/src/main/java/org/masticpaddle/gateway/RestoredOrders.java
@@ -1,6 +1,5 @@
 package org.masticpaddle.gateway;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,49 +13,53 @@
 /**
  * Decides which rollout orders of a restored log are those that were known before.
  *
- * <p>Invariants: the first order of a service that names the version of the rollout known before continues that rollout; one that
- * names another version may be an older one of the copy, so that it waits until the operator has had the time to write the known one
- * again. Performs no input or output. Not thread-safe: used on the event loop only.
+ * <p>Invariants, until the operator has had the time to write lost orders again: an order that names the version of the known rollout
+ * of its service continues that rollout; any other order of the listing may be an older one of the copy and waits; an order that is
+ * read after the listing was written in the present history and takes effect. Performs no input or output. Not thread-safe: used on
+ * the event loop only.
  */
 final class RestoredOrders {
-    private final long rewriteNanos;
     private final Set<String> awaited = new HashSet<>();
     private final Map<String, Waiting> waiting = new HashMap<>();
+    private boolean settled = true;
+    private boolean listing;
 
     /**
-     * Creates a component for a log that was not restored.
+     * Records that the known orders belong to a history that is gone.
      *
-     * @param rewriteTime time within which the operator writes lost orders again
+     * @param services services with a known rollout
      */
-    RestoredOrders(Duration rewriteTime) {
-        rewriteNanos = rewriteTime.toNanos();
-    }
-
-    /** Records that the services' orders belong to a history that is gone. */
     void onHistoryReplaced(Set<String> services) {
+        settled = false;
+        listing = true;
+        waiting.clear();
         awaited.addAll(services);
     }
 
+    /** Records that all orders that the present history held have been decided on. */
+    void onListed() {
+        listing = false;
+    }
+
     /**
      * Decides what an order means.
      *
      * @param order order of the present history
      * @param offset its offset
      * @param knownVersion version of the rollout of the service, empty if there is none
-     * @param now current time in nanoseconds
      */
-    Effect onOrder(OperatorRecord.RolloutOrder order, long offset, Optional<String> knownVersion, long now) {
+    Effect onOrder(OperatorRecord.RolloutOrder order, long offset, Optional<String> knownVersion) {
         waiting.remove(order.service());
-        if (!awaited.contains(order.service()) || knownVersion.isEmpty()) {
-            awaited.remove(order.service());
-            return Effect.START;
-        }
-        if (knownVersion.get().equals(order.version())) {
+        if (!settled && knownVersion.equals(Optional.of(order.version()))) {
             awaited.remove(order.service());
             return Effect.CONTINUE;
         }
-        waiting.put(order.service(), new Waiting(order, offset, now + rewriteNanos));
-        return Effect.WAIT;
+        if (listing) {
+            waiting.put(order.service(), new Waiting(order, offset));
+            return Effect.WAIT;
+        }
+        awaited.remove(order.service());
+        return Effect.START;
     }
 
     /** Forgets the order of a service, which was withdrawn. */
@@ -70,13 +73,13 @@
         return awaited.contains(service);
     }
 
-    /** Removes and returns the orders that have waited long enough. */
-    List<Waiting> due(long now) {
-        final List<Waiting> due = waiting.values().stream()
-                .filter(order -> now >= order.untilNanos)
-                .toList();
-        due.forEach(order -> onWithdrawal(order.order.service()));
-        return due;
+    /** Records that the operator has had the time to write lost orders again; removes and returns those that have waited for it. */
+    List<Waiting> settle() {
+        settled = true;
+        awaited.clear();
+        final List<Waiting> orders = List.copyOf(waiting.values());
+        waiting.clear();
+        return orders;
     }
 
     /** What an order leads to. */
@@ -94,9 +97,8 @@
      *
      * @param order order of the present history
      * @param offset its offset
-     * @param untilNanos time until which it has no effect
      */
-    record Waiting(OperatorRecord.RolloutOrder order, long offset, long untilNanos) {
+    record Waiting(OperatorRecord.RolloutOrder order, long offset) {
         Waiting {
             Objects.requireNonNull(order, "order is null");
         }
--- a/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
+++ b/src/main/java/org/masticpaddle/gateway/RolloutCoordinator.java
@@ -76,7 +76,7 @@
     private final Map<String, EstablishedVersions> establishedByService = new HashMap<>();
     private final Map<String, ActiveRollout> rollouts = new HashMap<>();
     private final Map<String, RolloutStatus> statuses = new HashMap<>();
-    private final RestoredOrders restoredOrders = new RestoredOrders(LogStream.OPERATOR.rewriteTime());
+    private final RestoredOrders restoredOrders = new RestoredOrders();
     private Optional<KeyedFollower> statusFollower = Optional.empty();
     private Optional<KeyedFollower> countsFollower = Optional.empty();
 
@@ -118,7 +118,7 @@
         if (operatorRecord instanceof OperatorRecord.RolloutOrder order) {
             final Optional<ActiveRollout> present = Optional.ofNullable(rollouts.get(order.service()));
             final RestoredOrders.Effect effect = restoredOrders.onOrder(
-                    order, offset, present.map(active -> active.rollout().version()), scheduler.nanos());
+                    order, offset, present.map(active -> active.rollout().version()));
             if (effect == RestoredOrders.Effect.CONTINUE) {
                 continueRollout(present.orElseThrow(), offset);
             } else if (effect == RestoredOrders.Effect.START) {
@@ -171,6 +171,16 @@
         restoredOrders.onHistoryReplaced(rollouts.keySet());
     }
 
+    /** Records that all orders of the present history have been passed on. */
+    void onOrdersListed() {
+        restoredOrders.onListed();
+    }
+
+    /** Records that the operator has had the time to write lost orders again. */
+    void onOrdersSettled() {
+        restoredOrders.settle().forEach(waiting -> startRollout(waiting.order(), waiting.offset()));
+    }
+
     /** Repeats failed reads at once, since the log responds again. */
     void onLogAvailable() {
         followers().forEach(KeyedFollower::retry);
@@ -269,7 +279,7 @@
             final ActiveRollout active = rollouts.get(counts.service());
             if (active != null) {
                 active.rollout().mergeCounts(keyed.key(), counts, scheduler.nanos());
-                if (counts.order() == active.rollout().order()) {
+                if (active.rollout().concerns(counts)) {
                     active.sessions().merge(counts.sessions());
                 }
             }
@@ -281,7 +291,6 @@
     /** Advances each rollout, proposes its progress and publishes this gateway's counts. Called about ten times a second. */
     void tick() {
         final long now = scheduler.nanos();
-        restoredOrders.due(now).forEach(due -> startRollout(due.order(), due.offset()));
         sessionsByService.values().forEach(sessions -> sessions.removeInactive(now));
         state.registry().all().stream()
                 .map(UpstreamState::upstream)
@@ -331,7 +340,8 @@
         final RolloutProgress progress = active.lostProgress().get();
         final boolean written = Optional.ofNullable(
                         statuses.get(active.rollout().service()))
-                .filter(status -> concerns(status, active.rollout()) && status.progress() == progress)
+                .filter(status -> concerns(status, active.rollout())
+                        && (status.progress() == progress || status.progress().ended()))
                 .isPresent();
         if (written) {
             active.recordStatusWritten();
--- a/src/test/java/org/masticpaddle/gateway/ControlLogFollowerTest.java
+++ b/src/test/java/org/masticpaddle/gateway/ControlLogFollowerTest.java
@@ -47,6 +47,12 @@
                             @Override
                             public void orderHistoryReplaced() {}
 
+                            @Override
+                            public void ordersListed() {}
+
+                            @Override
+                            public void ordersSettled() {}
+
                             @Override
                             public void logAvailable() {
                                 timesAvailable++;
--- a/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
+++ b/src/test/java/org/masticpaddle/gateway/EvacuationOrdersTest.java
@@ -162,6 +162,12 @@
                             @Override
                             public void orderHistoryReplaced() {}
 
+                            @Override
+                            public void ordersListed() {}
+
+                            @Override
+                            public void ordersSettled() {}
+
                             @Override
                             public void logAvailable() {}
                         })
