--- a/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
+++ b/src/test/java/org/masticpaddle/control/KeyedFollowerTest.java
@@ -432,6 +432,44 @@
         assertThat(log.requests()).isEqualTo(requests);
     }
 
+    @Test
+    void shouldListAgainWhenALaterPageNamesAnotherEra() {
+        final ScriptedSharedLog scripted = new ScriptedSharedLog(scheduler);
+        scripted.respond(new NewestPage(List.of(keyed(0, "a", "1")), true, 5, 1));
+        scripted.respond(new NewestPage(List.of(keyed(1, "b", "2")), false, 2, 2));
+        scripted.respond(new NewestPage(List.of(keyed(0, "a", "2"), keyed(1, "b", "2")), false, 2, 2));
+        followerOf(scripted).start();
+        assertThat(events)
+                .containsExactly("regained", "a=1", "restored", "a=2", "b=2")
+                .inOrder();
+    }
+
+    @Test
+    void shouldTakeAnOlderRecordOfAKeyForAnotherHistoryIfTheLogNamesNoEra() {
+        final ScriptedSharedLog scripted = new ScriptedSharedLog(scheduler);
+        scripted.respond(page(5, keyed(4, "a", "2")));
+        scripted.fail(SharedLogException.Kind.UNKNOWN);
+        scripted.respond(page(6, keyed(2, "a", "1")));
+        followerOf(scripted).start();
+        scheduler.advance(100);
+        assertThat(events)
+                .containsExactly("regained", "a=2", "lost", "regained", "restored", "a=1")
+                .inOrder();
+    }
+
+    @Test
+    void shouldTakeAShorterStreamForAnotherHistoryIfTheLogNamesNoEra() {
+        final ScriptedSharedLog scripted = new ScriptedSharedLog(scheduler);
+        scripted.respond(page(5, keyed(1, "a", "1")));
+        scripted.fail(SharedLogException.Kind.UNKNOWN);
+        scripted.respond(page(3, keyed(1, "a", "1")));
+        followerOf(scripted).start();
+        scheduler.advance(100);
+        assertThat(events)
+                .containsExactly("regained", "a=1", "lost", "regained", "restored", "a=1")
+                .inOrder();
+    }
+
     /** Guards against a listing with a broken item that confirms what was not read, or removes keys that it does not name. */
     @Test
     void shouldRepeatAListingThatHasAnItemThatCannotBeRead() {
