--- a/src/main/java/org/masticpaddle/control/KeyedFollower.java
+++ b/src/main/java/org/masticpaddle/control/KeyedFollower.java
@@ -157,7 +157,7 @@
      * ignored.
      */
     public void followEra() {
-        if (following && !stopped && log.era() != SharedLog.NO_ERA && log.era() != era) {
+        if (following && !stopped && anotherEraNamed()) {
             cancelTimers();
             readInFlight = false;
             following = false;
@@ -196,9 +196,7 @@
      * @return offset of the next record to read, empty while it is not known to count in the present history of the log
      */
     public OptionalLong position() {
-        final boolean otherHistory =
-                era == SharedLog.NO_ERA ? failures > 0 : log.era() != era && log.era() != SharedLog.NO_ERA;
-        return following && !otherHistory ? OptionalLong.of(nextOffset) : OptionalLong.empty();
+        return following && !mayBeRestored() ? OptionalLong.of(nextOffset) : OptionalLong.empty();
     }
 
     /**
@@ -214,13 +212,22 @@
         if (stopped) {
             return;
         }
-        if (following && (failures == 0 || era != SharedLog.NO_ERA)) {
+        if (following && !mayBeRestored()) {
             read();
         } else {
             listNewest("");
         }
     }
 
+    /** Returns whether the log may have been restored since the position was read; without eras, after any failure. */
+    private boolean mayBeRestored() {
+        return anotherEraNamed() || era == SharedLog.NO_ERA && failures > 0;
+    }
+
+    private boolean anotherEraNamed() {
+        return log.era() != SharedLog.NO_ERA && log.era() != era;
+    }
+
     private void listNewest(String after) {
         if (after.isEmpty()) {
             listedKeys = new HashSet<>();
--- a/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
+++ b/src/main/java/org/masticpaddle/fleet/UpstreamRegistry.java
@@ -18,7 +18,8 @@
  * during an outage of the list, or within the grace period after it, has lapsed: a live upstream may only have been
  * unable to renew it, so it stays a member until the grace period ends. An upstream in an evacuated failure domain is no member
  * while the order is in force, also if it is listed later. An entry of an earlier incarnation never
- * replaces one of a later incarnation, and one from a copy of the list neither revives a removed incarnation nor ends a drain. Not thread-safe: confined to the thread of its owner.
+ * replaces one of a later incarnation, and one from a copy of the list neither revives a removed incarnation nor ends a drain. Not
+ * thread-safe: confined to the thread of its owner.
  */
 public final class UpstreamRegistry {
     /** Largest number of removed upstreams that are remembered. */
--- a/src/main/java/org/masticpaddle/gateway/GatewayState.java
+++ b/src/main/java/org/masticpaddle/gateway/GatewayState.java
@@ -18,8 +18,8 @@
 /**
  * Mutable state of a gateway: the routing table in force and its freshness, upstreams, service times and retry budgets.
  *
- * <p>Invariant: the version of the routing table only increases. Used on the event loop only, but the table, its position and the age
- * of its confirmation may be read by any thread.
+ * <p>Invariant: the version of the routing table only increases. Used on the event loop only, but the table, its position and the
+ * age of its confirmation may be read by any thread.
  */
 final class GatewayState {
     /**
