--- a/src/test/java/org/masticpaddle/gateway/RestoredRolloutTest.java
+++ b/src/test/java/org/masticpaddle/gateway/RestoredRolloutTest.java
@@ -53,6 +53,16 @@
         assertV2IsNotUsed(3_000);
     }
 
+    /** Requests may not be sent to a new version beyond its share while its order waits. */
+    @Test
+    void shouldNotSendAllRequestsToAVersionWhoseOrderWaits() {
+        rollBackV2();
+        restore(0);
+        order("v3", REWRITTEN_OFFSET);
+        simulate(1_000, V1, true);
+        assertThat(sessionsPreferring(V3)).isAtMost(100);
+    }
+
     /** An order that is read after the listing cannot come from the copy. */
     @Test
     void shouldTryAVersionThatIsOrderedAfterTheRestoreWithAShareOfTheSessions() {
